--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,24 @@
+// Package examples holds a tree of settings for the two deployments that the
+// demonstration and the tests run.
+//
+// # Usage
+//
+//	files, err := tree.Read(examples.Settings())
+package examples
+
+import (
+	"embed"
+	"io/fs"
+)
+
+//go:embed settings
+var content embed.FS
+
+// Settings returns the root of the example tree.
+func Settings() fs.FS {
+	root, err := fs.Sub(content, "settings")
+	if err != nil {
+		panic(err)
+	}
+	return root
+}
--- /dev/null
+++ b/internal/cmd/demo/demo_test.go
@@ -0,0 +1,22 @@
+package demo
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
+)
+
+func TestDemoAnswersEverySearch(t *testing.T) {
+	var out, talk bytes.Buffer
+	o := &Options{Streams: &term.Streams{Out: &out, Err: &talk}, Daemons: 2}
+	if err := o.Run(t.Context()); err != nil {
+		t.Fatalf("demo: %v\n%s", err, talk.String())
+	}
+	for _, want := range []string{"Erbacee label lookup\t10 hits\t8/8", "Erbacee curator search\t20 hits\t32/32", "Salish stock check\t10 hits\t16/16", "0 (replayed)"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("the output lacks %q:\n%s", want, out.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/conn/link/link.go
@@ -0,0 +1,298 @@
+// Package link carries messages between daemons over QUIC with mutual TLS.
+//
+// # Usage
+//
+//	l := &link.Link{Address: "127.0.0.1:7100", Keys: k, Handle: handle}
+//	err := l.Start()
+//	l.Send("127.0.0.1:7101", link.Heartbeat, body)
+//	reply, err := l.Ask(ctx, "127.0.0.1:7101", link.Fetch, body)
+//
+// Each message has a stream of its own, so one that is lost or slow holds up no
+// other. Send gives no news of its fate; Ask returns the reply.
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+)
+
+// Type is the first byte of a message.
+type Type byte
+
+// The types of message.
+const (
+	Heartbeat Type = iota + 1
+	Fetch
+	Table
+	Execute
+)
+
+// ErrorKind classifies an Error.
+type ErrorKind string
+
+// The kinds.
+const (
+	// KindUnreachable means that nothing was sent.
+	KindUnreachable ErrorKind = "Unreachable"
+	// KindBroken means that the message may have arrived.
+	KindBroken ErrorKind = "Broken"
+	KindListen ErrorKind = "Listen"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[ErrorKind]
+
+const (
+	// MaxMessageBytes bounds one message.
+	MaxMessageBytes  = 2 << 20
+	handshakeTimeout = time.Second
+	idleTimeout      = 15 * time.Second
+	streamTimeout    = 5 * time.Second
+	streamsMost      = 4096
+)
+
+// Link is one daemon's end. Exported fields are set before Start.
+type Link struct {
+	// Address is the UDP "ip:port" to listen on.
+	Address string
+	Keys    *keys.Keys
+	// Handle takes a message and returns the reply to an Ask.
+	Handle func(from net.Addr, kind Type, body []byte) []byte
+
+	transport *quic.Transport
+	listener  *quic.Listener
+	mu        sync.Mutex
+	peers     map[string]*peer
+	closed    bool
+	sent      atomic.Int64
+	received  atomic.Int64
+}
+
+// peer is the connection to one address.
+type peer struct {
+	mu      sync.Mutex
+	conn    *quic.Conn
+	sending atomic.Int32
+}
+
+// sendsMost bounds the messages waiting for one peer; more are dropped, since
+// heartbeats replace each other.
+const sendsMost = 8
+
+// Start listens.
+func (l *Link) Start() error {
+	address, err := net.ResolveUDPAddr("udp", l.Address)
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	socket, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	l.peers = map[string]*peer{}
+	l.Address = socket.LocalAddr().String()
+	l.transport = &quic.Transport{Conn: socket}
+	l.listener, err = l.transport.Listen(l.Keys.TLS(), l.config())
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	go l.accept()
+	return nil
+}
+
+func (l *Link) config() *quic.Config {
+	return &quic.Config{
+		HandshakeIdleTimeout:  handshakeTimeout,
+		MaxIdleTimeout:        idleTimeout,
+		MaxIncomingStreams:    streamsMost,
+		MaxIncomingUniStreams: streamsMost,
+	}
+}
+
+// Close ends all connections.
+func (l *Link) Close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	// Errors while closing leave nothing to do.
+	_ = l.listener.Close()
+	_ = l.transport.Close()
+	_ = l.transport.Conn.Close()
+}
+
+// Bytes returns the bytes of messages sent and received.
+func (l *Link) Bytes() (sent, received int64) { return l.sent.Load(), l.received.Load() }
+
+func (l *Link) accept() {
+	for {
+		conn, err := l.listener.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		go l.serveUni(conn)
+		go l.serveBidi(conn)
+	}
+}
+
+func (l *Link) serveUni(conn *quic.Conn) {
+	for {
+		stream, err := conn.AcceptUniStream(conn.Context())
+		if err != nil {
+			return
+		}
+		go func() {
+			if kind, body, err := l.read(stream); err == nil {
+				l.Handle(conn.RemoteAddr(), kind, body)
+			}
+		}()
+	}
+}
+
+func (l *Link) serveBidi(conn *quic.Conn) {
+	for {
+		stream, err := conn.AcceptStream(conn.Context())
+		if err != nil {
+			return
+		}
+		go l.answer(conn, stream)
+	}
+}
+
+func (l *Link) answer(conn *quic.Conn, stream *quic.Stream) {
+	defer stream.Close()
+	kind, body, err := l.read(stream)
+	if err != nil {
+		return
+	}
+	reply := l.Handle(conn.RemoteAddr(), kind, body)
+	l.sent.Add(int64(len(reply)))
+	// A reply that can not be written is lost, and its asker sees that.
+	_, _ = stream.Write(reply)
+}
+
+type deadlineReader interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+}
+
+func (l *Link) read(stream deadlineReader) (Type, []byte, error) {
+	if err := stream.SetReadDeadline(time.Now().Add(streamTimeout)); err != nil {
+		return 0, nil, err
+	}
+	data, err := io.ReadAll(io.LimitReader(stream, MaxMessageBytes+1))
+	if err != nil {
+		return 0, nil, err
+	}
+	l.received.Add(int64(len(data)))
+	if len(data) == 0 || len(data) > MaxMessageBytes {
+		return 0, nil, fault.Causef("a message of %d bytes", len(data))
+	}
+	return Type(data[0]), data[1:], nil
+}
+
+func (l *Link) peer(address string) *peer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[address]
+	if p == nil {
+		p = &peer{}
+		l.peers[address] = p
+	}
+	return p
+}
+
+// Keep drops what is held for all other addresses.
+func (l *Link) Keep(addresses map[string]bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for address := range l.peers {
+		if !addresses[address] {
+			delete(l.peers, address)
+		}
+	}
+}
+
+// connect returns a live connection to an address, made if need be.
+func (l *Link) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	p := l.peer(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn != nil && p.conn.Context().Err() == nil {
+		return p.conn, nil
+	}
+	remote, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := l.transport.Dial(ctx, remote, l.Keys.TLS(), l.config())
+	if err != nil {
+		return nil, err
+	}
+	p.conn = conn
+	return conn, nil
+}
+
+// Send sends a message without waiting for it to arrive.
+func (l *Link) Send(address string, kind Type, body []byte) {
+	p := l.peer(address)
+	if p.sending.Add(1) > sendsMost {
+		p.sending.Add(-1)
+		return
+	}
+	go func() {
+		defer p.sending.Add(-1)
+		ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
+		defer cancel()
+		conn, err := l.connect(ctx, address)
+		if err != nil {
+			return
+		}
+		stream, err := conn.OpenUniStreamSync(ctx)
+		if err != nil {
+			return
+		}
+		l.sent.Add(int64(len(body) + 1))
+		// A heartbeat that can not be written is lost; the next one follows.
+		_, _ = stream.Write(append([]byte{byte(kind)}, body...))
+		_ = stream.Close()
+	}()
+}
+
+// Ask sends a message and waits for the reply.
+func (l *Link) Ask(ctx context.Context, address string, kind Type, body []byte) ([]byte, error) {
+	conn, err := l.connect(ctx, address)
+	if err != nil {
+		return nil, &Error{Op: "ask", Kind: KindUnreachable, Err: err}
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, &Error{Op: "ask", Kind: KindUnreachable, Err: err}
+	}
+	defer stream.CancelRead(0)
+	stop := context.AfterFunc(ctx, func() { stream.CancelRead(0) })
+	defer stop()
+	l.sent.Add(int64(len(body) + 1))
+	if _, err := stream.Write(append([]byte{byte(kind)}, body...)); err != nil {
+		return nil, &Error{Op: "ask", Kind: KindBroken, Err: err}
+	}
+	if err := stream.Close(); err != nil {
+		return nil, &Error{Op: "ask", Kind: KindBroken, Err: err}
+	}
+	reply, err := io.ReadAll(io.LimitReader(stream, MaxMessageBytes+1))
+	if err != nil {
+		return nil, &Error{Op: "ask", Kind: KindBroken, Err: err}
+	}
+	l.received.Add(int64(len(reply)))
+	return reply, nil
+}
--- /dev/null
+++ b/internal/conn/target/target.go
@@ -0,0 +1,260 @@
+// Package target is a daemon's connections to one target, over HTTP.
+//
+// # Usage
+//
+//	c := target.New(target.Config{Address: "127.0.0.1:9001", SpareConnections: 1})
+//	defer c.Close()
+//	reply, outcome := c.Search(ctx, &echo, body, time.Until(deadline))
+//	if outcome == fleet.Success {
+//		use(reply.Hits)
+//	}
+//
+// A reply counts only when it repeats the echo of its attempt. Any other reply
+// is Corrupt, and the target's idle connections are closed with it, since what
+// else they hold is not known.
+package target
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+const (
+	// MaxReplyBytes bounds the reply of one shard.
+	MaxReplyBytes = 4 << 20
+	dialTimeout   = 2 * time.Second
+	idleTimeout   = 90 * time.Second
+	contentType   = "application/cbor"
+)
+
+// Config is set before New.
+type Config struct {
+	// Address is "ip:port".
+	Address string
+	// SpareConnections is the number of idle connections kept beyond one.
+	SpareConnections int
+}
+
+// Client holds the connections to one target. Its methods may be called from
+// any goroutine.
+type Client struct {
+	config    Config
+	transport *http.Transport
+	// single opens a connection for each request and reuses none.
+	single     *http.Transport
+	searchURL  *url.URL
+	statusURL  *url.URL
+	executeURL *url.URL
+}
+
+// New returns a client; it connects when first used.
+func New(config Config) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	at := func(path string) *url.URL { return &url.URL{Scheme: "http", Host: config.Address, Path: path} }
+	return &Client{
+		config: config,
+		transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 1 + config.SpareConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+			WriteBufferSize:     2 << 10,
+			ReadBufferSize:      4 << 10,
+		},
+		single:     &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+		searchURL:  at("/search"),
+		statusURL:  at("/status"),
+		executeURL: at("/execute"),
+	}
+}
+
+// Close closes idle connections; those in use close when their reply ends.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// Search sends one attempt. The outcome tells how it ended; the reply is set
+// only on Success.
+func (c *Client) Search(ctx context.Context, echo *wire.Echo, body []byte, timeout time.Duration) (*wire.ShardReply, fleet.Outcome) {
+	request := c.request(ctx, c.searchURL, body)
+	request.Header[http.CanonicalHeaderKey(wire.HeaderEcho)] = []string{FormatEcho(echo)}
+	request.Header[http.CanonicalHeaderKey(wire.HeaderTimeout)] = []string{strconv.FormatInt(timeout.Microseconds(), 10)}
+	var reply wire.ShardReply
+	outcome := roundTrip(c.transport, request, &reply)
+	if outcome == fleet.Success && reply.Echo != *echo {
+		outcome = fleet.Corrupt
+	}
+	if outcome == fleet.Corrupt {
+		c.transport.CloseIdleConnections()
+	}
+	if outcome != fleet.Success {
+		return nil, outcome
+	}
+	return &reply, outcome
+}
+
+// Status asks the target for its status.
+func (c *Client) Status(ctx context.Context) (*wire.TargetStatus, fleet.Outcome) {
+	request := (&http.Request{Method: http.MethodGet, URL: c.statusURL, Host: c.config.Address, Header: http.Header{}}).WithContext(ctx)
+	var status wire.TargetStatus
+	outcome := roundTrip(c.transport, request, &status)
+	if outcome != fleet.Success {
+		return nil, outcome
+	}
+	return &status, outcome
+}
+
+// Execute sends a non-idempotent order once, over a connection of its own, so
+// that neither a stale connection nor a retry of the library can run it twice.
+// Only Refused, Shed and Draining mean that it did not run.
+func (c *Client) Execute(ctx context.Context, order *wire.ExecuteOrder) (*wire.ExecuteReply, fleet.Outcome) {
+	body, err := codec.Encode(order)
+	if err != nil {
+		return nil, fleet.Refused
+	}
+	var reply wire.ExecuteReply
+	outcome := roundTrip(c.single, c.request(ctx, c.executeURL, body), &reply)
+	if outcome == fleet.Success && reply.Key != order.Key {
+		outcome = fleet.Corrupt
+	}
+	if outcome != fleet.Success {
+		return nil, outcome
+	}
+	return &reply, outcome
+}
+
+func (c *Client) request(ctx context.Context, at *url.URL, body []byte) *http.Request {
+	request := &http.Request{
+		Method:        http.MethodPost,
+		URL:           at,
+		Host:          c.config.Address,
+		Header:        make(http.Header, 3),
+		Body:          io.NopCloser(bytes.NewReader(body)),
+		ContentLength: int64(len(body)),
+	}
+	request.Header["Content-Type"] = []string{contentType}
+	return request.WithContext(ctx)
+}
+
+// FormatEcho writes an echo for its header.
+func FormatEcho(e *wire.Echo) string {
+	buffer := make([]byte, 0, 64)
+	buffer = append(buffer, e.Request...)
+	buffer = append(buffer, '/')
+	buffer = strconv.AppendUint(buffer, e.Attempt, 10)
+	buffer = append(buffer, '/')
+	buffer = strconv.AppendInt(buffer, int64(e.Shard), 10)
+	buffer = append(buffer, '/')
+	buffer = strconv.AppendUint(buffer, e.Version, 10)
+	return string(buffer)
+}
+
+// roundTrip sends the request and decodes a 200 reply into value.
+func roundTrip(transport *http.Transport, request *http.Request, value any) fleet.Outcome {
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return classify(request.Context(), err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return refusal(response)
+	}
+	buffer := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(buffer)
+	buffer.Reset()
+	if _, err := buffer.ReadFrom(io.LimitReader(response.Body, MaxReplyBytes+1)); err != nil {
+		return classify(request.Context(), err)
+	}
+	if buffer.Len() > MaxReplyBytes || codec.Decode(buffer.Bytes(), value) != nil {
+		return fleet.Corrupt
+	}
+	return fleet.Success
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// refusalBytes is read of a refusal's body, so that its connection is kept.
+const refusalBytes = 1 << 10
+
+func refusal(response *http.Response) fleet.Outcome {
+	// The body says nothing that the status does not.
+	_, _ = io.CopyN(io.Discard, response.Body, refusalBytes)
+	switch response.StatusCode {
+	case http.StatusTooManyRequests:
+		return fleet.Shed
+	case http.StatusServiceUnavailable:
+		if response.Header.Get("Connection") == "close" || response.Close {
+			return fleet.Draining
+		}
+		return fleet.Shed
+	case http.StatusGone, http.StatusMisdirectedRequest:
+		return fleet.Gone
+	}
+	return fleet.Failed
+}
+
+func classify(ctx context.Context, err error) fleet.Outcome {
+	var operation *net.OpError
+	dialing := errors.As(err, &operation) && operation.Op == "dial"
+	switch {
+	case dialing && errors.Is(err, syscall.ECONNREFUSED):
+		return fleet.Refused
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return fleet.Expired
+	case ctx.Err() != nil:
+		return fleet.Cancelled
+	case dialing:
+		return fleet.Refused
+	}
+	return fleet.Broken
+}
+
+// Pool holds a client for each target.
+type Pool struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{clients: map[string]*Client{}} }
+
+// Get returns the client of an address, made on first use.
+func (p *Pool) Get(address string, spare int) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[address]
+	if c == nil {
+		c = New(Config{Address: address, SpareConnections: spare})
+		p.clients[address] = c
+	}
+	return c
+}
+
+// Keep closes and drops the clients of all other addresses.
+func (p *Pool) Keep(addresses map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.clients {
+		if !addresses[address] {
+			c.Close()
+			delete(p.clients, address)
+		}
+	}
+}
+
+// Close closes every client.
+func (p *Pool) Close() { p.Keep(nil) }
--- /dev/null
+++ b/internal/fake/store/store.go
@@ -0,0 +1,347 @@
+// Package store is a stand-in for the platform's key-value service: a subset of
+// the etcd v3 JSON gateway with compare-and-swap, leases and watches. It counts
+// calls, limits their rate, and can be down, slow, or lose the reply to a write
+// that took effect.
+//
+// # Usage
+//
+//	s := &store.Store{}
+//	err := s.Start("127.0.0.1:0")
+//	s.SetFaults(store.Faults{LoseReplies: 1})
+package store
+
+import (
+	"cmp"
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/etcd"
+)
+
+// Faults are what a test may inflict.
+type Faults struct {
+	// Down refuses every call and breaks the watches.
+	Down bool
+	// Delay is added to each call.
+	Delay time.Duration
+	// LoseReplies is the number of writes to come whose reply is lost.
+	LoseReplies int
+}
+
+// Store is one stand-in. Exported fields are set before Start.
+type Store struct {
+	// CallsPerSecond is the rate above which calls are refused; zero is none.
+	CallsPerSecond float64
+
+	mu       sync.Mutex
+	faults   Faults
+	revision int64
+	compact  int64
+	keys     map[string]etcd.KeyValue
+	log      []etcd.Event
+	leases   map[int64]time.Time
+	lives    map[int64]time.Duration
+	changed  chan struct{}
+	calls    map[string]int64
+	limiter  *rate.Limiter
+	server   *http.Server
+	address  string
+}
+
+// Start listens and serves. What was written before a Stop is still there.
+func (s *Store) Start(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.keys == nil {
+		s.keys = map[string]etcd.KeyValue{}
+		s.leases = map[int64]time.Time{}
+		s.lives = map[int64]time.Duration{}
+		s.calls = map[string]int64{}
+		s.changed = make(chan struct{})
+		s.revision = 1
+	}
+	if s.CallsPerSecond > 0 {
+		s.limiter = rate.NewLimiter(rate.Limit(s.CallsPerSecond), int(s.CallsPerSecond))
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v3/kv/range", handle(s, "range", s.rangeKeys))
+	mux.HandleFunc("POST /v3/kv/txn", handle(s, "txn", s.transact))
+	mux.HandleFunc("POST /v3/lease/grant", handle(s, "grant", s.grant))
+	mux.HandleFunc("POST /v3/lease/keepalive", handle(s, "keepalive", s.keepAlive))
+	mux.HandleFunc("POST /v3/watch", s.watch)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	s.address = listener.Addr().String()
+	server := s.server
+	// Serve ends with an error when the server is closed, as it is meant to.
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// URL returns the base URL.
+func (s *Store) URL() string { return "http://" + s.address }
+
+// Address returns the address it listens on.
+func (s *Store) Address() string { return s.address }
+
+// Stop ends the server; the keys are kept.
+func (s *Store) Stop() { _ = s.server.Close() }
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.signal()
+}
+
+// Calls returns the number of calls by kind; a waiting watch counts once a second.
+func (s *Store) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
+
+// Compact forgets the log up to the present.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compact = s.revision
+	s.log = nil
+}
+
+// signal wakes the watches.
+func (s *Store) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// admit counts a call and applies the faults that come before its effect.
+func (s *Store) admit(w http.ResponseWriter, name string) bool {
+	s.mu.Lock()
+	s.calls[name]++
+	faults, limiter := s.faults, s.limiter
+	s.mu.Unlock()
+	time.Sleep(faults.Delay)
+	switch {
+	case faults.Down:
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return false
+	case limiter != nil && !limiter.Allow():
+		http.Error(w, "too many calls", http.StatusTooManyRequests)
+		return false
+	}
+	return true
+}
+
+// handle decodes a call, applies it and writes its reply.
+func handle[Q, R any](s *Store, name string, apply func(*Q) (R, bool)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request Q
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if !s.admit(w, name) {
+			return
+		}
+		s.mu.Lock()
+		response, wrote := apply(&request)
+		lose := wrote && s.faults.LoseReplies > 0
+		if lose {
+			s.faults.LoseReplies--
+		}
+		s.mu.Unlock()
+		if lose {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Content-Type", "application/json")
+		// A failed write is seen by the reader.
+		_ = json.NewEncoder(w).Encode(response)
+	}
+}
+
+func (s *Store) rangeKeys(q *etcd.RangeRequest) (etcd.RangeResponse, bool) {
+	s.expire()
+	response := etcd.RangeResponse{Header: etcd.Header{Revision: s.revision}}
+	for key, kv := range s.keys {
+		inRange := len(q.RangeEnd) > 0 && key >= string(q.Key) && key < string(q.RangeEnd)
+		if key == string(q.Key) || inRange {
+			response.Kvs = append(response.Kvs, kv)
+		}
+	}
+	slices.SortFunc(response.Kvs, func(a, b etcd.KeyValue) int { return cmp.Compare(string(a.Key), string(b.Key)) })
+	return response, false
+}
+
+func (s *Store) transact(q *etcd.TxnRequest) (etcd.TxnResponse, bool) {
+	s.expire()
+	response := etcd.TxnResponse{Succeeded: true}
+	for _, c := range q.Compare {
+		if s.keys[string(c.Key)].ModRevision != c.ModRevision {
+			response.Succeeded = false
+		}
+	}
+	operations := q.Success
+	if !response.Succeeded {
+		operations = q.Failure
+	}
+	wrote := false
+	for _, o := range operations {
+		if o.Put != nil || o.Delete != nil {
+			wrote = true
+		}
+	}
+	if wrote {
+		s.revision++
+	}
+	for _, o := range operations {
+		response.Responses = append(response.Responses, s.operate(o))
+	}
+	if wrote {
+		s.signal()
+	}
+	response.Header.Revision = s.revision
+	return response, wrote
+}
+
+func (s *Store) operate(o etcd.Operation) etcd.OperationResponse {
+	switch {
+	case o.Put != nil:
+		old := s.keys[string(o.Put.Key)]
+		kv := etcd.KeyValue{Key: o.Put.Key, Value: o.Put.Value, ModRevision: s.revision, Version: old.Version + 1, Lease: o.Put.Lease}
+		s.keys[string(o.Put.Key)] = kv
+		s.log = append(s.log, etcd.Event{Kv: kv})
+	case o.Delete != nil:
+		s.remove(string(o.Delete.Key))
+	case o.Range != nil:
+		response, _ := s.rangeKeys(o.Range)
+		return etcd.OperationResponse{Range: &response}
+	}
+	return etcd.OperationResponse{}
+}
+
+func (s *Store) remove(key string) {
+	if _, had := s.keys[key]; !had {
+		return
+	}
+	delete(s.keys, key)
+	s.log = append(s.log, etcd.Event{Type: "DELETE", Kv: etcd.KeyValue{Key: []byte(key), ModRevision: s.revision}})
+}
+
+// expire removes the keys of lapsed leases.
+func (s *Store) expire() {
+	now := time.Now()
+	for id, end := range s.leases {
+		if now.Before(end) {
+			continue
+		}
+		delete(s.leases, id)
+		s.revision++
+		for key, kv := range s.keys {
+			if kv.Lease == id {
+				s.remove(key)
+			}
+		}
+		s.signal()
+	}
+}
+
+func (s *Store) grant(q *etcd.GrantRequest) (etcd.Lease, bool) {
+	s.revision++
+	life := time.Duration(q.TTL) * time.Second
+	s.leases[s.revision] = time.Now().Add(life)
+	s.lives[s.revision] = life
+	return etcd.Lease{ID: s.revision, TTL: q.TTL}, true
+}
+
+func (s *Store) keepAlive(q *etcd.Lease) (etcd.KeepAliveResponse, bool) {
+	s.expire()
+	var response etcd.KeepAliveResponse
+	response.Result.ID = q.ID
+	if _, alive := s.leases[q.ID]; alive {
+		s.leases[q.ID] = time.Now().Add(s.lives[q.ID])
+		response.Result.TTL = int64(s.lives[q.ID].Seconds())
+	}
+	return response, false
+}
+
+// watch streams the changes of a key or range.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	var request etcd.WatchRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.admit(w, "watch") {
+		return
+	}
+	encoder := json.NewEncoder(w)
+	flusher, _ := w.(http.Flusher)
+	send := func(response *etcd.WatchResponse) bool {
+		err := encoder.Encode(response)
+		flusher.Flush()
+		return err == nil
+	}
+	s.mu.Lock()
+	next := request.Create.StartRevision
+	if next == 0 {
+		next = s.revision + 1
+	}
+	compacted := next <= s.compact
+	s.mu.Unlock()
+	var hello etcd.WatchResponse
+	hello.Result.Created = true
+	hello.Result.Canceled = compacted
+	if compacted {
+		hello.Result.CompactRevision = s.compact
+	}
+	if !send(&hello) || compacted {
+		return
+	}
+	for {
+		events, changed, down := s.after(&request, &next)
+		if down {
+			panic(http.ErrAbortHandler)
+		}
+		if len(events) > 0 {
+			var response etcd.WatchResponse
+			response.Result.Events = events
+			if !send(&response) {
+				return
+			}
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-time.After(time.Second):
+			s.mu.Lock()
+			s.calls["waiting"]++
+			s.mu.Unlock()
+		}
+	}
+}
+
+// after returns the events from a revision on, and moves it past them.
+func (s *Store) after(request *etcd.WatchRequest, next *int64) (events []etcd.Event, changed <-chan struct{}, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.log {
+		if e.Kv.ModRevision >= *next && string(e.Kv.Key) == string(request.Create.Key) {
+			events = append(events, e)
+		}
+	}
+	*next = s.revision + 1
+	return events, s.changed, s.faults.Down
+}
--- /dev/null
+++ b/internal/fake/world/world.go
@@ -0,0 +1,339 @@
+// Package world starts the stand-in platform, searchers and any number of real
+// daemons in one process on loopback, for the demonstration, the experiments
+// and the tests.
+//
+// # Usage
+//
+//	w := &world.World{
+//		Daemons:  2,
+//		Settings: files,
+//		Services: []world.Service{{Deployment: "Erbacee", Name: "LabelDesk", Shards: 4, Replicas: 2}},
+//	}
+//	err := w.Start(ctx)
+//	defer w.Stop()
+//	c := w.Caller("Erbacee", "stall-7")
+package world
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/hosts"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/change"
+	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// KindTimeout means that the world did not get ready in time.
+const KindTimeout Kind = "Timeout"
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	loopback     = "127.0.0.1:0"
+	readyTimeout = 30 * time.Second
+	readyCheck   = 20 * time.Millisecond
+	// FirstVersion is the index version that searchers start with.
+	FirstVersion = 1
+)
+
+// Service is one service's searchers.
+type Service struct {
+	Deployment  string
+	Name        string
+	Shards      int
+	Replicas    int
+	Slots       int
+	Connections int
+	ConnectCost time.Duration
+	QueueLimit  int
+	// Documents is the size of the corpus.
+	Documents int
+	// ShardsPerTarget is how many shards each searcher holds; zero means one.
+	ShardsPerTarget int
+	Behaviour       shard.Behaviour
+}
+
+// World is a whole small deployment. Exported fields are set before Start.
+type World struct {
+	Services []Service
+	Daemons  int
+	// DataCentres and Regions are the daemons' and searchers' in turn.
+	DataCentres []string
+	Regions     []string
+	Settings    tree.Files
+	HostLag     time.Duration
+	Seed        uint64
+	// NoStore leaves the store out: the default settings are in force.
+	NoStore bool
+
+	Store   *fakestore.Store
+	Hosts   *hosts.List
+	Running []*daemon.Daemon
+	// Searchers holds each service's, replica by replica, by "deployment/service".
+	Searchers map[string][]*shard.Searcher
+	Corpora   map[string]*corpus.Corpus
+
+	authority *keys.Authority
+	listed    []wire.Host
+}
+
+// Start brings everything up and waits until every daemon is ready and knows
+// all shards.
+func (w *World) Start(ctx context.Context) error {
+	if len(w.DataCentres) == 0 {
+		w.DataCentres, w.Regions = []string{"dc-1", "dc-2", "dc-3"}, []string{"r-1", "r-1", "r-1"}
+	}
+	w.Searchers = map[string][]*shard.Searcher{}
+	w.Corpora = map[string]*corpus.Corpus{}
+	w.Hosts = &hosts.List{Lag: w.HostLag}
+	if err := w.Hosts.Start(loopback); err != nil {
+		return err
+	}
+	for i := range w.Services {
+		if err := w.startService(&w.Services[i]); err != nil {
+			return err
+		}
+	}
+	w.Hosts.Set(w.listed)
+	if err := w.startStore(ctx); err != nil {
+		return err
+	}
+	authority, err := keys.NewAuthority()
+	if err != nil {
+		return err
+	}
+	w.authority = authority
+	for range w.Daemons {
+		if _, err := w.AddDaemon(ctx); err != nil {
+			return err
+		}
+	}
+	return w.WaitReady(ctx)
+}
+
+func (w *World) startStore(ctx context.Context) error {
+	if w.NoStore {
+		return nil
+	}
+	w.Store = &fakestore.Store{}
+	if err := w.Store.Start(loopback); err != nil {
+		return err
+	}
+	if w.Settings == nil {
+		return nil
+	}
+	_, err := w.Apply(ctx, w.Settings)
+	return err
+}
+
+// Changer returns a client that applies settings.
+func (w *World) Changer() *change.Change {
+	return &change.Change{Store: &store.Store{Endpoints: []string{w.Store.URL()}}}
+}
+
+// Apply puts a tree in the store.
+func (w *World) Apply(ctx context.Context, files tree.Files) (*change.Result, error) {
+	return w.Changer().Apply(ctx, change.Request{Files: files, Author: "operator", Message: "experiment"})
+}
+
+func (w *World) startService(s *Service) error {
+	name := s.Deployment + "/" + s.Name
+	w.Corpora[name] = corpus.New(s.Name, s.Documents)
+	per := max(s.ShardsPerTarget, 1)
+	for replica := range s.Replicas {
+		for first := 0; first < s.Shards; first += per {
+			var shards []int
+			for n := first; n < min(first+per, s.Shards); n++ {
+				shards = append(shards, n)
+			}
+			if err := w.startSearcher(s, name, replica, shards); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *World) startSearcher(s *Service, name string, replica int, shards []int) error {
+	searcher := &shard.Searcher{
+		Service: s.Name, Slots: s.Slots, Connections: s.Connections, QueueLimit: s.QueueLimit,
+		ConnectCost: s.ConnectCost, Seed: w.Seed + uint64(len(w.listed)),
+	}
+	searcher.Behave(func(b *shard.Behaviour) { *b = s.Behaviour })
+	searcher.Hold(w.Corpora[name], FirstVersion, s.Shards, shards)
+	if err := searcher.Start(loopback); err != nil {
+		return err
+	}
+	w.Searchers[name] = append(w.Searchers[name], searcher)
+	at := replica % len(w.DataCentres)
+	w.listed = append(w.listed, wire.Host{
+		Address: searcher.Address(), Role: "Searcher", Deployment: s.Deployment, Service: s.Name,
+		Region: w.Regions[at], DataCentre: w.DataCentres[at], Rack: "rack-" + strconv.Itoa(shards[0]%4),
+	})
+	return nil
+}
+
+// Replica returns the searchers of one replica of a service, which are all in
+// one data centre.
+func (w *World) Replica(deployment, service string, replica int) []*shard.Searcher {
+	all := w.Searchers[deployment+"/"+service]
+	for i := range w.Services {
+		if s := &w.Services[i]; s.Deployment == deployment && s.Name == service {
+			each := len(all) / s.Replicas
+			return all[replica*each : (replica+1)*each]
+		}
+	}
+	return nil
+}
+
+// AddDaemon starts one daemon more.
+func (w *World) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
+	number := len(w.Running)
+	return w.StartDaemon(ctx, fmt.Sprintf("daemon-%d", number), loopback, loopback, number)
+}
+
+// StartDaemon starts a daemon of a given name at given addresses.
+func (w *World) StartDaemon(ctx context.Context, name, listen, linkAddress string, place int) (*daemon.Daemon, error) {
+	k, err := w.authority.Temporary(name)
+	if err != nil {
+		return nil, err
+	}
+	at := place % len(w.DataCentres)
+	s := &setup.Setup{
+		Name: name, Listen: listen, Link: linkAddress, DataCentre: w.DataCentres[at], Region: w.Regions[at],
+		HostList: "http://" + w.Hosts.Address() + "/hosts",
+	}
+	if w.Store != nil {
+		s.Store = []string{w.Store.URL()}
+	}
+	d := &daemon.Daemon{Setup: s, Keys: k}
+	if err := d.Start(ctx); err != nil {
+		return nil, err
+	}
+	w.Running = append(w.Running, d)
+	w.List(wire.Host{Address: d.Link(), Role: "Daemon", Region: s.Region, DataCentre: s.DataCentre})
+	return d, nil
+}
+
+// List adds a host to the host list.
+func (w *World) List(h wire.Host) {
+	w.listed = slices.DeleteFunc(w.listed, func(old wire.Host) bool { return old.Address == h.Address })
+	w.listed = append(w.listed, h)
+	w.Hosts.Set(w.listed)
+}
+
+// Unlist removes a host from the host list.
+func (w *World) Unlist(address string) {
+	w.listed = slices.DeleteFunc(w.listed, func(h wire.Host) bool { return h.Address == address })
+	w.Hosts.Set(w.listed)
+}
+
+// Leave marks a host as leaving in the host list.
+func (w *World) Leave(address string) {
+	for i := range w.listed {
+		if w.listed[i].Address == address {
+			w.listed[i].Leaving = true
+		}
+	}
+	w.Hosts.Set(w.listed)
+}
+
+// WaitReady waits until every daemon is ready, knows every other, and has all
+// shards of all services.
+func (w *World) WaitReady(ctx context.Context) error {
+	end := time.Now().Add(readyTimeout)
+	for !w.ready() {
+		if time.Now().After(end) || ctx.Err() != nil {
+			return &Error{Op: "start", Kind: KindTimeout, Err: fault.Causef("the daemons are not ready: %s", w.describe())}
+		}
+		time.Sleep(readyCheck)
+	}
+	return nil
+}
+
+func (w *World) ready() bool {
+	for _, d := range w.Running {
+		status := d.Snapshot()
+		if !status.Ready || d.Table.Live() < len(w.Running) || len(status.Services) < len(w.Services) {
+			return false
+		}
+		for i := range status.Services {
+			s := &status.Services[i]
+			if s.Targets == 0 {
+				// The settings name it, but nothing serves it here.
+				continue
+			}
+			if s.Shards == 0 || len(s.LostShards) > 0 || s.Capacity == 0 || s.TargetsUp < s.Targets {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (w *World) describe() string {
+	text := ""
+	for _, d := range w.Running {
+		s := d.Snapshot()
+		text += fmt.Sprintf("%s %s %s members %d; ", s.Name, s.State, s.Reason, d.Table.Live())
+		for _, service := range s.Services {
+			text += fmt.Sprintf("%s %d/%d up, %d lost; ", service.Service, service.TargetsUp, service.Targets, len(service.LostShards))
+		}
+	}
+	return text
+}
+
+// Caller returns a caller of a deployment that knows every daemon.
+func (w *World) Caller(deployment, name string) *caller.Caller {
+	c := &caller.Caller{Deployment: deployment, Name: name, DataCentre: w.DataCentres[0], Region: w.Regions[0]}
+	for _, d := range w.Running {
+		c.Seeds = append(c.Seeds, d.URL())
+	}
+	return c
+}
+
+// Violations returns the broken invariants of all daemons.
+func (w *World) Violations() map[string]int {
+	sum := map[string]int{}
+	for _, d := range w.Running {
+		for name, count := range d.Meter.Violated() {
+			sum[name] += count
+		}
+	}
+	return sum
+}
+
+// Stop ends everything at once.
+func (w *World) Stop() {
+	for _, d := range w.Running {
+		d.Kill()
+	}
+	for _, searchers := range w.Searchers {
+		for _, s := range searchers {
+			s.Stop()
+		}
+	}
+	if w.Store != nil {
+		w.Store.Stop()
+	}
+	if w.Hosts != nil {
+		w.Hosts.Stop()
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/loops.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/tenant"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+const (
+	hostsInterval = time.Second
+	// pollTick is how often targets that are due are looked for.
+	pollTick        = 100 * time.Millisecond
+	pollTimeout     = time.Second
+	pollsMost       = 64
+	houseInterval   = 250 * time.Millisecond
+	daemonRole      = "Daemon"
+	addressesMost   = 16
+	homeLife        = 2 * time.Minute
+	goodbyeTime     = 50 * time.Millisecond
+	homeKeepDivisor = 2
+)
+
+// pollHosts reads the host list. While it can not be read the last one holds.
+func (d *Daemon) pollHosts(ctx context.Context) {
+	working := true
+	for ctx.Err() == nil {
+		list, err := d.hosts.Read(ctx)
+		switch {
+		case err != nil && working && ctx.Err() == nil:
+			klog.Errorf("the host list can not be read: %v", err)
+			working = false
+		case err == nil:
+			working = true
+			d.takeHosts(time.Now(), list)
+		}
+		pause(ctx, jitter(hostsInterval))
+	}
+}
+
+// takeHosts sorts the hosts by role and service.
+func (d *Daemon) takeHosts(now time.Time, list []wire.Host) {
+	var seeds []string
+	byTenant := map[*tenant.Tenant][]wire.Host{}
+	addresses := map[*tenant.Tenant]map[string]bool{}
+	d.eachTenant(func(_, _ string, t *tenant.Tenant) { byTenant[t] = nil })
+	for i := range list {
+		h := &list[i]
+		if h.Role == daemonRole {
+			if !h.Leaving && h.Address != d.self.Link {
+				seeds = append(seeds, h.Address)
+			}
+			continue
+		}
+		t := d.tenant(h.Deployment, h.Service)
+		byTenant[t] = append(byTenant[t], *h)
+		if addresses[t] == nil {
+			addresses[t] = map[string]bool{}
+		}
+		addresses[t][h.Address] = true
+	}
+	d.seeds.Store(&seeds)
+	for t, hosts := range byTenant {
+		t.Fleet.SetHosts(now, hosts)
+		t.Pool.Keep(addresses[t])
+	}
+	d.hostSeen.Store(true)
+}
+
+// pollTargets asks targets for their status: at once those not heard of, and
+// each interval those that have not replied to anything since.
+func (d *Daemon) pollTargets(ctx context.Context) {
+	slots := make(chan struct{}, pollsMost)
+	ticker := time.NewTicker(pollTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		interval := d.Keeper.Current().Tree.Resolve("", "", "").StatusInterval
+		d.eachTenant(func(_, _ string, t *tenant.Tenant) {
+			for _, address := range t.Fleet.PollDue(time.Now(), interval) {
+				slots <- struct{}{}
+				go func() {
+					defer func() { <-slots }()
+					poll(ctx, t, address)
+				}()
+			}
+		})
+	}
+}
+
+func poll(ctx context.Context, t *tenant.Tenant, address string) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	status, outcome := t.Pool.Get(address, 0).Status(ctx)
+	if status != nil {
+		t.Fleet.Report(time.Now(), address, status)
+		return
+	}
+	t.Fleet.Unreachable(address, outcome == fleet.Refused)
+}
+
+// housekeep brings slow changes to the tenants and the metrics.
+func (d *Daemon) housekeep(ctx context.Context) {
+	ticker := time.NewTicker(houseInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.updateTenants(now)
+			d.home.Sweep(d.uptime())
+			d.gauges(now)
+		}
+	}
+}
+
+func (d *Daemon) gauges(now time.Time) {
+	sent, heard := d.link.Bytes()
+	set := func(name string, value float64) { d.Meter.Gauges.WithLabelValues(name).Set(value) }
+	set("SettingsRevision", float64(d.Keeper.Current().Change.Revision))
+	set("Members", float64(d.Table.Live()))
+	set("IdempotencyKeys", float64(d.home.Keys()))
+	set("Quarantined", float64(d.Poison.Count(now)))
+	set("LinkBytesSent", float64(sent))
+	set("LinkBytesHeard", float64(heard))
+	set("InFlight", float64(d.server.InFlight()))
+}
+
+// Stop leaves gracefully: the daemon is taken out of the address list, serves
+// until kept lists have run out, finishes what is in flight, and goes. The
+// context bounds it; an error says what was cut.
+func (d *Daemon) Stop(ctx context.Context) error {
+	if d.leaving.Swap(true) {
+		return nil
+	}
+	settings := d.Keeper.Current().Tree.Resolve("", "", "")
+	ctx, cancel := context.WithTimeout(ctx, settings.StopGrace)
+	defer cancel()
+	klog.Infof("daemon %s is leaving", d.self.Name)
+	d.Table.SetState(time.Now(), member.Leaving)
+	d.gossip.Push()
+	pause(ctx, settings.AddressKeep+settings.SilentAfter)
+	err := d.server.Stop(ctx)
+	d.Table.SetState(time.Now(), member.Gone)
+	d.gossip.Push()
+	pause(ctx, goodbyeTime)
+	d.close()
+	if err != nil {
+		return &Error{Op: "stop", Kind: KindStop, Err: err}
+	}
+	return nil
+}
+
+// Kill ends the daemon as a crash does.
+func (d *Daemon) Kill() {
+	d.server.Kill()
+	d.close()
+}
+
+func (d *Daemon) close() {
+	d.cancel()
+	d.link.Close()
+	d.eachTenant(func(_, _ string, t *tenant.Tenant) { t.Pool.Close() })
+}
+
+// jitter spreads periodic work of many daemons.
+func jitter(interval time.Duration) time.Duration {
+	return interval/2 + time.Duration(rand.Int64N(int64(interval)))
+}
--- /dev/null
+++ b/internal/process/fleet/fleet.go
@@ -0,0 +1,292 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+// Config is set once, before New.
+type Config struct {
+	Deployment string
+	Service    string
+	// Seed makes the selection repeatable.
+	Seed uint64
+}
+
+// Fleet is the state of one service's targets. Its methods may be called from
+// any goroutine.
+type Fleet struct {
+	config Config
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	settings *tree.Settings
+	daemons  int
+	targets  map[string]*Target
+	order    []*Target
+	views    []*View
+	plan     *View
+	dirty    bool
+	waiters  map[int][]*waiter
+	latency  *latencies
+}
+
+// New returns an empty fleet under default settings.
+func New(config Config) *Fleet {
+	return &Fleet{
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Seed, 0x9e3779b97f4a7c15)),
+		settings: tree.Default(),
+		daemons:  1,
+		targets:  map[string]*Target{},
+		waiters:  map[int][]*waiter{},
+		latency:  newLatencies(),
+	}
+}
+
+// Configure puts the service's settings in force.
+func (f *Fleet) Configure(settings *tree.Settings) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settings = settings
+}
+
+// SetDaemons tells how many live daemons share the targets.
+func (f *Fleet) SetDaemons(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons = max(count, 1)
+}
+
+// SetHosts takes the platform's host list. Hosts that it no longer names are
+// forgotten; those that it names as leaving get no new work.
+func (f *Fleet) SetHosts(now time.Time, hosts []wire.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(hosts))
+	for i := range hosts {
+		listed[hosts[i].Address] = true
+		f.setHost(now, &hosts[i])
+	}
+	for address, t := range f.targets {
+		if !listed[address] {
+			t.state = StateLeaving
+			delete(f.targets, address)
+			f.dirty = true
+		}
+	}
+	f.order = f.order[:0]
+	for _, t := range f.targets {
+		f.order = append(f.order, t)
+	}
+	slices.SortFunc(f.order, func(a, b *Target) int { return compare(a.Address, b.Address) })
+}
+
+func (f *Fleet) setHost(now time.Time, h *wire.Host) {
+	t := f.targets[h.Address]
+	if t == nil {
+		t = &Target{
+			Address: h.Address, Region: h.Region, DataCentre: h.DataCentre, Rack: h.Rack,
+			state: StateUnknown, slots: defaultSlots, limit: 1, seen: now,
+		}
+		f.targets[h.Address] = t
+	}
+	if t.hostLeaving != h.Leaving {
+		t.hostLeaving = h.Leaving
+		if h.Leaving {
+			f.setState(t, StateLeaving)
+		} else {
+			f.setState(t, StateUnknown)
+		}
+	}
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func (f *Fleet) setState(t *Target, state State) {
+	if t.state == state {
+		return
+	}
+	wasUsable := t.usable()
+	t.state = state
+	if wasUsable != t.usable() {
+		f.dirty = true
+	}
+}
+
+// usable reports whether the target belongs in a view.
+func (t *Target) usable() bool { return t.state == StateReady || t.state == StateSilent }
+
+// Report takes a target's status. A new incarnation starts from nothing.
+func (f *Fleet) Report(now time.Time, address string, status *wire.TargetStatus) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[address]
+	if t == nil {
+		return
+	}
+	t.seen = now
+	if t.incarnation != status.Incarnation {
+		t.incarnation = status.Incarnation
+		t.succeed()
+		t.limit = 1
+		t.latencyAt = time.Time{}
+	}
+	t.slots = max(status.Slots, 1)
+	t.connections = status.Connections
+	if !sameIndexes(t.indexes, status.Indexes) {
+		t.indexes = status.Indexes
+		f.dirty = true
+	}
+	if status.Load.Draining || t.hostLeaving {
+		f.setState(t, StateLeaving)
+		return
+	}
+	f.setState(t, StateReady)
+	f.wakeAll(t)
+}
+
+// Unreachable records a failed status poll: refused when the target's host
+// answered that nothing listens, silent otherwise.
+func (f *Fleet) Unreachable(address string, refused bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[address]
+	switch {
+	case t == nil || t.state == StateLeaving:
+	case refused:
+		f.setState(t, StateDown)
+	case t.state == StateReady:
+		f.setState(t, StateSilent)
+	}
+}
+
+// Forget records that a target no longer holds a version.
+func (f *Fleet) Forget(t *Target, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	kept := make([]wire.Index, 0, len(t.indexes))
+	for i := range t.indexes {
+		if t.indexes[i].Version != version || t.indexes[i].Service != f.config.Service {
+			kept = append(kept, t.indexes[i])
+		}
+	}
+	t.indexes = kept
+	f.dirty = true
+}
+
+// Plan returns the view that a new request pins; nil when no target is known.
+func (f *Fleet) Plan() *View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	return f.plan
+}
+
+// PlanVersion returns the view of one version; nil when nobody holds it.
+func (f *Fleet) PlanVersion(version uint64) *View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	for _, v := range f.views {
+		if v.Version == version {
+			return v
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) refresh() {
+	if !f.dirty {
+		return
+	}
+	f.dirty = false
+	f.views = buildViews(f.config.Service, f.order)
+	f.plan = choose(f.views)
+}
+
+// Capacity returns how many whole queries this daemon may run at once: the sum
+// of its limits over the replicas of the scarcest shard.
+func (f *Fleet) Capacity() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refresh()
+	if f.plan == nil {
+		return 0
+	}
+	least := 1 << 30
+	for _, replicas := range f.plan.Replicas {
+		sum := 0
+		for _, t := range replicas {
+			sum += f.room(t)
+		}
+		if sum > 0 {
+			least = min(least, sum)
+		}
+	}
+	if least == 1<<30 {
+		return 0
+	}
+	return least
+}
+
+// PollDue lists the targets to poll: those that have neither replied nor been
+// polled within the interval.
+func (f *Fleet) PollDue(now time.Time, interval time.Duration) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var due []string
+	for _, t := range f.order {
+		silent := t.state != StateReady || now.Sub(t.seen) >= interval
+		if silent && now.Sub(t.polled) >= interval {
+			t.polled = now
+			due = append(due, t.Address)
+		}
+	}
+	return due
+}
+
+// Row is one target's state for operators.
+type Row struct {
+	Address       string
+	DataCentre    string
+	Rack          string
+	State         State
+	InFlight      int
+	Limit         float64
+	LatencyMillis float64
+	Ejected       bool
+}
+
+// Rows returns the state of every target, by address.
+func (f *Fleet) Rows(now time.Time) []Row {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := make([]Row, 0, len(f.order))
+	for _, t := range f.order {
+		rows = append(rows, Row{
+			Address: t.Address, DataCentre: t.DataCentre, Rack: t.Rack, State: t.state, InFlight: t.inFlight,
+			Limit: t.limit, LatencyMillis: t.latency * 1000, Ejected: now.Before(t.ejected),
+		})
+	}
+	return rows
+}
+
+func sameIndexes(a, b []wire.Index) bool {
+	return slices.EqualFunc(a, b, func(x, y wire.Index) bool {
+		return x.Service == y.Service && x.Version == y.Version && x.ShardCount == y.ShardCount && slices.Equal(x.Shards, y.Shards)
+	})
+}
--- /dev/null
+++ b/internal/process/fleet/latency.go
@@ -0,0 +1,112 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	latencyWindows     = 4
+	latencyWindow      = time.Second
+	latencyRefresh     = 100 * time.Millisecond
+	latencyMostMicros  = 60_000_000
+	latencyFigures     = 2
+	shardWeight        = 0.05
+	initialMeanSeconds = 0.005
+	// fewSamples is the number of replies below which quantiles are not trusted.
+	fewSamples = 50
+	// initialDelay is the hedge delay until enough replies were seen.
+	initialDelay = 50 * time.Millisecond
+)
+
+// latencies keeps the recent latency of a service's sub-requests: a windowed
+// histogram for all, and a mean for each shard.
+type latencies struct {
+	window    *hdrhistogram.WindowedHistogram
+	rotated   time.Time
+	refreshed time.Time
+	merged    *hdrhistogram.Histogram
+	mean      float64
+	shards    []float64
+}
+
+func newLatencies() *latencies {
+	return &latencies{
+		window: hdrhistogram.NewWindowed(latencyWindows, 1, latencyMostMicros, latencyFigures),
+		mean:   initialMeanSeconds,
+	}
+}
+
+func (l *latencies) observe(now time.Time, shard int, seconds float64) {
+	if now.Sub(l.rotated) >= latencyWindow {
+		l.window.Rotate()
+		l.rotated = now
+	}
+	micros := min(max(int64(seconds*1e6), 1), latencyMostMicros)
+	// The value was clamped to the range, so it cannot be refused.
+	_ = l.window.Current.RecordValue(micros)
+	for len(l.shards) <= shard {
+		l.shards = append(l.shards, 0)
+	}
+	if l.shards[shard] == 0 {
+		l.shards[shard] = seconds
+		return
+	}
+	l.shards[shard] += shardWeight * (seconds - l.shards[shard])
+}
+
+func (l *latencies) refresh(now time.Time) {
+	if l.merged != nil && now.Sub(l.refreshed) < latencyRefresh {
+		return
+	}
+	l.merged = l.window.Merge()
+	l.refreshed = now
+	if l.merged.TotalCount() > 0 {
+		l.mean = l.merged.Mean() / 1e6
+	}
+}
+
+// quantile returns the latency that the given share of recent replies is
+// within; ok is false while there are too few.
+func (l *latencies) quantile(now time.Time, share float64) (time.Duration, bool) {
+	l.refresh(now)
+	if l.merged.TotalCount() < fewSamples {
+		return initialDelay, false
+	}
+	return time.Duration(l.merged.ValueAtQuantile(share*100)) * time.Microsecond, true
+}
+
+// slowness is how much slower than the service a shard is; at least 1.
+func (l *latencies) slowness(shard int) float64 {
+	if shard >= len(l.shards) || l.mean <= 0 {
+		return 1
+	}
+	return max(1, l.shards[shard]/l.mean)
+}
+
+// HedgeDelay returns how long after a send the given shard counts as slow: the
+// quantile of the service's recent latency, scaled for a shard that is always
+// slower than the rest.
+func (f *Fleet) HedgeDelay(now time.Time, share float64) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delay, _ := f.latency.quantile(now, share)
+	return delay
+}
+
+// Slowness returns how much slower than the service's mean a shard is, at
+// least 1.
+func (f *Fleet) Slowness(shard int) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.latency.slowness(shard)
+}
+
+// TypicalLatency returns the quantile of recent sub-request latency and
+// whether enough replies were seen to trust it.
+func (f *Fleet) TypicalLatency(now time.Time, share float64) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.latency.quantile(now, share)
+}
--- /dev/null
+++ b/internal/process/fleet/target.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+// State is a target's condition as this daemon sees it.
+type State string
+
+// The states.
+const (
+	// StateUnknown is a target that has not reported yet.
+	StateUnknown State = "Unknown"
+	StateReady   State = "Ready"
+	// StateSilent is a target whose status polls time out. It is used only
+	// when nothing better is left, since the network may be at fault.
+	StateSilent State = "Silent"
+	// StateDown is a target that refuses connections.
+	StateDown State = "Down"
+	// StateLeaving is a target that drains; it gets no new work.
+	StateLeaving State = "Leaving"
+)
+
+const (
+	// latencyWeight is the weight of a new sample in a target's mean.
+	latencyWeight = 0.2
+	// latencyHalfLife is the time in which an unused target's mean falls
+	// halfway to the service's, so that it is tried again.
+	latencyHalfLife = 5 * time.Second
+	// ejectAfter is the number of failures in a row that eject a target.
+	ejectAfter = 3
+	// ejectBase and ejectMost bound the time a target stays out.
+	ejectBase = 500 * time.Millisecond
+	ejectMost = 10 * time.Second
+	// limitCut is the factor applied to the limit when a target is overloaded.
+	limitCut = 0.7
+	// defaultSlots is assumed until a target has reported.
+	defaultSlots = 2
+)
+
+// Target is one searcher. Its exported fields never change.
+type Target struct {
+	Address    string
+	Region     string
+	DataCentre string
+	Rack       string
+
+	state       State
+	hostLeaving bool
+	seen        time.Time
+	polled      time.Time
+	incarnation string
+	slots       int
+	connections int
+	indexes     []wire.Index
+
+	inFlight  int
+	limit     float64
+	latency   float64
+	latencyAt time.Time
+
+	failures  int
+	ejections int
+	ejected   time.Time
+}
+
+// Domain names the failure domain that a target shares with its rack.
+func (t *Target) Domain() string { return t.DataCentre + "/" + t.Rack }
+
+// observe folds a latency sample into the target's mean.
+func (t *Target) observe(now time.Time, sample float64) {
+	if t.latencyAt.IsZero() {
+		t.latency = sample
+	} else {
+		t.latency += latencyWeight * (sample - t.latency)
+	}
+	t.latencyAt = now
+}
+
+// expected is the latency to expect, in seconds, decayed towards the mean of
+// the service while the target is unused.
+func (t *Target) expected(now time.Time, mean float64) float64 {
+	if t.latencyAt.IsZero() {
+		return mean
+	}
+	idle := now.Sub(t.latencyAt)
+	if idle <= latencyHalfLife/8 {
+		return t.latency
+	}
+	keep := 1 / (1 + idle.Seconds()/latencyHalfLife.Seconds())
+	return mean + (t.latency-mean)*keep
+}
+
+// fail counts a failure and ejects the target after several in a row.
+func (t *Target) fail(now time.Time) {
+	t.failures++
+	if t.failures < ejectAfter {
+		return
+	}
+	out := ejectBase << min(t.ejections, 5)
+	t.ejected = now.Add(min(out, ejectMost))
+	t.ejections++
+	t.failures = 0
+}
+
+func (t *Target) succeed() {
+	t.failures = 0
+	t.ejections = 0
+	t.ejected = time.Time{}
+}
+
+// adapt moves the concurrency limit by what a reply says of the target's load,
+// between this daemon's share of the slots and all of them.
+func (t *Target) adapt(load *wire.Load, floor float64) {
+	most := float64(t.slots)
+	switch {
+	case load != nil && load.Queued > 0:
+		t.limit *= limitCut
+	case float64(t.inFlight) >= t.limit-1 && (load == nil || load.InFlight < t.slots):
+		t.limit += 1 / max(t.limit, 1)
+	}
+	t.limit = min(max(t.limit, floor), max(most, floor))
+}
--- /dev/null
+++ b/internal/process/fleet/view.go
@@ -0,0 +1,92 @@
+package fleet
+
+import "sort"
+
+// View is the shard map of one index version: for each shard its replicas.
+type View struct {
+	Version  uint64
+	Replicas [][]*Target
+	// lost counts shards without a replica.
+	lost int
+}
+
+// Shards returns the number of shards of the version.
+func (v *View) Shards() int { return len(v.Replicas) }
+
+// Lost lists the shards that no known target serves.
+func (v *View) Lost() []int {
+	var lost []int
+	for shard, replicas := range v.Replicas {
+		if len(replicas) == 0 {
+			lost = append(lost, shard)
+		}
+	}
+	return lost
+}
+
+// least returns the smallest number of replicas of any shard.
+func (v *View) least() int {
+	least := 1 << 30
+	for _, replicas := range v.Replicas {
+		least = min(least, len(replicas))
+	}
+	return least
+}
+
+// buildViews makes the shard map of every version that a usable target holds.
+func buildViews(service string, targets []*Target) []*View {
+	byVersion := map[uint64]*View{}
+	for _, t := range targets {
+		if t.state != StateReady && t.state != StateSilent {
+			continue
+		}
+		for i := range t.indexes {
+			index := &t.indexes[i]
+			if index.Service == service && index.ShardCount > 0 {
+				addReplica(byVersion, t, index.Version, index.ShardCount, index.Shards)
+			}
+		}
+	}
+	views := make([]*View, 0, len(byVersion))
+	for _, v := range byVersion {
+		v.lost = len(v.Lost())
+		views = append(views, v)
+	}
+	sort.Slice(views, func(i, j int) bool { return views[i].Version > views[j].Version })
+	return views
+}
+
+func addReplica(views map[uint64]*View, t *Target, version uint64, shardCount int, shards []int) {
+	v := views[version]
+	if v == nil {
+		v = &View{Version: version, Replicas: make([][]*Target, shardCount)}
+		views[version] = v
+	}
+	for _, shard := range shards {
+		if shard >= 0 && shard < len(v.Replicas) {
+			v.Replicas[shard] = append(v.Replicas[shard], t)
+		}
+	}
+}
+
+// choose returns the newest whole version that has at least half the replicas
+// of the best whole one, so that a version being loaded is not overwhelmed.
+// Without a whole version it returns the one with the fewest lost shards.
+func choose(views []*View) *View {
+	best := 0
+	for _, v := range views {
+		if v.lost == 0 {
+			best = max(best, v.least())
+		}
+	}
+	var fallback *View
+	for _, v := range views {
+		if v.lost == 0 && 2*v.least() >= best {
+			return v
+		}
+		if fallback == nil || v.lost*fallback.Shards() < fallback.lost*v.Shards() {
+			fallback = v
+		}
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/process/gossip/gossip.go
@@ -0,0 +1,332 @@
+// Package gossip carries what daemons tell each other: heartbeats, news of
+// members, revisions of the settings, and suspects.
+//
+// # Usage
+//
+//	g := &gossip.Gossip{Table: table, Link: l, Keeper: keeper, Poison: register, Meter: m, Accepted: apply}
+//	l.Handle = g.Handle
+//	g.Join(ctx, seeds)
+//	go g.Run(ctx)
+//	g.Push() // after news that should spread at once
+package gossip
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+)
+
+const (
+	// pushDelay gathers news before it is pushed.
+	pushDelay = 20 * time.Millisecond
+	// suspectsMost bounds the suspects in one heartbeat.
+	suspectsMost = 16
+	// suspectAge is how long a suspect is told of.
+	suspectAge = 30 * time.Second
+	// mismatchesMost is the number of heartbeats with another digest after
+	// which the tables are compared whole.
+	mismatchesMost = 20
+	askTimeout     = 3 * time.Second
+	// joinSeeds is the number of seeds asked when joining.
+	joinSeeds = 3
+)
+
+// Heartbeat is the message of type link.Heartbeat.
+type Heartbeat struct {
+	From     member.Member
+	Updates  []member.Member
+	Revision int64
+	Digest   uint64
+	Suspects []poison.Entry
+}
+
+// Gossip is one daemon's part. Exported fields are set before Run.
+type Gossip struct {
+	Table  *member.Table
+	Link   *link.Link
+	Keeper *epoch.Keeper
+	Poison *poison.Register
+	Meter  *meter.Meter
+	// Accepted is called after a revision came in force.
+	Accepted func()
+	// Execute answers a forwarded request.
+	Execute func(body []byte) []byte
+
+	push       chan struct{}
+	fetching   atomic.Bool
+	mismatches atomic.Int32
+}
+
+// Init makes the gossip ready to handle messages.
+func (g *Gossip) Init() { g.push = make(chan struct{}, 1) }
+
+// Run sends heartbeats until the context ends.
+func (g *Gossip) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		settings := g.Keeper.Current().Tree.Resolve("", "", "")
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.push:
+			time.Sleep(pushDelay)
+			g.beat()
+		case <-timer.C:
+			g.expire(settings.SilentAfter)
+			g.beat()
+			timer.Reset(settings.HeartbeatInterval)
+		}
+	}
+}
+
+// Push spreads news at once.
+func (g *Gossip) Push() {
+	select {
+	case g.push <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Gossip) expire(silentAfter time.Duration) {
+	for _, m := range g.Table.Expire(time.Now(), silentAfter) {
+		klog.Infof("daemon %s at %s is silent", m.Name, m.Link)
+		g.Meter.Decide("MemberSilent")
+		g.Push()
+	}
+}
+
+// beat sends one heartbeat to each neighbour.
+func (g *Gossip) beat() {
+	now := time.Now()
+	neighbours := g.Table.Neighbours(now)
+	if len(neighbours) == 0 {
+		return
+	}
+	body := g.encode(now, g.Table.Updates(now))
+	for i := range neighbours {
+		g.Link.Send(neighbours[i].Link, link.Heartbeat, body)
+	}
+}
+
+func (g *Gossip) encode(now time.Time, updates []member.Member) []byte {
+	body, err := codec.Encode(&Heartbeat{
+		From:     g.Table.Self(now),
+		Updates:  updates,
+		Revision: g.Keeper.Current().Change.Revision,
+		Digest:   g.Table.Digest(),
+		Suspects: g.fresh(now),
+	})
+	if err != nil {
+		klog.Errorf("heartbeat: %v", err)
+	}
+	return body
+}
+
+// fresh lists the suspects that other daemons may not have heard of.
+func (g *Gossip) fresh(now time.Time) []poison.Entry {
+	var fresh []poison.Entry
+	for _, e := range g.Poison.Entries(now, suspectsMost) {
+		if time.Duration(e.AgeMillis)*time.Millisecond < suspectAge {
+			fresh = append(fresh, e)
+		}
+	}
+	return fresh
+}
+
+// Handle takes a message from the link.
+func (g *Gossip) Handle(_ net.Addr, kind link.Type, body []byte) []byte {
+	switch kind {
+	case link.Heartbeat:
+		g.heard(body)
+	case link.Fetch:
+		return g.serveFetch(body)
+	case link.Table:
+		return g.serveTable(body)
+	case link.Execute:
+		return g.Execute(body)
+	}
+	return nil
+}
+
+func (g *Gossip) heard(body []byte) {
+	var h Heartbeat
+	if err := codec.Decode(body, &h); err != nil {
+		g.Meter.Decide("DropMalformedHeartbeat")
+		return
+	}
+	now := time.Now()
+	news := g.Table.Heard(now, h.From)
+	news = append(news, g.Table.Merge(now, h.Updates)...)
+	if record, ok := g.Table.Contradicted(now, h.From); ok {
+		g.Link.Send(h.From.Link, link.Heartbeat, g.encode(now, []member.Member{record}))
+	}
+	if g.Poison.Merge(now, h.Suspects) || len(news) > 0 {
+		g.Push()
+	}
+	g.compareRevisions(&h)
+	g.compareDigests(&h)
+}
+
+func (g *Gossip) compareRevisions(h *Heartbeat) {
+	own := g.Keeper.Current().Change.Revision
+	switch {
+	case h.Revision > own:
+		go g.fetch(h.From.Link)
+	case h.Revision < own && h.From.State < member.Silent:
+		g.Link.Send(h.From.Link, link.Heartbeat, g.encode(time.Now(), nil))
+	}
+}
+
+// compareDigests compares whole tables once they have differed for long.
+func (g *Gossip) compareDigests(h *Heartbeat) {
+	if h.Digest == g.Table.Digest() {
+		g.mismatches.Store(0)
+		return
+	}
+	if g.mismatches.Add(1) < mismatchesMost {
+		return
+	}
+	g.mismatches.Store(0)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		g.Meter.Decide("CompareTables")
+		g.askTable(ctx, h.From.Link)
+	}()
+}
+
+// fetch brings in the settings of a daemon with a newer revision.
+func (g *Gossip) fetch(address string) {
+	if !g.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer g.fetching.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	change, ok := g.askChange(ctx, address, g.Keeper.Current().Change.Revision)
+	if !ok {
+		change, ok = g.askChange(ctx, address, 0)
+	}
+	if ok {
+		g.Offer(change)
+	}
+}
+
+// Offer puts a change in force if it is newer, and spreads it.
+func (g *Gossip) Offer(change epoch.Change) {
+	accepted, err := g.Keeper.Offer(time.Now(), change)
+	if err != nil {
+		g.Meter.Decide("RefuseInvalidSettings")
+		klog.Errorf("settings revision %d are invalid and not in force: %v", change.Revision, err)
+		return
+	}
+	if !accepted {
+		return
+	}
+	klog.Infof("settings revision %d (change %d) are in force", change.Revision, change.Number)
+	g.Accepted()
+	g.Push()
+}
+
+type fetchRequest struct{ Have int64 }
+
+func (g *Gossip) askChange(ctx context.Context, address string, have int64) (epoch.Change, bool) {
+	body, err := codec.Encode(&fetchRequest{Have: have})
+	if err != nil {
+		return epoch.Change{}, false
+	}
+	reply, err := g.Link.Ask(ctx, address, link.Fetch, body)
+	if err != nil {
+		return epoch.Change{}, false
+	}
+	var delta epoch.Delta
+	if err := codec.Decode(reply, &delta); err != nil {
+		return epoch.Change{}, false
+	}
+	return g.Keeper.Patch(delta)
+}
+
+func (g *Gossip) serveFetch(body []byte) []byte {
+	var request fetchRequest
+	if err := codec.Decode(body, &request); err != nil {
+		return nil
+	}
+	reply, err := codec.Encode(g.Keeper.Since(request.Have))
+	if err != nil {
+		return nil
+	}
+	return reply
+}
+
+type tableMessage struct {
+	From    member.Member
+	Members []member.Member
+}
+
+// askTable exchanges whole tables with a daemon.
+func (g *Gossip) askTable(ctx context.Context, address string) bool {
+	now := time.Now()
+	body, err := codec.Encode(&tableMessage{From: g.Table.Self(now), Members: g.Table.All(now)})
+	if err != nil {
+		return false
+	}
+	reply, err := g.Link.Ask(ctx, address, link.Table, body)
+	if err != nil {
+		return false
+	}
+	var message tableMessage
+	if err := codec.Decode(reply, &message); err != nil {
+		return false
+	}
+	g.Table.Merge(time.Now(), message.Members)
+	g.Push()
+	return true
+}
+
+func (g *Gossip) serveTable(body []byte) []byte {
+	var message tableMessage
+	if err := codec.Decode(body, &message); err != nil {
+		return nil
+	}
+	now := time.Now()
+	if news := g.Table.Merge(now, append(message.Members, message.From)); len(news) > 0 {
+		g.Push()
+	}
+	reply, err := codec.Encode(&tableMessage{From: g.Table.Self(now), Members: g.Table.All(now)})
+	if err != nil {
+		return nil
+	}
+	return reply
+}
+
+// Join asks a few seeds for their tables and settings; it reports whether any
+// of them answered.
+func (g *Gossip) Join(ctx context.Context, seeds []string) bool {
+	joined := 0
+	for _, seed := range seeds {
+		if joined == joinSeeds || ctx.Err() != nil {
+			break
+		}
+		if seed == g.Link.Address {
+			continue
+		}
+		ask, cancel := context.WithTimeout(ctx, askTimeout)
+		if g.askTable(ask, seed) {
+			joined++
+			g.fetch(seed)
+		}
+		cancel()
+	}
+	return joined > 0
+}
--- /dev/null
+++ b/internal/process/keys/keys.go
@@ -0,0 +1,236 @@
+// Package keys holds the keys that daemons know each other by: a certificate
+// and its key, and the authority that signs all of them. Files are read again
+// when they change.
+//
+// # Usage
+//
+//	k := &keys.Keys{Certificate: "daemon.pem", Key: "daemon.key", Authority: "authority.pem"}
+//	err := k.Load()
+//	config := k.TLS()
+//
+// Temporary makes keys in memory for demonstrations and tests.
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds.
+const (
+	KindUnreadable Kind = "Unreadable"
+	KindUntrusted  Kind = "Untrusted"
+	KindGenerate   Kind = "Generate"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	protocol      = "magnoliarelay/1"
+	checkInterval = 2 * time.Second
+	temporaryLife = 24 * time.Hour
+)
+
+// Keys is one daemon's keys. Exported fields are set before Load.
+type Keys struct {
+	// Certificate, Key and Authority are PEM files.
+	Certificate string
+	Key         string
+	Authority   string
+
+	mu       sync.Mutex
+	pair     *tls.Certificate
+	pool     *x509.CertPool
+	checked  time.Time
+	modified time.Time
+}
+
+// Load reads the files.
+func (k *Keys) Load() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.load()
+}
+
+func (k *Keys) load() error {
+	pair, err := tls.LoadX509KeyPair(k.Certificate, k.Key)
+	if err != nil {
+		return &Error{Op: "load keys", Kind: KindUnreadable, Err: err}
+	}
+	authority, err := os.ReadFile(k.Authority)
+	if err != nil {
+		return &Error{Op: "load keys", Kind: KindUnreadable, Err: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return &Error{Op: "load keys", Kind: KindUnreadable, Err: fault.Causef("%s holds no certificate", k.Authority)}
+	}
+	k.pair, k.pool, k.modified = &pair, pool, k.newest()
+	return nil
+}
+
+func (k *Keys) newest() time.Time {
+	var newest time.Time
+	for _, path := range []string{k.Certificate, k.Key, k.Authority} {
+		if info, err := os.Stat(path); err == nil && info.ModTime().After(newest) {
+			newest = info.ModTime()
+		}
+	}
+	return newest
+}
+
+// current returns the keys, read again if the files have changed. Files that
+// are broken while they are being replaced leave the old keys in use.
+func (k *Keys) current() (*tls.Certificate, *x509.CertPool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.Certificate != "" && time.Since(k.checked) > checkInterval {
+		k.checked = time.Now()
+		if k.newest().After(k.modified) {
+			// On an error the old keys stay in use.
+			_ = k.load()
+		}
+	}
+	return k.pair, k.pool
+}
+
+// TLS returns the configuration for both ends: each demands a certificate that
+// the authority has signed. Host names are not checked, since daemons are known
+// by their keys.
+func (k *Keys) TLS() *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{protocol},
+		ClientAuth:             tls.RequireAnyClientCert,
+		InsecureSkipVerify:     true, // VerifyConnection checks the chain instead.
+		SessionTicketsDisabled: true,
+		GetCertificate:         func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return k.certificate(), nil },
+		GetClientCertificate:   func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return k.certificate(), nil },
+		VerifyConnection:       k.verify,
+	}
+}
+
+func (k *Keys) certificate() *tls.Certificate {
+	pair, _ := k.current()
+	return pair
+}
+
+func (k *Keys) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return &Error{Op: "verify peer", Kind: KindUntrusted, Err: fault.Causef("no certificate was shown")}
+	}
+	_, pool := k.current()
+	options := x509.VerifyOptions{Roots: pool, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
+	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
+		return &Error{Op: "verify peer", Kind: KindUntrusted, Err: err}
+	}
+	return nil
+}
+
+// Authority signs keys for daemons.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+	der         []byte
+}
+
+// NewAuthority makes a temporary authority.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, &Error{Op: "make authority", Kind: KindGenerate, Err: err}
+	}
+	template := certificateTemplate("magnoliarelay authority")
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage |= x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, &Error{Op: "make authority", Kind: KindGenerate, Err: err}
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, &Error{Op: "make authority", Kind: KindGenerate, Err: err}
+	}
+	return &Authority{certificate: certificate, key: key, der: der}, nil
+}
+
+// Temporary returns keys in memory that the authority has signed.
+func (a *Authority) Temporary(name string) (*Keys, error) {
+	key, der, err := a.sign(name)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(a.certificate)
+	return &Keys{pair: &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool: pool}, nil
+}
+
+// Write signs keys for a daemon and writes the three files.
+func (a *Authority) Write(k *Keys, name string) error {
+	key, der, err := a.sign(name)
+	if err != nil {
+		return err
+	}
+	private, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return &Error{Op: "write keys", Kind: KindGenerate, Err: err}
+	}
+	files := []struct {
+		path, kind string
+		der        []byte
+	}{
+		{k.Certificate, "CERTIFICATE", der},
+		{k.Key, "EC PRIVATE KEY", private},
+		{k.Authority, "CERTIFICATE", a.der},
+	}
+	for _, file := range files {
+		content := pem.EncodeToMemory(&pem.Block{Type: file.kind, Bytes: file.der})
+		if err := os.WriteFile(file.path, content, 0o600); err != nil {
+			return &Error{Op: "write keys", Kind: KindUnreadable, Err: err}
+		}
+	}
+	return nil
+}
+
+func (a *Authority) sign(name string) (*ecdsa.PrivateKey, []byte, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, &Error{Op: "sign keys", Kind: KindGenerate, Err: err}
+	}
+	der, err := x509.CreateCertificate(rand.Reader, certificateTemplate(name), a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return nil, nil, &Error{Op: "sign keys", Kind: KindGenerate, Err: err}
+	}
+	return key, der, nil
+}
+
+func certificateTemplate(name string) *x509.Certificate {
+	serial, err := rand.Int(rand.Reader, big.NewInt(1<<62))
+	if err != nil {
+		serial = big.NewInt(time.Now().UnixNano())
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(temporaryLife),
+		KeyUsage:     x509.KeyUsageDigitalSignature,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+}
--- /dev/null
+++ b/internal/process/server/server.go
@@ -0,0 +1,273 @@
+// Package server is a daemon's HTTP face to callers and operators.
+//
+// # Usage
+//
+//	s := &server.Server{Address: "127.0.0.1:7000", Backend: d, Meter: m}
+//	err := s.Start()
+//	err = s.Stop(ctx)
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/check"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds.
+const (
+	KindListen Kind = "Listen"
+	KindStop   Kind = "Stop"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 10 * time.Second
+	writeTimeout  = 90 * time.Second
+	idleTimeout   = 2 * time.Minute
+	headerBytes   = 16 << 10
+	// quietTime without a request lets a stopping server close idle connections.
+	quietTime = 300 * time.Millisecond
+)
+
+// Backend answers the requests.
+type Backend interface {
+	Search(ctx context.Context, arrived time.Time, request *wire.SearchRequest) (*wire.SearchAnswer, *wire.Refusal)
+	Execute(ctx context.Context, arrived time.Time, request *wire.ExecuteRequest) (*wire.ExecuteAnswer, *wire.Refusal)
+	Addresses(dataCentre, region string) *wire.AddressList
+	Status() any
+	Ready() (bool, string)
+}
+
+// Server serves one daemon. Exported fields are set before Start.
+type Server struct {
+	// Address is "ip:port"; after Start it holds the port that was given.
+	Address string
+	// Name is the daemon's, named in refusals.
+	Name    string
+	Backend Backend
+	Meter   *meter.Meter
+
+	server   *http.Server
+	inFlight atomic.Int64
+	newest   atomic.Int64
+}
+
+// Start listens and serves.
+func (s *Server) Start() error {
+	listener, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	s.Address = listener.Addr().String()
+	handler, err := s.handler()
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	s.server = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytes,
+	}
+	// Serve ends with an error when the server is stopped, as it is meant to.
+	go func() { _ = s.server.Serve(listener) }()
+	return nil
+}
+
+func (s *Server) handler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithoutInterruptHandler)
+	app.Post("/v1/search", s.search)
+	app.Post("/v1/execute", s.execute)
+	app.Get("/v1/addresses", s.addresses)
+	app.Get("/v1/status", func(ctx iris.Context) { s.write(ctx, http.StatusOK, s.Backend.Status()) })
+	app.Get("/ready", s.ready)
+	app.Get("/", s.page)
+	app.Get("/metrics", iris.FromStd(s.Meter.Handler()))
+	app.Get("/debug/pprof/{name:path}", iris.FromStd(http.HandlerFunc(profile)))
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return app, nil
+}
+
+// Stop stops accepting connections once no request has come for a moment, and
+// waits for those in flight. The context bounds it.
+func (s *Server) Stop(ctx context.Context) error {
+	s.server.SetKeepAlivesEnabled(false)
+	for ctx.Err() == nil && !s.quiet() {
+		time.Sleep(quietTime / 4)
+	}
+	if err := s.server.Shutdown(ctx); err != nil {
+		cut := s.inFlight.Load()
+		_ = s.server.Close()
+		return &Error{Op: "stop", Kind: KindStop, Err: fault.Causef("%d requests were cut at the end of the grace period", cut)}
+	}
+	return nil
+}
+
+// Kill closes every connection at once.
+func (s *Server) Kill() { _ = s.server.Close() }
+
+// InFlight returns the number of requests being answered.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+func (s *Server) quiet() bool {
+	return s.inFlight.Load() == 0 && time.Since(time.Unix(0, s.newest.Load())) > quietTime
+}
+
+// begin counts a request that has arrived.
+func (s *Server) begin() (arrived time.Time, end func()) {
+	arrived = time.Now()
+	s.newest.Store(arrived.UnixNano())
+	s.inFlight.Add(1)
+	return arrived, func() { s.inFlight.Add(-1) }
+}
+
+func (s *Server) search(ctx iris.Context) {
+	arrived, end := s.begin()
+	defer end()
+	body, refusal := readBody(ctx)
+	if refusal != nil {
+		s.refuse(ctx, "", refusal)
+		return
+	}
+	request, refusal := check.Search(body)
+	if refusal != nil {
+		s.refuse(ctx, refusal.RequestID, refusal)
+		return
+	}
+	answer, refusal := s.Backend.Search(ctx.Request().Context(), arrived, request)
+	if refusal != nil {
+		s.refuse(ctx, request.RequestID, refusal)
+		return
+	}
+	s.write(ctx, http.StatusOK, answer)
+}
+
+func (s *Server) execute(ctx iris.Context) {
+	arrived, end := s.begin()
+	defer end()
+	body, refusal := readBody(ctx)
+	if refusal != nil {
+		s.refuse(ctx, "", refusal)
+		return
+	}
+	request, refusal := check.Execute(body)
+	if refusal != nil {
+		s.refuse(ctx, refusal.RequestID, refusal)
+		return
+	}
+	answer, refusal := s.Backend.Execute(ctx.Request().Context(), arrived, request)
+	if refusal != nil {
+		s.refuse(ctx, request.RequestID, refusal)
+		return
+	}
+	s.write(ctx, http.StatusOK, answer)
+}
+
+func (s *Server) addresses(ctx iris.Context) {
+	s.write(ctx, http.StatusOK, s.Backend.Addresses(ctx.URLParam("DataCentre"), ctx.URLParam("Region")))
+}
+
+func (s *Server) ready(ctx iris.Context) {
+	status := http.StatusOK
+	ready, reason := s.Backend.Ready()
+	if !ready {
+		status = http.StatusServiceUnavailable
+	}
+	s.write(ctx, status, struct {
+		Ready  bool
+		Reason string `json:",omitempty"`
+	}{ready, reason})
+}
+
+// readBody reads a body within its bound. One byte more shows that it is over.
+func readBody(ctx iris.Context) ([]byte, *wire.Refusal) {
+	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, check.MaxBodyBytes+1))
+	if err == nil {
+		return body, nil
+	}
+	message := "the body could not be read: " + err.Error()
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		message = "the body did not arrive in time"
+	}
+	return nil, &wire.Refusal{Kind: wire.RefusalInvalid, Message: message, Ran: wire.RanNo}
+}
+
+// statusOf maps a refusal to an HTTP status.
+func statusOf(kind wire.RefusalKind) int {
+	switch kind {
+	case wire.RefusalInvalid, wire.RefusalHomeRequired:
+		return http.StatusBadRequest
+	case wire.RefusalUnknown:
+		return http.StatusNotFound
+	case wire.RefusalOverloaded:
+		return http.StatusTooManyRequests
+	case wire.RefusalVersionGone, wire.RefusalHomeClosed:
+		return http.StatusGone
+	case wire.RefusalQuarantined:
+		return http.StatusUnprocessableEntity
+	case wire.RefusalUncertain:
+		return http.StatusBadGateway
+	case wire.RefusalInternal:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func (s *Server) refuse(ctx iris.Context, id string, refusal *wire.Refusal) {
+	refusal.RequestID = id
+	refusal.Daemon = s.Name
+	if refusal.RetryAfterMillis > 0 {
+		seconds := (refusal.RetryAfterMillis + 999) / 1000
+		ctx.Header("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	s.write(ctx, statusOf(refusal.Kind), refusal)
+}
+
+func (s *Server) write(ctx iris.Context, status int, value any) {
+	ctx.StatusCode(status)
+	if err := ctx.JSON(value); err != nil {
+		s.Meter.Decide("CallerGone")
+	}
+}
+
+func profile(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/debug/pprof/profile":
+		pprof.Profile(w, r)
+	case "/debug/pprof/trace":
+		pprof.Trace(w, r)
+	case "/debug/pprof/cmdline":
+		pprof.Cmdline(w, r)
+	case "/debug/pprof/symbol":
+		pprof.Symbol(w, r)
+	default:
+		pprof.Index(w, r)
+	}
+}
--- /dev/null
+++ b/internal/process/tenant/tenant.go
@@ -0,0 +1,240 @@
+// Package tenant is everything that one daemon holds for one service of one
+// deployment: its targets, its admission queue, its budgets, its runner.
+//
+// # Usage
+//
+//	t := tenant.New(tenant.Config{Deployment: "Erbacee", Service: "LabelDesk", ...})
+//	answer, refusal := t.Search(ctx, arrived, &request, epoch)
+//
+// Exactly one of the two results is set.
+package tenant
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"golang.org/x/time/rate"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/target"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/budget"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/admit"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/check"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/search"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+const (
+	// limitersMost bounds the callers whose rate is tracked.
+	limitersMost = 4096
+	// unlimitedCapacity admits everything when concurrency is not limited.
+	unlimitedCapacity = 1 << 20
+)
+
+// Config is set before New.
+type Config struct {
+	// Daemon is the daemon's name, unique to its incarnation.
+	Daemon     string
+	Deployment string
+	Service    string
+	Seed       uint64
+	Meter      *meter.Meter
+	Poison     *poison.Register
+	// Suspect is called when a query has lost a target.
+	Suspect func()
+}
+
+// Tenant is one service on one daemon.
+type Tenant struct {
+	config   Config
+	Fleet    *fleet.Fleet
+	Queue    *admit.Queue
+	Pool     *target.Pool
+	runner   *search.Runner
+	limiters *lru.Cache[string, *rate.Limiter]
+	serial   atomic.Uint64
+	daemons  atomic.Int64
+}
+
+// New returns a tenant without targets.
+func New(config Config) *Tenant {
+	limiters, err := lru.New[string, *rate.Limiter](limitersMost)
+	if err != nil {
+		panic(err)
+	}
+	t := &Tenant{
+		config:   config,
+		Fleet:    fleet.New(fleet.Config{Deployment: config.Deployment, Service: config.Service, Seed: config.Seed}),
+		Queue:    admit.New(),
+		Pool:     target.NewPool(),
+		limiters: limiters,
+	}
+	t.daemons.Store(1)
+	t.runner = &search.Runner{
+		Deployment: config.Deployment, Service: config.Service,
+		Fleet: t.Fleet, Pool: t.Pool, Hedges: budget.New(), Retries: budget.New(),
+		Poison: config.Poison, Meter: config.Meter, Suspect: config.Suspect,
+	}
+	return t
+}
+
+// Update brings in the settings, the number of live daemons, and the capacity
+// that follows from both.
+func (t *Tenant) Update(now time.Time, settings *tree.Settings, daemons int) {
+	t.daemons.Store(int64(max(daemons, 1)))
+	t.Fleet.Configure(settings)
+	t.Fleet.SetDaemons(daemons)
+	capacity := unlimitedCapacity
+	if settings.LimitConcurrency {
+		capacity = t.Fleet.Capacity()
+	}
+	t.Queue.SetCapacity(now, capacity)
+}
+
+// Search admits and runs one request.
+func (t *Tenant) Search(ctx context.Context, arrived time.Time, request *wire.SearchRequest, e *epoch.Epoch) (*wire.SearchAnswer, *wire.Refusal) {
+	settings := e.Tree.Resolve(t.config.Deployment, t.config.Service, request.Caller)
+	answer, refusal := t.admitted(ctx, arrived, request, settings)
+	t.measure(settings, time.Since(arrived), answer, refusal)
+	if answer != nil {
+		answer.RequestID = request.RequestID
+		answer.SettingsRevision = e.Change.Revision
+		answer.Daemon = t.config.Daemon
+		answer.LatencyMillis = float64(time.Since(arrived).Microseconds()) / 1000
+	}
+	return answer, refusal
+}
+
+func (t *Tenant) admitted(ctx context.Context, arrived time.Time, request *wire.SearchRequest, settings *tree.Settings) (*wire.SearchAnswer, *wire.Refusal) {
+	deadline := arrived.Add(min(check.Deadline(request.Deadline), settings.MaxDeadline))
+	if refusal := t.limitRate(arrived, request.Caller, settings); refusal != nil {
+		return nil, refusal
+	}
+	priority := settings.PriorityAt(arrived)
+	leave, refusal := t.Admit(ctx, arrived, request.Caller, priority, deadline, settings)
+	if refusal != nil {
+		return nil, refusal
+	}
+	defer leave()
+	return t.runner.Run(ctx, &search.Request{
+		ID: t.NextID(), Query: request.Query, Limit: request.Limit, All: request.All, Cursor: request.Cursor,
+		Least: least(request, settings), Priority: priority, Deadline: deadline, Settings: settings,
+	})
+}
+
+// least is the coverage demanded: what the settings say, raised by the caller.
+// All matches are only all when every shard has answered.
+func least(request *wire.SearchRequest, settings *tree.Settings) float64 {
+	if request.All {
+		return 1
+	}
+	if request.LeastCoverage == nil {
+		return settings.LeastCoverage
+	}
+	return max(*request.LeastCoverage, settings.LeastCoverage)
+}
+
+// NextID returns an identifier that no other request of any daemon has.
+func (t *Tenant) NextID() string {
+	return t.config.Daemon + "." + strconv.FormatUint(t.serial.Add(1), 36)
+}
+
+// limitRate applies this daemon's share of the caller's rate.
+func (t *Tenant) limitRate(now time.Time, caller string, settings *tree.Settings) *wire.Refusal {
+	if settings.Rate == 0 {
+		return nil
+	}
+	limit := rate.Limit(settings.Rate / float64(t.daemons.Load()))
+	limiter, ok := t.limiters.Get(caller)
+	if !ok {
+		limiter = rate.NewLimiter(limit, burst(limit))
+		t.limiters.Add(caller, limiter)
+	}
+	if limiter.Limit() != limit {
+		limiter.SetLimitAt(now, limit)
+		limiter.SetBurstAt(now, burst(limit))
+	}
+	if limiter.AllowN(now, 1) {
+		return nil
+	}
+	t.config.Meter.Decide("RefuseRate")
+	return &wire.Refusal{
+		Kind: wire.RefusalOverloaded, Message: "the caller is above its Rate", Ran: wire.RanNo,
+		RetryAfterMillis: int64(1000/float64(limit)) + 1,
+	}
+}
+
+// burst allows a second's worth, so that a share below one a second works.
+func burst(limit rate.Limit) int { return max(1, int(limit)) }
+
+// Admit waits for admission. On success the returned function must be called
+// when the request has ended.
+func (t *Tenant) Admit(ctx context.Context, arrived time.Time, caller string, priority int, deadline time.Time, settings *tree.Settings) (func(), *wire.Refusal) {
+	decided := make(chan admit.Decision, 1)
+	ticket := &admit.Ticket{
+		Class: settings.Class, Priority: priority, Caller: caller, Deadline: deadline, QueueLength: settings.QueueLength,
+		Decide: func(d admit.Decision) { decided <- d },
+	}
+	t.Queue.Arrive(arrived, ticket)
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	decision := admit.Decision{Verdict: admit.TooLate}
+	select {
+	case decision = <-decided:
+	case <-timer.C:
+		t.Queue.Leave(time.Now(), ticket)
+	case <-ctx.Done():
+		t.Queue.Leave(time.Now(), ticket)
+		return nil, &wire.Refusal{Kind: wire.RefusalCancelled, Message: "the caller went away", Ran: wire.RanNo}
+	}
+	wait := time.Since(arrived)
+	t.config.Meter.QueueWait.WithLabelValues(t.config.Deployment, t.config.Service, settings.Class).Observe(wait.Seconds())
+	if decision.Verdict == admit.Admitted {
+		return func() { t.Queue.Leave(time.Now(), ticket) }, nil
+	}
+	return nil, t.overloaded(decision)
+}
+
+func (t *Tenant) overloaded(d admit.Decision) *wire.Refusal {
+	refusal := &wire.Refusal{Ran: wire.RanNo, RetryAfterMillis: max(d.RetryAfter.Milliseconds(), 1)}
+	if d.Verdict == admit.Full {
+		refusal.Kind = wire.RefusalOverloaded
+		refusal.Message = "the queue of the class is full"
+		t.config.Meter.Decide("RefuseFull")
+		return refusal
+	}
+	refusal.Kind = wire.RefusalTooLate
+	refusal.Message = "the deadline can not be met"
+	t.config.Meter.Decide("RefuseTooLate")
+	return refusal
+}
+
+func (t *Tenant) measure(settings *tree.Settings, took time.Duration, answer *wire.SearchAnswer, refusal *wire.Refusal) {
+	m := t.config.Meter
+	deployment, service, class := t.config.Deployment, t.config.Service, settings.Class
+	m.Latency.WithLabelValues(deployment, service, class).Observe(took.Seconds())
+	if refusal != nil {
+		m.Answers.WithLabelValues(string(refusal.Kind), deployment, service, class).Inc()
+		if refusal.Coverage != nil {
+			m.Coverage.WithLabelValues(deployment, service, class).Observe(refusal.Coverage.Share)
+		}
+		return
+	}
+	result := "Complete"
+	if !answer.Complete {
+		result = "Partial"
+	}
+	if answer.Complete != (answer.Coverage.ShardsAnswered == answer.Coverage.Shards) {
+		m.Violate("CompleteWithoutCoverage")
+	}
+	m.Answers.WithLabelValues(result, deployment, service, class).Inc()
+	m.Coverage.WithLabelValues(deployment, service, class).Observe(answer.Coverage.Share)
+	m.Attempts.WithLabelValues(deployment, service, class).Observe(float64(answer.Attempts))
+}
--- /dev/null
+++ b/internal/process/watch/watch.go
@@ -0,0 +1,254 @@
+// Package watch brings the settings from the store to the tier. Only a few
+// daemons of each data centre watch, chosen by rendezvous hashing over the
+// members that each daemon knows; the others hear of changes from them. Two
+// watchers too many do no harm, and a missing one is replaced as soon as the
+// members are seen to have changed.
+//
+// # Usage
+//
+//	w := &watch.Watch{Store: s, Keeper: keeper, Table: table, Offer: g.Offer, Meter: m}
+//	go w.Run(ctx)
+package watch
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+	"k8s.io/klog/v2"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+)
+
+const (
+	// SettingsKey holds the change in force.
+	SettingsKey = "/magnoliarelay/settings"
+	// HistoryPrefix precedes the numbers of past changes.
+	HistoryPrefix = "/magnoliarelay/history/"
+	// MembersPrefix precedes the names of the daemons that watch.
+	MembersPrefix = "/magnoliarelay/members/"
+
+	electInterval = 500 * time.Millisecond
+	leaseLife     = 15 * time.Second
+	leaseInterval = 5 * time.Second
+	retryLeast    = 200 * time.Millisecond
+	retryMost     = 10 * time.Second
+	// rereadInterval is the time between reads of a key that is watched, in
+	// case a watch is silently dead.
+	rereadInterval = 10 * time.Second
+)
+
+// Watch is one daemon's part. Exported fields are set before Run.
+type Watch struct {
+	Store  *store.Store
+	Keeper *epoch.Keeper
+	Table  *member.Table
+	Meter  *meter.Meter
+	// Offer takes each change that the store tells of.
+	Offer func(epoch.Change)
+}
+
+// Run watches while this daemon is chosen, until the context ends.
+func (w *Watch) Run(ctx context.Context) {
+	ticker := time.NewTicker(electInterval)
+	defer ticker.Stop()
+	var stop context.CancelFunc
+	for {
+		chosen := w.Chosen(time.Now())
+		switch {
+		case chosen && stop == nil:
+			var duty context.Context
+			duty, stop = context.WithCancel(ctx)
+			w.Meter.Decide("BeginWatch")
+			go w.watch(duty)
+			go w.register(duty)
+		case !chosen && stop != nil:
+			w.Meter.Decide("EndWatch")
+			stop()
+			stop = nil
+		}
+		select {
+		case <-ctx.Done():
+			if stop != nil {
+				stop()
+			}
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Chosen reports whether this daemon is among the watchers of its data centre.
+func (w *Watch) Chosen(now time.Time) bool {
+	self := w.Table.Self(now)
+	count := w.Keeper.Current().Tree.Resolve("", "", "").WatchersPerDataCentre
+	return slices.Contains(Choose(self.DataCentre, w.Table.All(now), count), self.Name)
+}
+
+// Choose returns the watchers of a data centre among the members.
+func Choose(dataCentre string, members []member.Member, count int) []string {
+	var names []string
+	for i := range members {
+		m := &members[i]
+		if m.DataCentre == dataCentre && m.State <= member.Ready {
+			names = append(names, m.Name)
+		}
+	}
+	var chosen []string
+	for len(chosen) < count && len(names) > 0 {
+		name := rendezvous.New(names, xxhash.Sum64String).Lookup(dataCentre)
+		chosen = append(chosen, name)
+		names = slices.DeleteFunc(names, func(n string) bool { return n == name })
+	}
+	return chosen
+}
+
+// ReadOnce offers what the store holds now.
+func (w *Watch) ReadOnce(ctx context.Context) error {
+	_, err := w.read(ctx)
+	return err
+}
+
+func (w *Watch) read(ctx context.Context) (int64, error) {
+	item, err := w.Store.Get(ctx, SettingsKey)
+	if err != nil {
+		return 0, err
+	}
+	w.take(item)
+	return item.Revision, nil
+}
+
+func (w *Watch) take(item store.Item) {
+	if item.Revision == 0 {
+		return
+	}
+	change, err := Decode(item)
+	if err != nil {
+		klog.Errorf("the store's settings at revision %d can not be read: %v", item.Revision, err)
+		return
+	}
+	w.Offer(change)
+}
+
+// Decode reads a change from a key of the store.
+func Decode(item store.Item) (epoch.Change, error) {
+	var change epoch.Change
+	if err := codec.Decode(item.Value, &change); err != nil {
+		return epoch.Change{}, err
+	}
+	change.Revision = item.Revision
+	return change, nil
+}
+
+// watch reads and watches in turn, with growing pauses while the store fails.
+func (w *Watch) watch(ctx context.Context) {
+	pause := newPause()
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := w.follow(ctx)
+		var e *store.Error
+		if errors.As(err, &e) && e.Kind == store.KindCompacted || time.Since(started) > retryMost {
+			pause.Reset()
+		}
+		if ctx.Err() == nil && err != nil {
+			w.Meter.Decide("WatchBroken")
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// follow reads the key and watches it until the stream breaks. The key is read
+// again now and then, since a cut network may leave a watch open but deaf.
+func (w *Watch) follow(ctx context.Context) error {
+	revision, err := w.read(ctx)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		defer cancel()
+		for sleep(ctx, rereadInterval) {
+			if _, err := w.read(ctx); err != nil {
+				return
+			}
+		}
+	}()
+	return w.Store.Watch(ctx, SettingsKey, revision+1, w.take)
+}
+
+// register keeps this daemon's key in the store, as a seed for new daemons.
+// Nothing depends on holding it, so a lapsed lease does no harm.
+func (w *Watch) register(ctx context.Context) {
+	lease := int64(0)
+	pause := newPause()
+	for ctx.Err() == nil {
+		var err error
+		if lease, err = w.renew(ctx, lease); err != nil {
+			lease = 0
+			sleep(ctx, pause.NextBackOff())
+			continue
+		}
+		pause.Reset()
+		sleep(ctx, leaseInterval)
+	}
+}
+
+func (w *Watch) renew(ctx context.Context, lease int64) (int64, error) {
+	if lease != 0 {
+		return lease, w.Store.KeepAlive(ctx, lease)
+	}
+	lease, err := w.Store.Grant(ctx, leaseLife)
+	if err != nil {
+		return 0, err
+	}
+	self := w.Table.Self(time.Now())
+	value, err := codec.Encode(&self)
+	if err != nil {
+		return 0, err
+	}
+	return lease, w.Store.PutLeased(ctx, MembersPrefix+self.Name, value, lease)
+}
+
+// Seeds lists the links of the daemons registered in the store.
+func Seeds(ctx context.Context, s *store.Store) ([]string, error) {
+	items, err := s.List(ctx, MembersPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var links []string
+	for i := range items {
+		var m member.Member
+		if codec.Decode(items[i].Value, &m) == nil {
+			links = append(links, m.Link)
+		}
+	}
+	return links, nil
+}
+
+func newPause() *backoff.ExponentialBackOff {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = retryLeast
+	pause.MaxInterval = retryMost
+	return pause
+}
+
+// sleep reports false when the context ended first.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/request/gather/doc.go
@@ -0,0 +1,17 @@
+// Package gather decides the course of one scatter: which shard is sent to
+// which target and when, which slow shard is hedged, which failed one retried,
+// and when the request is done.
+//
+// The package does no I/O and reads no clock. Every call returns a Step: what
+// the caller has to send, wait for and cancel.
+//
+// # Usage
+//
+//	g := gather.New(gather.Config{View: view, Targets: f, Hedges: h, Retries: r, Settings: s})
+//	step := g.Begin(now)
+//	for !step.Done {
+//		// carry out step.Send, step.Wait and step.Cancel; wait for an event
+//		step = g.Ended(now, attempt, outcome) // or g.Freed, or g.Tick
+//	}
+//	missing := g.Missing()
+package gather
--- /dev/null
+++ b/internal/request/search/scatter.go
@@ -0,0 +1,196 @@
+package search
+
+import (
+	"context"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/merge"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+// scatter is one run of a request over the shards of one version.
+type scatter struct {
+	runner    *Runner
+	request   *Request
+	view      *fleet.View
+	body      []byte
+	encodeErr error
+	query     poison.Query
+	canary    bool
+	from      int
+
+	gather      *gather.Gather
+	merge       *merge.Merge
+	mailbox     *mailbox
+	cancels     []context.CancelFunc
+	waits       map[int]func()
+	merged      int
+	versionGone bool
+}
+
+// run drives the gather until it is done. A refusal ends the request early.
+func (s *scatter) run(ctx context.Context) *wire.Refusal {
+	if s.encodeErr != nil {
+		return &wire.Refusal{Kind: wire.RefusalInternal, Message: s.encodeErr.Error()}
+	}
+	deadline, _ := ctx.Deadline()
+	s.merge = merge.New(s.request.Limit, s.request.All)
+	s.waits = map[int]func(){}
+	s.gather = gather.New(gather.Config{
+		View: s.view, Targets: s.runner.Fleet, Hedges: s.runner.Hedges, Retries: s.runner.Retries,
+		Settings: s.request.Settings, Deadline: deadline, Canary: s.canary, CanaryShard: s.from,
+	})
+	defer s.giveUpWaits()
+	defer s.cancelAll()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var events []event
+	step := s.gather.Begin(time.Now())
+	for {
+		s.carryOut(ctx, step)
+		if step.Done {
+			return nil
+		}
+		timer.Reset(time.Until(step.Next))
+		select {
+		case <-s.mailbox.signal:
+			events = s.mailbox.take(events)
+			next, refusal := s.handle(ctx, events)
+			if refusal != nil {
+				return refusal
+			}
+			step = next
+		case <-timer.C:
+			step = s.gather.Tick(time.Now())
+		case <-ctx.Done():
+			if context.Cause(ctx) == context.Canceled {
+				return &wire.Refusal{Kind: wire.RefusalCancelled, Message: "the caller went away"}
+			}
+			step = s.gather.Tick(time.Now())
+		}
+	}
+}
+
+// handle takes events in order. All steps but the last are carried out here.
+func (s *scatter) handle(ctx context.Context, events []event) (*gather.Step, *wire.Refusal) {
+	var step *gather.Step
+	for i := range events {
+		if step != nil {
+			s.carryOut(ctx, step)
+		}
+		now := time.Now()
+		e := &events[i]
+		if e.freed {
+			delete(s.waits, e.shard)
+			step = s.gather.Freed(now, e.shard)
+			continue
+		}
+		if refusal := s.judge(now, e); refusal != nil {
+			return nil, refusal
+		}
+		step = s.gather.Ended(now, e.attempt, e.outcome)
+		if e.outcome == fleet.Success {
+			s.accept(now, e)
+		}
+	}
+	if step == nil {
+		step = s.gather.Tick(time.Now())
+	}
+	return step, nil
+}
+
+// judge learns from attempts that ended badly.
+func (s *scatter) judge(now time.Time, e *event) *wire.Refusal {
+	switch e.outcome {
+	case fleet.Gone:
+		s.versionGone = true
+		s.runner.Fleet.Forget(e.target, s.view.Version)
+	case fleet.Broken:
+		loss := poison.Loss{Target: e.target.Address, Domain: e.target.Domain()}
+		held := s.runner.Poison.Lost(now, s.query, loss)
+		s.runner.Suspect()
+		if held {
+			s.runner.Meter.Decide("Quarantine")
+			left, _ := s.runner.Poison.Quarantined(now, s.query.Fingerprint)
+			return quarantined(left)
+		}
+	default:
+	}
+	return nil
+}
+
+// accept merges a reply unless its shard had answered before.
+func (s *scatter) accept(now time.Time, e *event) {
+	if s.gather.Answered() == s.merged {
+		return
+	}
+	s.merged++
+	if s.merged == 1 {
+		s.runner.Poison.Succeeded(now, s.query)
+	}
+	if e.reply.Echo.Version != s.view.Version || e.reply.Echo.Request != s.request.ID {
+		s.runner.Meter.Violate("MixedReply")
+	}
+	s.merge.Add(e.reply.Hits, e.reply.More)
+}
+
+func (s *scatter) carryOut(ctx context.Context, step *gather.Step) {
+	for _, a := range step.Send {
+		attemptCtx, cancel := context.WithCancel(ctx)
+		s.cancels = append(s.cancels, cancel)
+		go s.attempt(attemptCtx, a)
+	}
+	for _, id := range step.Cancel {
+		s.cancels[id]()
+	}
+	for _, shard := range step.Wait {
+		s.waits[shard] = s.runner.Fleet.Wait(shard, s.request.Priority, func(shard int) {
+			s.mailbox.put(event{freed: true, shard: shard})
+		})
+	}
+}
+
+func (s *scatter) attempt(ctx context.Context, a gather.Attempt) {
+	client := s.runner.Pool.Get(a.Target.Address, s.request.Settings.SpareConnections)
+	echo := wire.Echo{Request: s.request.ID, Attempt: a.ID, Shard: a.Shard, Version: s.view.Version}
+	sent := time.Now()
+	deadline, _ := ctx.Deadline()
+	reply, outcome := client.Search(ctx, &echo, s.body, deadline.Sub(sent))
+	now := time.Now()
+	var load *wire.Load
+	if reply != nil {
+		load = &reply.Load
+	}
+	s.runner.Fleet.Finish(now, a.Target, a.Shard, outcome, now.Sub(sent).Seconds(), load)
+	s.runner.Meter.Outcomes.WithLabelValues(string(outcome)).Inc()
+	s.mailbox.put(event{attempt: a.ID, shard: a.Shard, target: a.Target, outcome: outcome, reply: reply})
+}
+
+func (s *scatter) cancelAll() {
+	for _, cancel := range s.cancels {
+		cancel()
+	}
+}
+
+func (s *scatter) giveUpWaits() {
+	for _, giveUp := range s.waits {
+		giveUp()
+	}
+}
+
+// ran says whether any target may have run the request.
+func (s *scatter) ran() wire.Ran {
+	if s.gather == nil || s.gather.Attempts() == 0 {
+		return wire.RanNo
+	}
+	if s.merged > 0 {
+		return wire.RanYes
+	}
+	return wire.RanUnknown
+}
+
+// extras counts the attempts beyond one for each shard that was sent.
+func (s *scatter) extras() int { return s.gather.Attempts() - s.gather.Sent() }
--- /dev/null
+++ b/internal/version/change/change.go
@@ -0,0 +1,198 @@
+// Package change applies changes of the settings to the store.
+//
+// # Usage
+//
+//	c := &change.Change{Store: s}
+//	result, err := c.Apply(ctx, change.Request{Files: files, Author: "ada", Message: "longer queues"})
+//	changes, err := c.History(ctx)
+//
+// An apply is one compare-and-swap over the whole tree. The loser of a race
+// gets an error of KindConflict and nothing of its change is written. When the
+// reply to the write is lost, Apply reads back and says whether it took effect.
+package change
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds.
+const (
+	// KindConflict means that another change came first; nothing was written.
+	KindConflict Kind = "Conflict"
+	// KindInvalid means that the tree breaks a rule; nothing was written.
+	KindInvalid Kind = "Invalid"
+	// KindUnavailable means that nothing was written.
+	KindUnavailable Kind = "Unavailable"
+	// KindUnknown means that the store could not be asked whether the change
+	// took effect.
+	KindUnknown Kind = "Unknown"
+	// KindNotFound means that the history does not hold the number.
+	KindNotFound Kind = "NotFound"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// historyKept is the number of past changes the store holds.
+	historyKept = 64
+	// resolveFor bounds the reads that find out what became of a write.
+	resolveFor = 15 * time.Second
+)
+
+// Change applies changes. Exported fields are set before use.
+type Change struct {
+	Store *store.Store
+}
+
+// Request is a change to apply.
+type Request struct {
+	Files   tree.Files
+	Author  string
+	Message string
+	// Expect is the revision the change was made from; nil means whatever is
+	// in force when Apply starts.
+	Expect *int64
+}
+
+// Result is a change that took effect.
+type Result struct {
+	Change epoch.Change
+	// Resolved is true when the reply was lost and reading told the outcome.
+	Resolved bool
+}
+
+// Current returns the change in force; revision zero when there is none.
+func (c *Change) Current(ctx context.Context) (epoch.Change, error) {
+	item, err := c.Store.Get(ctx, watch.SettingsKey)
+	if err != nil {
+		return epoch.Change{}, &Error{Op: "read settings", Kind: KindUnavailable, Err: err}
+	}
+	if item.Revision == 0 {
+		return epoch.Change{Files: tree.Files{}}, nil
+	}
+	change, err := watch.Decode(item)
+	if err != nil {
+		return epoch.Change{}, &Error{Op: "read settings", Kind: KindInvalid, Err: err}
+	}
+	return change, nil
+}
+
+// Apply puts a tree in force.
+func (c *Change) Apply(ctx context.Context, request Request) (*Result, error) {
+	if _, err := tree.Parse(request.Files); err != nil {
+		return nil, &Error{Op: "apply", Kind: KindInvalid, Err: err}
+	}
+	current, err := c.Current(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if request.Expect != nil && *request.Expect != current.Revision {
+		return nil, conflict(*request.Expect, current)
+	}
+	change := epoch.Change{
+		Number: current.Number + 1, ID: uuid.NewString(), Author: request.Author, Message: request.Message,
+		UnixMillis: time.Now().UnixMilli(), Files: request.Files,
+	}
+	value, err := codec.Encode(&change)
+	if err != nil {
+		return nil, &Error{Op: "apply", Kind: KindInvalid, Err: err}
+	}
+	swap := store.Swap{
+		Key: watch.SettingsKey, Expect: current.Revision, Value: value,
+		Also: []store.Item{{Key: historyKey(change.Number), Value: value}},
+	}
+	if change.Number > historyKept {
+		swap.Drop = []string{historyKey(change.Number - historyKept)}
+	}
+	revision, err := c.Store.Swap(ctx, swap)
+	if err == nil {
+		change.Revision = revision
+		return &Result{Change: change}, nil
+	}
+	return c.resolve(ctx, change, current.Revision, err)
+}
+
+// resolve tells what became of a write that did not succeed plainly.
+func (c *Change) resolve(ctx context.Context, change epoch.Change, base int64, cause error) (*Result, error) {
+	var e *store.Error
+	if errors.As(cause, &e) && e.Kind == store.KindUnavailable {
+		return nil, &Error{Op: "apply", Kind: KindUnavailable, Err: cause}
+	}
+	ctx, cancel := context.WithTimeout(ctx, resolveFor)
+	defer cancel()
+	found, err := backoff.Retry(ctx, func() (store.Item, error) {
+		return c.Store.Get(ctx, historyKey(change.Number))
+	}, backoff.WithMaxElapsedTime(resolveFor))
+	if err != nil {
+		return nil, &Error{Op: "apply", Kind: KindUnknown, Err: errors.Join(cause, err)}
+	}
+	if written, err := watch.Decode(found); err == nil && written.ID == change.ID {
+		change.Revision = found.Revision
+		return &Result{Change: change, Resolved: true}, nil
+	}
+	now, err := c.Current(ctx)
+	if err != nil {
+		return nil, &Error{Op: "apply", Kind: KindUnknown, Err: errors.Join(cause, err)}
+	}
+	if now.Revision != base {
+		return nil, conflict(base, now)
+	}
+	// The key is unchanged, but a write still under way could change it.
+	return nil, &Error{Op: "apply", Kind: KindUnknown, Err: cause}
+}
+
+func conflict(base int64, now epoch.Change) error {
+	cause := fault.Causef("the change was made from revision %d, but %s applied revision %d (change %d: %s) since",
+		base, now.Author, now.Revision, now.Number, now.Message)
+	return &Error{Op: "apply", Kind: KindConflict, Err: cause}
+}
+
+// History returns the changes the store holds, oldest first.
+func (c *Change) History(ctx context.Context) ([]epoch.Change, error) {
+	items, err := c.Store.List(ctx, watch.HistoryPrefix)
+	if err != nil {
+		return nil, &Error{Op: "read history", Kind: KindUnavailable, Err: err}
+	}
+	changes := make([]epoch.Change, 0, len(items))
+	for i := range items {
+		change, err := watch.Decode(items[i])
+		if err != nil {
+			return nil, &Error{Op: "read history", Kind: KindInvalid, Err: err}
+		}
+		changes = append(changes, change)
+	}
+	slices.SortFunc(changes, func(a, b epoch.Change) int { return int(a.Number - b.Number) })
+	return changes, nil
+}
+
+// Find returns one change of the history by its number.
+func (c *Change) Find(ctx context.Context, number int64) (epoch.Change, error) {
+	item, err := c.Store.Get(ctx, historyKey(number))
+	if err != nil {
+		return epoch.Change{}, &Error{Op: "read history", Kind: KindUnavailable, Err: err}
+	}
+	if item.Revision == 0 {
+		return epoch.Change{}, &Error{Op: "read history", Kind: KindNotFound, Err: fault.Causef("change %d is not in the history", number)}
+	}
+	return watch.Decode(item)
+}
+
+func historyKey(number int64) string { return fmt.Sprintf("%s%012d", watch.HistoryPrefix, number) }
--- /dev/null
+++ b/pkg/tree/parse.go
@@ -0,0 +1,197 @@
+package tree
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/schollz/closestmatch"
+	"gopkg.in/ini.v1"
+)
+
+// Parse checks the files and builds the tree. On failure the error is an
+// *Error of KindInvalid with every problem found.
+func Parse(files Files) (*Tree, error) {
+	p := &parser{tree: &Tree{files: files, nodes: map[string]*node{}, resolved: map[string]*Settings{}}}
+	for _, path := range files.Paths() {
+		p.parseFile(path, files[path])
+	}
+	if p.tree.nodes[""] == nil {
+		p.tree.nodes[""] = &node{level: LevelFirm, own: map[string]assignment{}}
+	}
+	for key := range p.tree.nodes {
+		p.resolve(key)
+	}
+	if len(p.problems) > 0 {
+		sortProblems(p.problems)
+		return nil, &Error{Op: "parse settings", Kind: KindInvalid, Problems: p.problems}
+	}
+	return p.tree, nil
+}
+
+type parser struct {
+	tree     *Tree
+	problems []Problem
+}
+
+func (p *parser) add(problem Problem) { p.problems = append(p.problems, problem) }
+
+func (p *parser) parseFile(path, content string) {
+	key, level, ok := nodeOf(path)
+	if !ok {
+		p.add(Problem{File: path, Line: 1, Message: "is not firm.ini, <deployment>/deployment.ini, " +
+			"<deployment>/<service>/service.ini or <deployment>/<service>/<caller>.ini, with names of letters, digits, '-' and '_'"})
+		return
+	}
+	options := ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, SkipUnrecognizableLines: false}
+	file, err := ini.LoadSources(options, []byte(content))
+	if err != nil {
+		p.add(Problem{File: path, Line: badLine(content), Message: err.Error()})
+		return
+	}
+	n := &node{level: level, own: map[string]assignment{}}
+	p.tree.nodes[key] = n
+	lines := locate(content)
+	for _, section := range file.Sections() {
+		for _, k := range section.Keys() {
+			p.parseKey(n, path, lines, section.Name(), k)
+		}
+	}
+}
+
+func (p *parser) parseKey(n *node, path string, lines map[string][]int, section string, k *ini.Key) {
+	at := lines[section+"\x00"+k.Name()]
+	problem := Problem{File: path, Section: section, Field: k.Name(), Line: 1}
+	if len(at) > 0 {
+		problem.Line = at[len(at)-1]
+	}
+	report := func(format string, arguments ...any) {
+		problem.Message = fmt.Sprintf(format, arguments...)
+		p.add(problem)
+	}
+	if len(at) > 1 {
+		report("is set twice, first in line %d", at[0])
+		return
+	}
+	index, known := fieldIndex[k.Name()]
+	if !known {
+		report("is not a field; did you mean %s?", nearest(k.Name()))
+		return
+	}
+	f := &fields[index]
+	if f.Section != section {
+		report("belongs in section [%s]", f.Section)
+		return
+	}
+	if n.level > f.Deepest {
+		report("may be set no deeper than a %s", f.Deepest)
+		return
+	}
+	if err := f.set(&Settings{}, k.Value()); err != nil {
+		report("%v", err)
+		return
+	}
+	n.own[f.Name] = assignment{value: k.Value(), file: path, line: problem.Line}
+}
+
+// resolve computes the settings in force at one node and checks combinations.
+func (p *parser) resolve(key string) {
+	settings := &Settings{}
+	keys := chainOf(key)
+	aim := Aim(p.tree.lookup("Aim", keys).value)
+	for i := range fields {
+		f := &fields[i]
+		value := f.Defaults[aim]
+		if a := p.tree.lookup(f.Name, keys); a.file != "" {
+			value = a.value
+		}
+		// Values were checked when their file was parsed.
+		if err := f.set(settings, value); err != nil {
+			p.add(Problem{File: key, Section: f.Section, Field: f.Name, Message: err.Error()})
+		}
+	}
+	p.tree.resolved[key] = settings
+	p.checkCombinations(key, keys, settings)
+}
+
+func (p *parser) checkCombinations(key string, keys []string, s *Settings) {
+	own := p.tree.nodes[key].own
+	reject := func(message string, names ...string) {
+		for _, name := range names {
+			// Reported only at the node that brings the combination about.
+			a, here := own[name]
+			if !here {
+				continue
+			}
+			p.add(Problem{File: a.file, Line: a.line, Section: fields[fieldIndex[name]].Section, Field: name, Message: message})
+			return
+		}
+	}
+	if s.SilentAfter < 3*s.HeartbeatInterval {
+		reject("SilentAfter must be at least three times HeartbeatInterval", "SilentAfter", "HeartbeatInterval")
+	}
+	if s.StopGrace < s.AddressKeep {
+		reject("StopGrace must be at least AddressKeep, or a planned stop cuts requests", "StopGrace", "AddressKeep")
+	}
+	if s.MaxAttempts == 1 && p.tree.lookup("ExtraLoad", keys).file != "" && s.ExtraLoad > 0 {
+		reject("MaxAttempts = 1 leaves no use for ExtraLoad", "MaxAttempts", "ExtraLoad")
+	}
+	hoursSet := s.PriorityHours != (Hours{})
+	if hoursSet && p.tree.lookup("TimeZone", keys).file == "" {
+		reject("PriorityHours needs a TimeZone", "PriorityHours")
+	}
+	if hoursSet && p.tree.lookup("HoursPriority", keys).file == "" {
+		reject("PriorityHours needs HoursPriority", "PriorityHours")
+	}
+}
+
+func nearest(name string) string {
+	names := make([]string, 0, len(fields))
+	for i := range fields {
+		names = append(names, fields[i].Name)
+	}
+	return closestmatch.New(names, []int{2, 3}).Closest(name)
+}
+
+// locate finds the lines of each key, since the INI library keeps none.
+func locate(content string) map[string][]int {
+	found := map[string][]int{}
+	section := ini.DefaultSection
+	for i, line := range strings.Split(content, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
+			section = line[1 : len(line)-1]
+			continue
+		}
+		cut := strings.IndexAny(line, "=:")
+		if cut < 0 || strings.HasPrefix(line, ";") || strings.HasPrefix(line, "#") {
+			continue
+		}
+		key := section + "\x00" + strings.TrimSpace(line[:cut])
+		found[key] = append(found[key], i+1)
+	}
+	return found
+}
+
+// badLine finds the first line that is neither blank, comment, section nor key.
+func badLine(content string) int {
+	for i, line := range strings.Split(content, "\n") {
+		line = strings.TrimSpace(line)
+		plain := line != "" && !strings.HasPrefix(line, ";") && !strings.HasPrefix(line, "#")
+		if plain && !strings.HasPrefix(line, "[") && !strings.ContainsAny(line, "=:") {
+			return i + 1
+		}
+	}
+	return 1
+}
+
+func (a assignment) source() string { return a.file + ":" + strconv.Itoa(a.line) }
+
+// Default returns the settings of an empty tree.
+func Default() *Settings {
+	t, err := Parse(Files{})
+	if err != nil {
+		panic(err)
+	}
+	return t.Resolve("", "", "")
+}
--- /dev/null
+++ b/pkg/tree/tree.go
@@ -0,0 +1,119 @@
+package tree
+
+import (
+	"sort"
+	"strings"
+)
+
+// assignment is one field set in one file.
+type assignment struct {
+	value string
+	file  string
+	line  int
+}
+
+// node is one level's own assignments, by field name.
+type node struct {
+	level Level
+	own   map[string]assignment
+}
+
+// Tree is a parsed, valid tree of settings.
+type Tree struct {
+	files    Files
+	nodes    map[string]*node
+	resolved map[string]*Settings
+}
+
+// Files returns the source of the tree. The caller must not change it.
+func (t *Tree) Files() Files { return t.files }
+
+// Resolve returns the settings in force for a caller. A caller or service
+// without a node of its own has its parent's. The result is shared: the caller
+// must not change it.
+func (t *Tree) Resolve(deployment, service, caller string) *Settings {
+	for _, key := range chain(deployment, service, caller) {
+		if settings, ok := t.resolved[key]; ok {
+			return settings
+		}
+	}
+	return t.resolved[""]
+}
+
+// HasService reports whether the tree declares the service.
+func (t *Tree) HasService(deployment, service string) bool {
+	_, ok := t.nodes[deployment+"/"+service]
+	return ok
+}
+
+// Services lists the declared services as "deployment/service", in order.
+func (t *Tree) Services() []string {
+	var names []string
+	for key, n := range t.nodes {
+		if n.level == LevelService {
+			names = append(names, key)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Explanation tells where one field in force came from.
+type Explanation struct {
+	Section string
+	Field   string
+	Value   string
+	// Source is "file:line", or "default for Aim Balanced".
+	Source string
+	Unit   string
+	Range  string
+	Doc    string
+}
+
+// Explain returns every field in force for a caller and its origin.
+func (t *Tree) Explain(deployment, service, caller string) []Explanation {
+	keys := chain(deployment, service, caller)
+	aim := Aim(t.lookup("Aim", keys).value)
+	rows := make([]Explanation, 0, len(fields))
+	for i := range fields {
+		f := &fields[i]
+		row := Explanation{Section: f.Section, Field: f.Name, Unit: f.Unit, Range: f.Range, Doc: f.Doc}
+		if a := t.lookup(f.Name, keys); a.file != "" {
+			row.Value = a.value
+			row.Source = a.source()
+		} else {
+			row.Value = f.Defaults[aim]
+			row.Source = "default for Aim " + string(aim)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// lookup finds the assignment nearest to the caller; without one it returns
+// the default of a field that does not depend on the aim.
+func (t *Tree) lookup(field string, keys []string) assignment {
+	for _, key := range keys {
+		n := t.nodes[key]
+		if n == nil {
+			continue
+		}
+		if a, ok := n.own[field]; ok {
+			return a
+		}
+	}
+	return assignment{value: fields[fieldIndex[field]].Defaults[AimBalanced]}
+}
+
+// chain lists the node keys from the caller up to the firm.
+func chain(deployment, service, caller string) []string {
+	return []string{deployment + "/" + service + "/" + caller, deployment + "/" + service, deployment, ""}
+}
+
+func chainOf(key string) []string {
+	parts := strings.SplitN(key, "/", 3)
+	for len(parts) < 3 {
+		parts = append(parts, "")
+	}
+	return chain(parts[0], parts[1], parts[2])
+}
