--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -211,41 +211,49 @@
 	lots := plan.Streams[0]
 	lots.Class, lots.Execute, lots.Rate = "Lots", true, o.Rate
 	plan.Streams = []Stream{lots}
-	plan.Faults = func(ctx context.Context, s *Stage) {
-		if s.Wait(ctx, 0.2) {
-			for i, x := range s.World.Searchers[deployment+"/"+service] {
-				if i%5 == 0 {
-					x.Behave(func(b *shard.Behaviour) { b.ResultLost = true })
-				}
+	plan.Faults = lotFaults
+	plan.Check = checkLots
+	return plan
+}
+
+// lotFaults loses results after their effect, then replaces a daemon by one of
+// the same name and addresses, which is another incarnation.
+func lotFaults(ctx context.Context, s *Stage) {
+	if s.Wait(ctx, 0.2) {
+		for i, x := range s.World.Searchers[deployment+"/"+service] {
+			if i%5 == 0 {
+				x.Behave(func(b *shard.Behaviour) { b.ResultLost = true })
 			}
 		}
-		if !s.Wait(ctx, 0.5) {
-			return
-		}
-		first := s.World.Running[0]
-		first.Kill()
-		// The replacement has the same name and addresses, but is another incarnation.
-		_, _ = s.World.StartDaemon(ctx, first.Setup.Name, addressOf(first.URL()), first.Link(), 0)
 	}
-	plan.Check = func(s *Stage) []string {
-		runs, twice := map[string]int{}, 0
-		eachSearcher(s, func(x *shard.Searcher) {
-			for key, count := range x.Runs() {
-				runs[key] += count
-			}
-		})
-		for _, count := range runs {
-			if count > 1 {
-				twice++
-			}
+	if !s.Wait(ctx, 0.5) {
+		return
+	}
+	first := s.World.Running[0]
+	first.Kill()
+	if _, err := s.World.StartDaemon(ctx, first.Setup.Name, addressOf(first.URL()), first.Link(), 0); err != nil {
+		s.Notes["NotStarted"]++
+	}
+}
+
+// checkLots compares what callers were told with the targets' own record.
+func checkLots(s *Stage) []string {
+	runs, twice := map[string]int{}, 0
+	eachSearcher(s, func(x *shard.Searcher) {
+		for key, count := range x.Runs() {
+			runs[key] += count
 		}
-		s.Notes["RanOnTargets"] = float64(len(runs))
-		if twice > 0 {
-			return []string{fmt.Sprintf("RanTwice x%d", twice)}
+	})
+	for _, count := range runs {
+		if count > 1 {
+			twice++
 		}
-		return nil
 	}
-	return plan
+	s.Notes["RanOnTargets"] = float64(len(runs))
+	if twice > 0 {
+		return []string{fmt.Sprintf("RanTwice x%d", twice)}
+	}
+	return nil
 }
 
 func addressOf(url string) string { return url[len("http://"):] }
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -11,7 +11,7 @@
 	// mostAttempts bounds the attempts for one shard, whatever the settings.
 	mostAttempts = 8
 	// hedgeShare is the part of the hedge budget that the delay aims to use.
-	hedgeShare = 0.6
+	hedgeShare = 0.4
 	// stragglerShare is the share of shards outstanding above which a slow
 	// shard is no straggler: everything is slow, and hedges would add load.
 	stragglerShare = 0.25
@@ -24,9 +24,10 @@
 	// canaryPatience is the part of the deadline after which a canary that
 	// neither answered nor broke is trusted.
 	canaryPatience = 4
-	// canaryBreaks is the number of canaries that may break before the
-	// request is given up.
-	canaryBreaks = 4
+	// canariesAtOnce is the number of canaries sent together, and canariesMost
+	// the number after which a request whose canaries break is given up.
+	canariesAtOnce = 2
+	canariesMost   = 4
 )
 
 // Targets picks targets; *fleet.Fleet is one.
@@ -52,9 +53,9 @@
 	Settings *tree.Settings
 	// Deadline ends the gather.
 	Deadline time.Time
-	// Canary sends to one shard first.
+	// Canary sends to two shards first, and to the rest once one has answered.
 	Canary bool
-	// CanaryShard is where the search for the canary's shard starts.
+	// CanaryShard is where the search for the canaries' shards starts.
 	CanaryShard int
 }
 
@@ -133,7 +134,7 @@
 	g.began = now
 	g.canary = g.config.Canary && len(g.shards) > 1
 	if g.canary {
-		g.sendCanary(now, g.config.CanaryShard)
+		g.sendCanaries(now, g.config.CanaryShard)
 	} else {
 		g.sendAll(now)
 	}
@@ -158,7 +159,7 @@
 	case s.flying > 0:
 		// Another attempt may still answer.
 	case g.canary && outcome == fleet.Broken:
-		g.moveCanary(now, a.shard, s.tried[s.attempts-1])
+		g.breakCanary(now, a.shard, s.tried[s.attempts-1])
 	default:
 		g.retry(now, a.shard, outcome)
 	}
--- /dev/null
+++ b/internal/request/gather/gather_test.go
@@ -0,0 +1,310 @@
+package gather
+
+import (
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+var start = time.Unix(1000, 0)
+
+const delay = 10 * time.Millisecond
+
+// targets is a fake fleet: each shard has its replicas, picked in order.
+type targets struct {
+	busy, lost map[int]bool
+}
+
+func (f *targets) Pick(_ time.Time, q fleet.Query) fleet.Choice {
+	switch {
+	case f.lost[q.Shard]:
+		return fleet.Choice{Verdict: fleet.Lost}
+	case f.busy[q.Shard]:
+		return fleet.Choice{Verdict: fleet.Busy}
+	}
+	var fallback *fleet.Target
+	for _, t := range q.View.Replicas[q.Shard] {
+		switch {
+		case contains(q.Tried, t):
+		case t.Domain() != q.Avoid:
+			return fleet.Choice{Target: t}
+		case fallback == nil:
+			fallback = t
+		}
+	}
+	if fallback != nil {
+		return fleet.Choice{Target: fallback}
+	}
+	if q.Again {
+		return fleet.Choice{Target: q.View.Replicas[q.Shard][0]}
+	}
+	return fleet.Choice{Verdict: fleet.Exhausted}
+}
+
+func contains(tried []*fleet.Target, t *fleet.Target) bool {
+	for _, x := range tried {
+		if x == t {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *targets) HedgeDelay(time.Time, float64) time.Duration { return delay }
+func (f *targets) Slowness(int) float64                        { return 1 }
+
+// purse is a budget with a number of extras left.
+type purse struct{ left int }
+
+func (p *purse) Primary(time.Time, int) {}
+func (p *purse) Refund(time.Time)       { p.left++ }
+func (p *purse) Take(time.Time, float64) bool {
+	if p.left == 0 {
+		return false
+	}
+	p.left--
+	return true
+}
+
+type rig struct {
+	targets         *targets
+	hedges, retries *purse
+	settings        tree.Settings
+	gather          *Gather
+}
+
+func newRig(shards, replicas int, canary bool) *rig {
+	view := &fleet.View{Version: 1, Replicas: make([][]*fleet.Target, shards)}
+	for shard := range shards {
+		for r := range replicas {
+			view.Replicas[shard] = append(view.Replicas[shard], &fleet.Target{Rack: string(rune('a' + r))})
+		}
+	}
+	g := &rig{targets: &targets{busy: map[int]bool{}, lost: map[int]bool{}}, hedges: &purse{left: 100}, retries: &purse{left: 100}, settings: *tree.Default()}
+	g.gather = New(Config{
+		View: view, Targets: g.targets, Hedges: g.hedges, Retries: g.retries, Settings: &g.settings,
+		Deadline: start.Add(time.Second), Canary: canary,
+	})
+	return g
+}
+
+// answer ends the given attempts with success and adds up what follows.
+func (g *rig) answer(at time.Time, ids ...uint64) *Step {
+	sum := &Step{}
+	for _, id := range ids {
+		step := g.gather.Ended(at, id, fleet.Success)
+		sum.Send = append(sum.Send, step.Send...)
+		sum.Cancel = append(sum.Cancel, step.Cancel...)
+		sum.Next, sum.Done = step.Next, step.Done
+	}
+	return sum
+}
+
+func ids(from, to uint64) []uint64 {
+	var all []uint64
+	for id := from; id < to; id++ {
+		all = append(all, id)
+	}
+	return all
+}
+
+func TestAllShardsAnswer(t *testing.T) {
+	g := newRig(20, 3, false)
+	if step := g.gather.Begin(start); len(step.Send) != 20 || step.Done {
+		t.Fatalf("sent %d, done %v", len(step.Send), step.Done)
+	}
+	if step := g.answer(start, ids(0, 20)...); !step.Done {
+		t.Error("not done")
+	}
+	if g.gather.Answered() != 20 || len(g.gather.Missing()) != 0 || g.gather.Attempts() != 20 {
+		t.Errorf("%d answered, missing %v, %d attempts", g.gather.Answered(), g.gather.Missing(), g.gather.Attempts())
+	}
+}
+
+func TestStragglerIsHedgedOnceItIsAlone(t *testing.T) {
+	g := newRig(20, 3, false)
+	g.gather.Begin(start)
+	late := start.Add(delay)
+	if step := g.gather.Tick(late); len(step.Send) != 0 {
+		t.Fatalf("hedged %d while all shards were outstanding", len(step.Send))
+	}
+	g.answer(start, ids(0, 19)...)
+	step := g.gather.Tick(late)
+	if len(step.Send) != 1 || step.Send[0].Shard != 19 {
+		t.Fatalf("sent %+v, want a hedge of shard 19", step.Send)
+	}
+	hedge := step.Send[0].ID
+	step = g.answer(late, hedge)
+	if !step.Done || len(step.Cancel) != 1 || step.Cancel[0] != 19 {
+		t.Errorf("done %v, cancelled %v, want the loser 19", step.Done, step.Cancel)
+	}
+	if again := g.gather.Ended(late, 19, fleet.Success); !again.Done || g.gather.Answered() != 20 {
+		t.Error("the late reply counted twice")
+	}
+}
+
+func TestHedgesStopWithTheBudget(t *testing.T) {
+	g := newRig(20, 3, false)
+	g.hedges.left = 2
+	g.gather.Begin(start)
+	step := g.answer(start.Add(delay), ids(0, 16)...)
+	if len(step.Send) != 2 {
+		t.Errorf("%d hedges from a budget of 2", len(step.Send))
+	}
+}
+
+func TestAllSlowIsNotHedged(t *testing.T) {
+	g := newRig(20, 3, false)
+	g.gather.Begin(start)
+	for at := start; at.Before(start.Add(900 * time.Millisecond)); at = at.Add(delay) {
+		if step := g.gather.Tick(at); len(step.Send) != 0 {
+			t.Fatalf("%d hedges after %v", len(step.Send), at.Sub(start))
+		}
+	}
+}
+
+func TestRetry(t *testing.T) {
+	tests := []struct {
+		name    string
+		outcome fleet.Outcome
+		retries int
+		want    int
+	}{
+		{"a refused connection is free", fleet.Refused, 0, 1},
+		{"a draining target is free", fleet.Draining, 0, 1},
+		{"a version that is gone is free", fleet.Gone, 0, 1},
+		{"a shed attempt costs", fleet.Shed, 0, 0},
+		{"a broken attempt costs", fleet.Broken, 0, 0},
+		{"a broken attempt within the budget", fleet.Broken, 1, 1},
+		{"a corrupt reply within the budget", fleet.Corrupt, 1, 1},
+		{"the deadline", fleet.Expired, 5, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newRig(2, 3, false)
+			g.retries.left = tt.retries
+			g.gather.Begin(start)
+			step := g.gather.Ended(start, 0, tt.outcome)
+			if len(step.Send) != tt.want {
+				t.Errorf("sent %d, want %d", len(step.Send), tt.want)
+			}
+		})
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	for _, outcome := range []fleet.Outcome{fleet.Refused, fleet.Broken, fleet.Shed, fleet.Corrupt} {
+		g := newRig(1, 3, false)
+		step := g.gather.Begin(start)
+		at := start
+		for sent := uint64(0); !step.Done; {
+			if len(step.Send) > 0 {
+				sent = step.Send[0].ID
+				step = g.gather.Ended(at, sent, outcome)
+				continue
+			}
+			at = step.Next
+			step = g.gather.Tick(at)
+		}
+		if g.gather.Attempts() > mostAttempts {
+			t.Errorf("%s: %d attempts", outcome, g.gather.Attempts())
+		}
+	}
+}
+
+func TestLostShardDoesNotWait(t *testing.T) {
+	g := newRig(4, 3, false)
+	g.targets.lost[2] = true
+	g.gather.Begin(start)
+	if step := g.answer(start, ids(0, 3)...); !step.Done {
+		t.Error("waits for a shard that is known to be lost")
+	}
+	if missing := g.gather.Missing(); len(missing) != 1 || missing[0] != 2 {
+		t.Errorf("missing %v", missing)
+	}
+}
+
+func TestBusyShardIsSentWhenFreed(t *testing.T) {
+	g := newRig(2, 1, false)
+	g.targets.busy[1] = true
+	step := g.gather.Begin(start)
+	if len(step.Send) != 1 || len(step.Wait) != 1 || step.Wait[0] != 1 {
+		t.Fatalf("step %+v", step)
+	}
+	g.targets.busy[1] = false
+	if step = g.gather.Freed(start, 1); len(step.Send) != 1 {
+		t.Error("not sent when freed")
+	}
+}
+
+func TestDeadlineEndsWithTheTruth(t *testing.T) {
+	g := newRig(3, 1, false)
+	g.gather.Begin(start)
+	g.answer(start, 1)
+	step := g.gather.Tick(start.Add(time.Second))
+	if !step.Done || len(step.Cancel) != 2 || g.gather.Answered() != 1 || len(g.gather.Missing()) != 2 {
+		t.Errorf("step %+v, %d answered, missing %v", step, g.gather.Answered(), g.gather.Missing())
+	}
+}
+
+func TestCanariesGoFirst(t *testing.T) {
+	g := newRig(20, 3, true)
+	step := g.gather.Begin(start)
+	if len(step.Send) != 2 || step.Send[0].Target.Domain() == step.Send[1].Target.Domain() {
+		t.Fatalf("sent %+v before a canary answered, want two in different domains", step.Send)
+	}
+	if step = g.answer(start, step.Send[0].ID); len(step.Send) != 18 {
+		t.Errorf("sent %d after a canary answered", len(step.Send))
+	}
+}
+
+func TestBrokenCanariesAreBounded(t *testing.T) {
+	g := newRig(20, 3, true)
+	step := g.gather.Begin(start)
+	lost := 0
+	pending := append([]Attempt(nil), step.Send...)
+	for len(pending) > 0 && lost < 10 {
+		lost++
+		step = g.gather.Ended(start, pending[0].ID, fleet.Broken)
+		pending = append(pending[1:], step.Send...)
+	}
+	if !step.Done || lost != canariesMost {
+		t.Errorf("%d targets lost to one request, done %v", lost, step.Done)
+	}
+}
+
+func TestOneBrokenCanaryWaitsForTheOther(t *testing.T) {
+	g := newRig(20, 3, true)
+	step := g.gather.Begin(start)
+	first, second := step.Send[0], step.Send[1]
+	if step = g.gather.Ended(start, first.ID, fleet.Broken); len(step.Send) != 0 {
+		t.Fatalf("sent %+v while a canary was out", step.Send)
+	}
+	if step = g.answer(start, second.ID); len(step.Send) != 19 {
+		t.Errorf("sent %d after the other canary answered", len(step.Send))
+	}
+}
+
+func TestSlowCanaryIsTrustedInTheEnd(t *testing.T) {
+	g := newRig(20, 1, true)
+	g.settings.ExtraLoad = 0
+	g.gather.Begin(start)
+	if step := g.gather.Tick(start.Add(250 * time.Millisecond)); len(step.Send) != 18 {
+		t.Errorf("sent %d after a quarter of the deadline", len(step.Send))
+	}
+}
+
+func BenchmarkGather260(b *testing.B) {
+	g := newRig(260, 3, false)
+	config := g.gather.config
+	b.ReportAllocs()
+	for b.Loop() {
+		g := New(config)
+		g.Begin(start)
+		for id := range uint64(260) {
+			g.Ended(start, id, fleet.Success)
+		}
+	}
+}
