Admit by what the scarcest shard can serve, not by whole queries

Cause: a query was counted at every shard for its whole life, though it holds a slot there only for one sub-request; admission idled the targets at overload. Ruled out: the learnt limits (no target was ever over its slots). Change: capacity is multiplied by how much longer a query lasts than its sub-request; a request must fit its deadline with three deviations to spare. Daemons also go on meeting strangers of the host list after they are ready: two that started at the same moment could stay apart for good (found by a test).

--- a/internal/process/daemon/addresses.go
+++ b/internal/process/daemon/addresses.go
@@ -40,6 +40,9 @@
 	return list
 }
 
+// AddressesMost returns the longest list that Addresses gives.
+func (d *Daemon) AddressesMost() int { return addressesMost }
+
 func address(m *member.Member) wire.Address {
 	// Half the life is left for resends after the list has run out.
 	expiry := m.UptimeMillis + homeLife.Milliseconds()/homeKeepDivisor
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -59,6 +59,10 @@
 	keysMost = 1 << 18
 	// joinRetry is the time between rounds of joining.
 	joinRetry = time.Second
+	// joinSeeds is the number of daemons that a joining one asks.
+	joinSeeds = 3
+	// meetInterval is the time between tries to meet daemons not heard of.
+	meetInterval = 2 * time.Second
 )
 
 // Daemon is one daemon. Exported fields are set before Start.
@@ -166,11 +170,11 @@
 func (d *Daemon) uptime() time.Duration { return time.Since(d.started) }
 
 // join finds other daemons and settings, and goes on trying until the daemon
-// is ready.
+// is ready. Afterwards it meets daemons that it has not heard of.
 func (d *Daemon) join(ctx context.Context) {
 	watching := false
 	for ctx.Err() == nil {
-		d.gossip.Join(ctx, d.candidates(ctx))
+		d.gossip.Join(ctx, d.candidates(ctx), joinSeeds)
 		if d.watch != nil && d.Keeper.Current().Change.Revision == 0 {
 			if err := d.watch.ReadOnce(ctx); err != nil {
 				d.Meter.Decide("StoreUnavailableAtStart")
@@ -184,19 +188,43 @@
 			d.Table.SetState(time.Now(), member.Ready)
 			d.gossip.Push()
 			klog.Infof("daemon %s is ready at %s", d.self.Name, d.self.URL)
-			return
+			break
 		}
 		pause(ctx, joinRetry)
 	}
+	for ctx.Err() == nil {
+		d.gossip.Join(ctx, d.strangers(time.Now()), 1)
+		pause(ctx, jitter(meetInterval))
+	}
 }
 
-// candidates lists daemons to join by: peers of the setup, the host list, and
-// the keys in the store; in random order.
-func (d *Daemon) candidates(ctx context.Context) []string {
+// strangers lists daemons of the host list and the setup that the table lacks
+// or holds for silent. Parts of a tier that never met find each other by it.
+func (d *Daemon) strangers(now time.Time) []string {
+	known := map[string]bool{d.self.Link: true}
+	for _, m := range d.Table.All(now) {
+		if m.State < member.Silent {
+			known[m.Link] = true
+		}
+	}
+	found := slices.DeleteFunc(d.seedLinks(), func(at string) bool { return known[at] })
+	rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	return found
+}
+
+// seedLinks lists the daemons of the setup and of the host list.
+func (d *Daemon) seedLinks() []string {
 	found := slices.Clone(d.Setup.Peers)
 	if listed := d.seeds.Load(); listed != nil {
 		found = append(found, *listed...)
 	}
+	return found
+}
+
+// candidates lists daemons to join by: peers of the setup, the host list, and
+// the keys in the store; in random order.
+func (d *Daemon) candidates(ctx context.Context) []string {
+	found := d.seedLinks()
 	if len(found) == 0 && d.store != nil {
 		if registered, err := watch.Seeds(ctx, d.store); err == nil {
 			found = append(found, registered...)
--- /dev/null
+++ b/internal/process/daemon/daemon_test.go
@@ -0,0 +1,363 @@
+package daemon_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/world"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
+	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+const patience = 15 * time.Second
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, patience)
+}
+
+func quick() tree.Files {
+	return tree.Files{"firm.ini": "[System]\nHeartbeatInterval = 100ms\nSilentAfter = 600ms\nAddressKeep = 1s\n[Targets]\nStatusInterval = 200ms\n"}
+}
+
+func start(t *testing.T, w *world.World) *world.World {
+	t.Helper()
+	if w.Services == nil {
+		w.Services = []world.Service{{
+			Deployment: "D", Name: "S", Shards: 6, Replicas: 3, Slots: 4, Connections: 40, Documents: 300,
+			Behaviour: shard.Behaviour{Median: time.Millisecond},
+		}}
+	}
+	if w.Settings == nil {
+		w.Settings = quick()
+	}
+	w.Seed = 1
+	t.Cleanup(w.Stop)
+	if err := w.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func ask(t *testing.T, w *world.World, text string) (*wire.SearchAnswer, error) {
+	t.Helper()
+	c := w.Caller("D", "c")
+	defer c.Close()
+	return c.Search(t.Context(), caller.Query{Service: "S", Text: text, Deadline: 2 * time.Second})
+}
+
+func refusalOf(t *testing.T, err error) *wire.Refusal {
+	t.Helper()
+	var e *caller.Error
+	if !errors.As(err, &e) || e.Refusal == nil {
+		t.Fatalf("error %v is no refusal", err)
+	}
+	return e.Refusal
+}
+
+func revisions(w *world.World) map[int64]bool {
+	found := map[int64]bool{}
+	for _, d := range w.Running {
+		found[d.Keeper.Current().Change.Revision] = true
+	}
+	return found
+}
+
+func TestChangeIsInForceEverywhereThroughFewWatchers(t *testing.T) {
+	w := start(t, &world.World{Daemons: 9})
+	watching := 0
+	for _, d := range w.Running {
+		if d.Snapshot().Watching {
+			watching++
+		}
+	}
+	if watching != 6 {
+		t.Errorf("%d of 9 daemons in 3 data centres watch the store, want 6", watching)
+	}
+	files := quick()
+	files["D/deployment.ini"] = "[Cost]\nQueueLength = 77\n"
+	result, err := w.Apply(t.Context(), files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the change in force on all 9", func() bool {
+		found := revisions(w)
+		return len(found) == 1 && found[result.Change.Revision]
+	})
+	for _, d := range w.Running {
+		if got := d.Keeper.Current().Tree.Resolve("D", "S", "").QueueLength; got != 77 {
+			t.Errorf("%s has queue length %d", d.Setup.Name, got)
+		}
+	}
+}
+
+func TestSearchesAndNewDaemonsSurviveAStoreOutage(t *testing.T) {
+	w := start(t, &world.World{Daemons: 3})
+	w.Store.SetFaults(fakestore.Faults{Down: true})
+	if _, err := ask(t, w, "oregano"); err != nil {
+		t.Fatalf("search while the store is down: %v", err)
+	}
+	d, err := w.AddDaemon(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a daemon that starts during the outage is ready", func() bool {
+		ready, _ := d.Ready()
+		return ready && d.Keeper.Current().Change.Revision == w.Running[0].Keeper.Current().Change.Revision
+	})
+	w.Store.SetFaults(fakestore.Faults{})
+	result, err := w.Apply(t.Context(), quick())
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a change after the outage", func() bool {
+		found := revisions(w)
+		return len(found) == 1 && found[result.Change.Revision]
+	})
+}
+
+func TestDaemonWithNeitherStoreNorPeersSaysSo(t *testing.T) {
+	w := start(t, &world.World{Daemons: 1})
+	w.Store.SetFaults(fakestore.Faults{Down: true})
+	w.Running[0].Kill()
+	w.Unlist(w.Running[0].Link())
+	d, err := w.AddDaemon(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	ready, reason := d.Ready()
+	if ready || !strings.Contains(reason, "no settings") {
+		t.Errorf("ready %v, reason %q", ready, reason)
+	}
+}
+
+func TestWrongKeyGetsNothingIn(t *testing.T) {
+	w := start(t, &world.World{Daemons: 2})
+	other, err := keys.NewAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := other.Temporary("intruder")
+	if err != nil {
+		t.Fatal(err)
+	}
+	intruder := &daemon.Daemon{Keys: k, Setup: &setup.Setup{
+		Name: "intruder", Listen: "127.0.0.1:0", Link: "127.0.0.1:0", DataCentre: "dc-1", Region: "r-1",
+		HostList: "http://" + w.Hosts.Address() + "/hosts", Peers: []string{w.Running[0].Link(), w.Running[1].Link()},
+	}}
+	if err := intruder.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(intruder.Kill)
+	time.Sleep(1500 * time.Millisecond)
+	if live := w.Running[0].Table.Live(); live != 2 {
+		t.Errorf("%d members after an intruder came", live)
+	}
+	if got := intruder.Keeper.Current().Change.Revision; got != 0 {
+		t.Errorf("the intruder learnt revision %d", got)
+	}
+}
+
+func TestSilentDaemonLeavesTheAddressList(t *testing.T) {
+	w := start(t, &world.World{Daemons: 4})
+	gone := w.Running[3]
+	gone.Kill()
+	began := time.Now()
+	eventually(t, "the list without the killed daemon", func() bool {
+		for _, a := range w.Running[0].Addresses("", "").Addresses {
+			if a.URL == gone.URL() {
+				return false
+			}
+		}
+		return true
+	})
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("took %v", took)
+	}
+	for range 20 {
+		if _, err := ask(t, w, "fennel"); err != nil {
+			t.Fatalf("a caller that knows the killed daemon: %v", err)
+		}
+	}
+}
+
+func TestGracefulStopCutsNothing(t *testing.T) {
+	w := start(t, &world.World{Daemons: 3, Services: []world.Service{{
+		Deployment: "D", Name: "S", Shards: 6, Replicas: 3, Slots: 6, Connections: 90, Documents: 300,
+		Behaviour: shard.Behaviour{Median: 30 * time.Millisecond},
+	}}})
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1000)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c := w.Caller("D", "c")
+		for n := 0; ctx.Err() == nil; n++ {
+			if _, err := c.Search(context.WithoutCancel(ctx), caller.Query{Service: "S", Text: fmt.Sprint("sage ", n), Deadline: 2 * time.Second}); err != nil {
+				failed <- err
+			}
+		}
+	}()
+	if err := w.Running[0].Stop(t.Context()); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	cancel()
+	<-done
+	close(failed)
+	for err := range failed {
+		t.Errorf("a request failed during a graceful stop: %v", err)
+	}
+}
+
+func TestNonIdempotentRequestRunsOnceThroughAnyDaemon(t *testing.T) {
+	w := start(t, &world.World{Daemons: 3})
+	home := w.Running[0].Addresses("", "").Addresses[0].Home
+	request := &wire.ExecuteRequest{
+		Deployment: "D", Service: "S", Caller: "c", RequestID: "r", Deadline: "2s", IdempotencyKey: "k", Home: home, Command: "print",
+	}
+	var results []string
+	for range 2 {
+		for _, d := range w.Running {
+			answer, refusal := d.Execute(t.Context(), time.Now(), request)
+			if refusal != nil {
+				t.Fatalf("%s refused: %v", d.Setup.Name, refusal)
+			}
+			results = append(results, answer.Result)
+		}
+	}
+	for _, result := range results {
+		if result != results[0] {
+			t.Errorf("results differ: %v", results)
+		}
+	}
+	if runs := runsOf(w, "c/k"); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
+func runsOf(w *world.World, key string) int {
+	runs := 0
+	for _, searchers := range w.Searchers {
+		for _, s := range searchers {
+			runs += s.Runs()[key]
+		}
+	}
+	return runs
+}
+
+func TestDeadHomeIsNeverSaidNotToHaveRun(t *testing.T) {
+	w := start(t, &world.World{Daemons: 2})
+	first, second := w.Running[0], w.Running[1]
+	var home string
+	for _, a := range second.Addresses("", "").Addresses {
+		if a.URL == first.URL() {
+			home = a.Home
+		}
+	}
+	request := &wire.ExecuteRequest{
+		Deployment: "D", Service: "S", Caller: "c", RequestID: "r", Deadline: "1s", IdempotencyKey: "k", Home: home, Command: "print",
+	}
+	if _, refusal := first.Execute(t.Context(), time.Now(), request); refusal != nil {
+		t.Fatal(refusal)
+	}
+	first.Kill()
+	if _, refusal := second.Execute(t.Context(), time.Now(), request); refusal == nil || refusal.Ran != wire.RanUnknown {
+		t.Errorf("after the home died: %v", refusal)
+	}
+	replaced, err := w.StartDaemon(t.Context(), first.Setup.Name, strings.TrimPrefix(first.URL(), "http://"), first.Link(), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the replacement is ready", func() bool { ready, _ := replaced.Ready(); return ready })
+	if _, refusal := replaced.Execute(t.Context(), time.Now(), request); refusal == nil || refusal.Ran != wire.RanUnknown {
+		t.Errorf("at the replacement of the home: %v", refusal)
+	}
+	if runs := runsOf(w, "c/k"); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
+func TestLostResultIsUnknownAndNotRunAgain(t *testing.T) {
+	w := start(t, &world.World{Daemons: 1})
+	for _, s := range w.Searchers["D/S"] {
+		s.Behave(func(b *shard.Behaviour) { b.ResultLost = true })
+	}
+	c := w.Caller("D", "c")
+	for range 3 {
+		_, err := c.Execute(t.Context(), caller.Command{Service: "S", Text: "pick", Key: "p1", Deadline: time.Second})
+		var e *caller.Error
+		if !errors.As(err, &e) || e.Kind != caller.KindUnknown {
+			t.Errorf("error %v, want an unknown outcome", err)
+		}
+	}
+	if runs := runsOf(w, "c/p1"); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
+func TestLostShardsAreToldTruly(t *testing.T) {
+	files := quick()
+	files["D/S/service.ini"] = "[Cost]\nLeastCoverage = 0.5\n"
+	files["D/S/strict.ini"] = "[Cost]\nLeastCoverage = 1\n"
+	w := start(t, &world.World{Daemons: 1, Settings: files})
+	for replica := range 3 {
+		w.Replica("D", "S", replica)[4].Stop()
+	}
+	eventually(t, "a partial answer that names shard 4", func() bool {
+		answer, err := ask(t, w, "mint")
+		return err == nil && !answer.Complete && len(answer.Coverage.Missing) == 1 && answer.Coverage.Missing[0] == 4
+	})
+	began := time.Now()
+	if _, err := ask(t, w, "thyme"); err != nil || time.Since(began) > time.Second {
+		t.Errorf("took %v, %v: waited for a shard known to be lost", time.Since(began), err)
+	}
+	_, err := w.Caller("D", "strict").Search(t.Context(), caller.Query{Service: "S", Text: "sage", Deadline: time.Second})
+	if refusal := refusalOf(t, err); refusal.Kind != wire.RefusalCoverage || refusal.Coverage == nil || refusal.Coverage.ShardsAnswered != 5 {
+		t.Errorf("refusal %+v", refusal)
+	}
+}
+
+func TestPagesStayAtOneVersion(t *testing.T) {
+	w := start(t, &world.World{Daemons: 1})
+	c := w.Caller("D", "c")
+	q := caller.Query{Service: "S", Text: "white", All: true, Limit: 10, Deadline: 2 * time.Second}
+	first, err := c.Search(t.Context(), q)
+	if err != nil || first.Cursor == "" {
+		t.Fatalf("first page %+v, %v", first, err)
+	}
+	for i, s := range w.Searchers["D/S"] {
+		s.Hold(w.Corpora["D/S"], 2, 6, []int{i % 6})
+	}
+	eventually(t, "new searches at version 2", func() bool {
+		answer, err := ask(t, w, "mint")
+		return err == nil && answer.Version == 2
+	})
+	q.Cursor = first.Cursor
+	second, err := c.Search(t.Context(), q)
+	if err != nil || second.Version != 1 {
+		t.Fatalf("second page %+v, %v", second, err)
+	}
+	for _, s := range w.Searchers["D/S"] {
+		s.Drop(1)
+	}
+	eventually(t, "a refusal once version 1 is gone", func() bool {
+		_, err := c.Search(t.Context(), q)
+		return err != nil && refusalOf(t, err).Kind == wire.RefusalVersionGone
+	})
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -218,9 +219,11 @@
 	f.plan = choose(f.views)
 }
 
-// Capacity returns how many whole queries this daemon may run at once: the sum
-// of its limits over the replicas of the scarcest shard.
-func (f *Fleet) Capacity() int {
+// Capacity returns how many whole queries this daemon may run at once. The sum
+// of its limits over the replicas of the scarcest shard is how many that shard
+// can serve at once; since a query lasts longer than its sub-request at any one
+// shard, more queries than that keep the shard busy.
+func (f *Fleet) Capacity(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.refresh()
@@ -240,7 +243,26 @@
 	if least == 1<<30 {
 		return 0
 	}
-	return least
+	return int(math.Round(float64(least) * f.stretch(now)))
+}
+
+// stretchMost bounds how many more queries run than the scarcest shard serves.
+const stretchMost = 4
+
+// stretch is how much longer a query lasts than one of its sub-requests: until
+// the slowest of its shards has answered, and before that its canary.
+func (f *Fleet) stretch(now time.Time) float64 {
+	shards := f.plan.Shards()
+	slowest, ok := f.latency.quantile(now, 1-1/float64(shards+1))
+	if !ok || f.latency.mean <= 0 {
+		return 1
+	}
+	last := slowest.Seconds()
+	if f.settings.Canary && shards > 1 {
+		typical, _ := f.latency.quantile(now, typicalShare)
+		last += typical.Seconds()
+	}
+	return min(max(last/f.latency.mean, 1), stretchMost)
 }
 
 // PollDue lists the targets to poll: those that have neither replied nor been
--- a/internal/process/fleet/latency.go
+++ b/internal/process/fleet/latency.go
@@ -18,6 +18,8 @@
 	fewSamples = 50
 	// initialDelay is the hedge delay until enough replies were seen.
 	initialDelay = 50 * time.Millisecond
+	// typicalShare is the quantile of the faster of two canaries.
+	typicalShare = 0.3
 )
 
 // latencies keeps the recent latency of a service's sub-requests: a windowed
@@ -102,11 +104,3 @@
 	defer f.mu.Unlock()
 	return f.latency.slowness(shard)
 }
-
-// TypicalLatency returns the quantile of recent sub-request latency and
-// whether enough replies were seen to trust it.
-func (f *Fleet) TypicalLatency(now time.Time, share float64) (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.latency.quantile(now, share)
-}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -5,7 +5,7 @@
 //
 //	g := &gossip.Gossip{Table: table, Link: l, Keeper: keeper, Poison: register, Meter: m, Accepted: apply}
 //	l.Handle = g.Handle
-//	g.Join(ctx, seeds)
+//	g.Join(ctx, seeds, 3)
 //	go g.Run(ctx)
 //	g.Push() // after news that should spread at once
 package gossip
@@ -37,8 +37,6 @@
 	// which the tables are compared whole.
 	mismatchesMost = 20
 	askTimeout     = 3 * time.Second
-	// joinSeeds is the number of seeds asked when joining.
-	joinSeeds = 3
 )
 
 // Heartbeat is the message of type link.Heartbeat.
@@ -310,12 +308,12 @@
 	return reply
 }
 
-// Join asks a few seeds for their tables and settings; it reports whether any
-// of them answered.
-func (g *Gossip) Join(ctx context.Context, seeds []string) bool {
+// Join asks seeds for their tables and settings until the most have answered;
+// it reports whether any has.
+func (g *Gossip) Join(ctx context.Context, seeds []string, most int) bool {
 	joined := 0
 	for _, seed := range seeds {
-		if joined == joinSeeds || ctx.Err() != nil {
+		if joined == most || ctx.Err() != nil {
 			break
 		}
 		if seed == g.Link.Address {
--- a/internal/process/tenant/tenant.go
+++ b/internal/process/tenant/tenant.go
@@ -93,7 +93,7 @@
 	t.Fleet.SetDaemons(daemons)
 	capacity := unlimitedCapacity
 	if settings.LimitConcurrency {
-		capacity = t.Fleet.Capacity()
+		capacity = t.Fleet.Capacity(now)
 	}
 	t.Queue.SetCapacity(now, capacity)
 }
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -1,13 +1,17 @@
 package admit
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// durationWeight is the weight of a new sample in the mean run time.
+	// durationWeight is the weight of a new sample in the mean run time and in
+	// its deviation, and deviations how many of the latter a run may take beyond
+	// the mean before it counts as unlikely.
 	durationWeight = 0.1
+	deviations     = 3
 	// lowTurn is how often the least urgent waiting class is started first,
 	// so that it makes progress whatever the others do.
 	lowTurn = 10
@@ -64,7 +68,9 @@
 	running  int
 	classes  map[string]*class
 	starts   int
-	duration float64
+	// duration and deviation describe the run time, in seconds.
+	duration  float64
+	deviation float64
 }
 
 // New returns a queue with a capacity of one.
@@ -91,7 +97,7 @@
 		return
 	}
 	wait := q.expectedWait(c, t)
-	if now.Add(wait + q.mean()).After(t.Deadline) {
+	if now.Add(wait + q.needed()).After(t.Deadline) {
 		t.Decide(Decision{Verdict: TooLate, RetryAfter: max(wait, leastRetry)})
 		return
 	}
@@ -150,10 +156,14 @@
 		q.duration = seconds
 		return
 	}
+	q.deviation += durationWeight * (math.Abs(seconds-q.duration) - q.deviation)
 	q.duration += durationWeight * (seconds - q.duration)
 }
 
-func (q *Queue) mean() time.Duration { return time.Duration(q.duration * float64(time.Second)) }
+// needed is the time that a run is likely to end within.
+func (q *Queue) needed() time.Duration {
+	return time.Duration((q.duration + deviations*q.deviation) * float64(time.Second))
+}
 
 // mayRun reports whether the class may start one more: less urgent classes
 // leave a reserve while a more urgent one is active.
@@ -231,7 +241,7 @@
 			return
 		}
 		t := c.pop()
-		if now.Add(q.mean() / 2).After(t.Deadline) {
+		if now.Add(q.needed()).After(t.Deadline) {
 			t.waiting = false
 			t.Decide(Decision{Verdict: TooLate, RetryAfter: leastRetry})
 			continue
--- /dev/null
+++ b/internal/version/change/change_test.go
@@ -0,0 +1,180 @@
+package change
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+func newStore(t *testing.T) (*fakestore.Store, *Change) {
+	t.Helper()
+	s := &fakestore.Store{}
+	if err := s.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Stop)
+	return s, &Change{Store: &store.Store{Endpoints: []string{s.URL()}}}
+}
+
+func queue(length int) tree.Files {
+	return tree.Files{"firm.ini": fmt.Sprintf("[Cost]\nQueueLength = %d\n", length)}
+}
+
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+func TestApply(t *testing.T) {
+	stale := int64(1)
+	tests := []struct {
+		name    string
+		faults  fakestore.Faults
+		request Request
+		want    Kind
+		takes   bool
+	}{
+		{"plain", fakestore.Faults{}, Request{Files: queue(9)}, "", true},
+		{"reply lost", fakestore.Faults{LoseReplies: 1}, Request{Files: queue(9)}, "", true},
+		{"store down", fakestore.Faults{Down: true}, Request{Files: queue(9)}, KindUnavailable, false},
+		{"invalid", fakestore.Faults{}, Request{Files: queue(-1)}, KindInvalid, false},
+		{"made from an older revision", fakestore.Faults{}, Request{Files: queue(9), Expect: &stale}, KindConflict, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, c := newStore(t)
+			if _, err := c.Apply(t.Context(), Request{Files: queue(1), Author: "first"}); err != nil {
+				t.Fatal(err)
+			}
+			s.SetFaults(tt.faults)
+			result, err := c.Apply(t.Context(), tt.request)
+			if kindOf(err) != tt.want {
+				t.Fatalf("error %v, want kind %q", err, tt.want)
+			}
+			if err == nil && result.Resolved != (tt.faults.LoseReplies > 0) {
+				t.Errorf("resolved %v", result.Resolved)
+			}
+			s.SetFaults(fakestore.Faults{})
+			current, err := c.Current(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if took := current.Number == 2; took != tt.takes {
+				t.Errorf("took effect %v, want %v", took, tt.takes)
+			}
+		})
+	}
+}
+
+// Several operators race, replies are lost and the store goes down now and
+// then. Each applies on top of what it read, adding its mark to a list. The
+// history must be linear: every change holds all marks of the one before it and
+// one more, and every apply that was told of success is in it exactly once.
+func TestRacingOperatorsMakeALinearHistory(t *testing.T) {
+	s, c := newStore(t)
+	const operators, tries = 6, 12
+	var mu sync.Mutex
+	accepted := map[string]bool{}
+	var group sync.WaitGroup
+	for operator := range operators {
+		group.Go(func() {
+			random := rand.New(rand.NewPCG(42, uint64(operator)))
+			for try := range tries {
+				mark := fmt.Sprintf("%d-%d", operator, try)
+				if addMark(t.Context(), c, mark) == nil {
+					mu.Lock()
+					accepted[mark] = true
+					mu.Unlock()
+				}
+				switch random.IntN(6) {
+				case 0:
+					s.SetFaults(fakestore.Faults{LoseReplies: 1 + random.IntN(2)})
+				case 1:
+					s.SetFaults(fakestore.Faults{Down: true})
+				default:
+					s.SetFaults(fakestore.Faults{})
+				}
+			}
+		})
+	}
+	group.Wait()
+	s.SetFaults(fakestore.Faults{})
+	history, err := c.History(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := []string{}
+	for i := range history {
+		if history[i].Number != int64(i+1) {
+			t.Fatalf("change %d stands at place %d", history[i].Number, i+1)
+		}
+		marks := marksOf(history[i].Files)
+		if len(marks) != len(before)+1 || strings.Join(marks[:len(before)], " ") != strings.Join(before, " ") {
+			t.Fatalf("change %d holds %v after %v", i+1, marks, before)
+		}
+		before = marks
+	}
+	found := map[string]int{}
+	for _, mark := range before {
+		found[mark]++
+	}
+	for mark := range accepted {
+		if found[mark] != 1 {
+			t.Errorf("mark %s was accepted and is there %d times", mark, found[mark])
+		}
+	}
+	if len(accepted) == 0 {
+		t.Error("no apply was accepted")
+	}
+}
+
+func addMark(ctx context.Context, c *Change, mark string) error {
+	current, err := c.Current(ctx)
+	if err != nil {
+		return err
+	}
+	files := tree.Files{"firm.ini": "; " + strings.Join(append(marksOf(current.Files), mark), " ") + "\n"}
+	revision := current.Revision
+	_, err = c.Apply(ctx, Request{Files: files, Author: mark, Expect: &revision})
+	return err
+}
+
+func marksOf(files tree.Files) []string {
+	return strings.Fields(strings.TrimPrefix(files["firm.ini"], ";"))
+}
+
+func TestHistoryIsBoundedAndCanBeGoneBackTo(t *testing.T) {
+	_, c := newStore(t)
+	for i := range historyKept + 5 {
+		if _, err := c.Apply(t.Context(), Request{Files: queue(i), Message: strconv.Itoa(i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	history, err := c.History(t.Context())
+	if err != nil || len(history) != historyKept {
+		t.Fatalf("%d changes kept, %v", len(history), err)
+	}
+	old, err := c.Find(t.Context(), 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := c.Apply(t.Context(), Request{Files: old.Files, Message: "go back"})
+	if err != nil || result.Change.Number != historyKept+6 || result.Change.Files["firm.ini"] != queue(9)["firm.ini"] {
+		t.Errorf("went back to %+v, %v", result, err)
+	}
+	if _, err := c.Find(t.Context(), 1); kindOf(err) != KindNotFound {
+		t.Errorf("a dropped change gives %v", err)
+	}
+}
--- a/pkg/tree/parse.go
+++ b/pkg/tree/parse.go
@@ -46,7 +46,7 @@
 	options := ini.LoadOptions{IgnoreInlineComment: true, AllowShadows: true, SkipUnrecognizableLines: false}
 	file, err := ini.LoadSources(options, []byte(content))
 	if err != nil {
-		p.add(Problem{File: path, Line: badLine(content), Message: err.Error()})
+		p.add(Problem{File: path, Line: badLine(content), Message: strings.TrimSpace(err.Error())})
 		return
 	}
 	n := &node{level: level, own: map[string]assignment{}}
@@ -107,7 +107,7 @@
 		}
 		// Values were checked when their file was parsed.
 		if err := f.set(settings, value); err != nil {
-			p.add(Problem{File: key, Section: f.Section, Field: f.Name, Message: err.Error()})
+			p.add(Problem{File: key, Section: f.Section, Field: f.Name, Message: strings.TrimSpace(err.Error())})
 		}
 	}
 	p.tree.resolved[key] = settings
