Call a daemon ready only once it has met its targets

Change: ready needs an answer or failure of every listed target, for at most 5 s; the caller's library tries another daemon after NoTarget, as after NotReady. Chaos and the presets of both deployments join the experiments.

--- /dev/null
+++ b/internal/bench/chaos.go
@@ -0,0 +1,135 @@
+package bench
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+// chaosStep is the time between two faults, and chaosLasts that of each.
+const (
+	chaosStep  = 700 * time.Millisecond
+	chaosLasts = 1500 * time.Millisecond
+)
+
+// chaosFault begins a fault and returns what ends it; nil ends by itself.
+type chaosFault func(ctx context.Context, s *Stage, random *rand.Rand) func()
+
+func chaos(o *Options) *Plan {
+	behaviour := calm
+	behaviour.StragglerShare, behaviour.StragglerFactor = 0.005, 10
+	plan := single(o, behaviour)
+	lots := plan.Streams[0]
+	lots.Class, lots.Execute, lots.Rate, lots.Callers = "Lots", true, 10, []string{"printer"}
+	death := plan.Streams[0]
+	death.Class, death.Rate, death.Callers = "Death", 0.5, []string{"unlucky"}
+	death.Query = func(int) string { return "sage " + shard.CrashQuery }
+	plan.Streams = append(plan.Streams, lots, death)
+	plan.Settings = map[string]map[string]string{"firm.ini": {"LeastCoverage": "0.5"}}
+	plan.Check = checkLots
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		random := rand.New(rand.NewPCG(o.Seed, 99))
+		for at := chaosStep; at < s.Duration-2*chaosLasts; at += chaosStep {
+			fault := chaosFaults[random.IntN(len(chaosFaults))]
+			if !s.Wait(ctx, at.Seconds()/s.Duration.Seconds()) {
+				return
+			}
+			if end := fault(ctx, s, random); end != nil {
+				time.AfterFunc(chaosLasts, end)
+			}
+			s.Notes["Faults"]++
+		}
+		s.Wait(ctx, 0.99)
+	}
+	return plan
+}
+
+var chaosFaults = []chaosFault{slowTarget, crashTarget, drainTarget, mangleTarget, storeDown, loseWrites, applySettings, killDaemon, hostsDown}
+
+func anySearcher(s *Stage, random *rand.Rand) *shard.Searcher {
+	all := s.World.Searchers[deployment+"/"+service]
+	return all[random.IntN(len(all))]
+}
+
+func slowTarget(_ context.Context, s *Stage, random *rand.Rand) func() {
+	x := anySearcher(s, random)
+	x.Behave(func(b *shard.Behaviour) { b.Slowness = 30 })
+	return func() { x.Behave(func(b *shard.Behaviour) { b.Slowness = 1 }) }
+}
+
+func crashTarget(_ context.Context, s *Stage, random *rand.Rand) func() {
+	x := anySearcher(s, random)
+	x.Stop()
+	return restart(x)
+}
+
+func drainTarget(_ context.Context, s *Stage, random *rand.Rand) func() {
+	x := anySearcher(s, random)
+	x.Drain()
+	return func() {
+		x.Stop()
+		restart(x)()
+	}
+}
+
+// restart brings a searcher back at its address. It fails when the searcher
+// was brought back already.
+func restart(x *shard.Searcher) func() {
+	return func() { _ = x.Start(x.Address()) }
+}
+
+func mangleTarget(_ context.Context, s *Stage, random *rand.Rand) func() {
+	x := anySearcher(s, random)
+	set := func(share float64) {
+		x.Behave(func(b *shard.Behaviour) {
+			b.CrossedShare, b.TruncatedShare, b.DuplicatedShare, b.FalseShare = share, share, share, share
+		})
+	}
+	set(0.1)
+	return func() { set(0) }
+}
+
+func storeDown(_ context.Context, s *Stage, _ *rand.Rand) func() {
+	s.World.Store.SetFaults(store.Faults{Down: true})
+	return func() { s.World.Store.SetFaults(store.Faults{}) }
+}
+
+func loseWrites(_ context.Context, s *Stage, _ *rand.Rand) func() {
+	s.World.Store.SetFaults(store.Faults{LoseReplies: 2, Delay: 100 * time.Millisecond})
+	return func() { s.World.Store.SetFaults(store.Faults{}) }
+}
+
+// applySettings may fail, as an operator's apply may while the store is down.
+func applySettings(ctx context.Context, s *Stage, random *rand.Rand) func() {
+	files := tree.Files{"firm.ini": "[Cost]\nLeastCoverage = 0.5\nQueueLength = " + []string{"100", "200", "300"}[random.IntN(3)] + "\n"}
+	go func() { _, _ = s.World.Apply(context.WithoutCancel(ctx), files) }()
+	return nil
+}
+
+// killDaemon kills one daemon and starts another of the same name and addresses.
+func killDaemon(ctx context.Context, s *Stage, random *rand.Rand) func() {
+	running := s.World.Alive()
+	if len(running) < 3 {
+		return nil
+	}
+	victim := running[random.IntN(len(running))]
+	victim.Kill()
+	return func() { revive(ctx, s, victim) }
+}
+
+func revive(ctx context.Context, s *Stage, d *daemon.Daemon) {
+	ctx = context.WithoutCancel(ctx)
+	if _, err := s.World.StartDaemon(ctx, d.Setup.Name, addressOf(d.URL()), d.Link(), 0); err != nil {
+		s.Notes["NotRevived"]++
+	}
+}
+
+func hostsDown(_ context.Context, s *Stage, _ *rand.Rand) func() {
+	s.World.Hosts.SetDown(true)
+	return func() { s.World.Hosts.SetDown(false) }
+}
--- a/internal/bench/churn.go
+++ b/internal/bench/churn.go
@@ -57,7 +57,7 @@
 	plan := single(o, calm)
 	plan.Settings = map[string]map[string]string{"firm.ini": {"AddressKeep": "1s", "SilentAfter": "600ms", "HeartbeatInterval": "200ms"}}
 	plan.Faults = func(ctx context.Context, s *Stage) {
-		for number, d := range append(s.World.Running[:0:0], s.World.Running...) {
+		for number, d := range s.World.Alive() {
 			if !s.Wait(ctx, 0.1+0.4*float64(number)) {
 				return
 			}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -159,7 +159,7 @@
 
 func count(s *Stage) counters {
 	var c counters
-	for _, d := range s.World.Running {
+	for _, d := range s.World.Alive() {
 		c.primaries += d.Meter.Sum("primary_attempts_total")
 		c.extras += d.Meter.Sum("extra_attempts_total")
 	}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -33,6 +33,9 @@
 // narrow are those of the scenarios that need more requests than shards.
 var narrow = Options{Shards: 16, Replicas: 3, Rate: 60, Daemons: 2, Duration: 10 * time.Second}
 
+// chaotic are those of Chaos.
+var chaotic = Options{Shards: 16, Replicas: 3, Rate: 60, Daemons: 4, Duration: 20 * time.Second}
+
 var calm = shard.Behaviour{Median: 4 * time.Millisecond, Spread: 0.3}
 
 // single is one service with one stream of distinct queries.
@@ -106,6 +109,18 @@
 		Name: "ColdStart", About: "The targets restart in rolling order and are slow at first.", Defaults: narrow,
 		Plan: coldStart,
 	},
+	{
+		Name: "Chaos", About: "A seeded mix of faults; the seed alone decides which and when.", Defaults: chaotic,
+		Plan: chaos,
+	},
+	{
+		Name: "ErbaceeMorning", About: "Erbacee's services at their size on a market morning.",
+		Defaults: Options{Shards: 20, Replicas: 2, Rate: 40, Daemons: 8, Duration: 10 * time.Second}, Plan: erbaceeMorning,
+	},
+	{
+		Name: "SalishDividends", About: "Salish's services at their size at the month's end.",
+		Defaults: Options{Shards: 20, Replicas: 2, Rate: 30, Daemons: 9, Duration: 10 * time.Second}, Plan: salishDividends,
+	},
 	{
 		Name: "StopAndGo", About: "Every daemon is restarted gracefully in turn.", Defaults: narrow,
 		Plan: stopAndGo,
@@ -229,7 +244,7 @@
 	if !s.Wait(ctx, 0.5) {
 		return
 	}
-	first := s.World.Running[0]
+	first := s.World.Alive()[0]
 	first.Kill()
 	if _, err := s.World.StartDaemon(ctx, first.Setup.Name, addressOf(first.URL()), first.Link(), 0); err != nil {
 		s.Notes["NotStarted"]++
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
@@ -96,7 +97,9 @@
 	Proxies map[string][]*proxy.Proxy
 
 	authority *keys.Authority
-	listed    []wire.Host
+	// mu guards what faults change while traffic runs: Running and listed.
+	mu     sync.Mutex
+	listed []wire.Host
 }
 
 // Start brings everything up and waits until every daemon is ready and knows
@@ -253,13 +256,25 @@
 	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
+	w.mu.Lock()
+	w.Running = slices.DeleteFunc(w.Running, func(old *daemon.Daemon) bool { return old.Setup.Name == name })
 	w.Running = append(w.Running, d)
+	w.mu.Unlock()
 	w.List(wire.Host{Address: d.Link(), Role: "Daemon", Region: s.Region, DataCentre: s.DataCentre})
 	return d, nil
 }
 
+// Alive returns the daemons that were started and not replaced.
+func (w *World) Alive() []*daemon.Daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.Running)
+}
+
 // List adds a host to the host list.
 func (w *World) List(h wire.Host) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.listed = slices.DeleteFunc(w.listed, func(old wire.Host) bool { return old.Address == h.Address })
 	w.listed = append(w.listed, h)
 	w.Hosts.Set(w.listed)
@@ -267,12 +282,16 @@
 
 // Unlist removes a host from the host list.
 func (w *World) Unlist(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.listed = slices.DeleteFunc(w.listed, func(h wire.Host) bool { return h.Address == address })
 	w.Hosts.Set(w.listed)
 }
 
 // Leave marks a host as leaving in the host list.
 func (w *World) Leave(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for i := range w.listed {
 		if w.listed[i].Address == address {
 			w.listed[i].Leaving = true
@@ -330,7 +349,7 @@
 // Caller returns a caller of a deployment that knows every daemon.
 func (w *World) Caller(deployment, name string) *caller.Caller {
 	c := &caller.Caller{Deployment: deployment, Name: name, DataCentre: w.DataCentres[0], Region: w.Regions[0]}
-	for _, d := range w.Running {
+	for _, d := range w.Alive() {
 		c.Seeds = append(c.Seeds, d.URL())
 	}
 	return c
@@ -339,7 +358,7 @@
 // Violations returns the broken invariants of all daemons.
 func (w *World) Violations() map[string]int {
 	sum := map[string]int{}
-	for _, d := range w.Running {
+	for _, d := range w.Alive() {
 		for name, count := range d.Meter.Violated() {
 			sum[name] += count
 		}
@@ -349,7 +368,7 @@
 
 // Stop ends everything at once.
 func (w *World) Stop() {
-	for _, d := range w.Running {
+	for _, d := range w.Alive() {
 		d.Kill()
 	}
 	for _, proxies := range w.Proxies {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -58,9 +58,11 @@
 	// keysMost bounds the idempotency keys kept at one home.
 	keysMost = 1 << 18
 	// joinRetry is the time between rounds of joining.
-	joinRetry = time.Second
+	joinRetry = 500 * time.Millisecond
 	// joinSeeds is the number of daemons that a joining one asks.
 	joinSeeds = 3
+	// meetTargets bounds the time that a starting daemon waits for targets.
+	meetTargets = 5 * time.Second
 	// meetInterval is the time between tries to meet daemons not heard of.
 	meetInterval = 2 * time.Second
 )
@@ -246,10 +248,27 @@
 		return false, "no settings: neither the store nor another daemon has answered"
 	case !d.hostSeen.Load():
 		return false, "no host list: the platform has not answered"
+	case !d.targetsMet():
+		return false, "no target has answered yet"
 	}
 	return true, ""
 }
 
+// targetsMet reports whether targets of every service that the host list names
+// have answered. A service whose targets all fail is not waited for long.
+func (d *Daemon) targetsMet() bool {
+	if d.uptime() > meetTargets {
+		return true
+	}
+	met := true
+	d.eachTenant(func(_, _ string, t *tenant.Tenant) {
+		if !t.Fleet.Met() {
+			met = false
+		}
+	})
+	return met
+}
+
 // storeEmpty reports whether the store answers but holds no settings yet, in
 // which case the defaults are in force.
 func (d *Daemon) storeEmpty() bool {
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -172,7 +172,7 @@
 	case t == nil || t.state == StateLeaving:
 	case refused:
 		f.setState(t, StateDown)
-	case t.state == StateReady:
+	case t.state == StateReady || t.state == StateUnknown:
 		f.setState(t, StateSilent)
 	}
 }
@@ -199,6 +199,19 @@
 	return f.plan
 }
 
+// Met reports whether every target listed has been asked, with or without
+// success.
+func (f *Fleet) Met() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.order {
+		if t.state == StateUnknown {
+			return false
+		}
+	}
+	return true
+}
+
 // PlanVersion returns the view of one version; nil when nobody holds it.
 func (f *Fleet) PlanVersion(version uint64) *View {
 	f.mu.Lock()
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -138,7 +138,7 @@
 		switch {
 		case err != nil:
 			last = &Error{Op: "search", Kind: KindUnreachable, Err: err}
-		case refusal != nil && refusal.Kind == wire.RefusalNotReady:
+		case refusal != nil && elsewhere(refusal):
 			last = refused("search", refusal)
 		case refusal != nil:
 			return nil, refused("search", refusal)
@@ -149,6 +149,11 @@
 	return nil, last
 }
 
+// elsewhere reports whether another daemon may well answer what this one refused.
+func elsewhere(refusal *wire.Refusal) bool {
+	return refusal.Ran == wire.RanNo && (refusal.Kind == wire.RefusalNotReady || refusal.Kind == wire.RefusalNoTarget)
+}
+
 // Each calls the function with every match, page by page, all of one index
 // version. It stops at the first error.
 func (c *Caller) Each(ctx context.Context, q Query, each func(wire.Hit) error) error {
