--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -116,6 +116,10 @@
 	canary   bool
 	canaries int
 	avoid    string
+	// pausing counts the shards in that phase.
+	pausing int
+	// nextHedge is when a shard may next be due for a hedge.
+	nextHedge time.Time
 }
 
 // New returns a gather that has not begun.
@@ -188,6 +192,7 @@
 	for shard := range g.shards {
 		s := &g.shards[shard]
 		if s.phase == pausing && !now.Before(s.resume) {
+			g.pausing--
 			g.launch(now, shard, true)
 		}
 	}
@@ -231,7 +236,7 @@
 	if g.canary {
 		g.due(g.canaryEnd())
 	}
-	for shard := range g.shards {
+	for shard := 0; g.pausing > 0 && shard < len(g.shards); shard++ {
 		if s := &g.shards[shard]; s.phase == pausing {
 			g.due(s.resume)
 		}
@@ -266,6 +271,9 @@
 }
 
 func (g *Gather) fail(shard int) {
+	if g.shards[shard].phase == pausing {
+		g.pausing--
+	}
 	g.shards[shard].phase = failed
 	g.settled++
 }
@@ -308,6 +316,7 @@
 		g.step.Wait = append(g.step.Wait, shard)
 	case fleet.Exhausted:
 		s.phase = pausing
+		g.pausing++
 		s.resume = now.Add(retryPause)
 	case fleet.Lost:
 		g.fail(shard)
@@ -324,6 +333,7 @@
 	s.attempts++
 	s.flying++
 	s.sent = now
+	g.nextHedge = time.Time{}
 	g.step.Send = append(g.step.Send, Attempt{ID: id, Shard: shard, Target: target})
 }
 
--- a/internal/request/gather/hedge.go
+++ b/internal/request/gather/hedge.go
@@ -13,29 +13,48 @@
 	if settings.ExtraLoad <= 0 || settings.MaxAttempts < 2 {
 		return
 	}
-	delay := max(g.config.Targets.HedgeDelay(now, 1-hedgeShare*settings.ExtraLoad), leastDelay)
 	if g.allSlow() {
 		// Called again by the reply that ends this state.
 		return
 	}
+	if now.Before(g.nextHedge) {
+		g.due(g.nextHedge)
+		return
+	}
+	g.nextHedge = g.hedgeDue(now)
+	g.due(g.nextHedge)
+}
+
+// hedgeDue hedges what is due and returns when the next shard will be.
+func (g *Gather) hedgeDue(now time.Time) time.Time {
+	delay := max(g.config.Targets.HedgeDelay(now, 1-hedgeShare*g.config.Settings.ExtraLoad), leastDelay)
+	next := g.config.Deadline
 	for shard := range g.shards {
 		s := &g.shards[shard]
 		if s.phase != flying || !g.mayAttempt(s) {
 			continue
 		}
-		if at := s.sent.Add(delay); now.Before(at) {
-			g.due(at)
-			continue
+		at := s.sent.Add(delay)
+		if !now.Before(at) {
+			at = s.sent.Add(g.shardDelay(delay, shard))
 		}
-		if at := s.sent.Add(g.shardDelay(delay, shard)); now.Before(at) {
-			g.due(at)
+		if now.Before(at) {
+			next = earlier(next, at)
 			continue
 		}
 		if !g.hedgeShard(now, shard) {
-			g.due(now.Add(delay/2 + leastDelay))
-			return
+			return earlier(next, now.Add(delay/2+leastDelay))
 		}
+		next = earlier(next, s.sent.Add(delay))
+	}
+	return next
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
+	return b
 }
 
 // hedgeShard reports false when the budget is spent.
