Cut what daemons send each other and share targets by subsets

A new random neighbour each half second cost a new QUIC connection, and every heartbeat carried the sender's whole record by name. Change: the random neighbour stays for 30 s; heartbeats are arrays that carry a short form of the sender; targets with traffic are polled in turn, two a second for each service, whatever their number; each daemon uses a subset of a shard's replicas when its share of their connections is less than all.

--- /dev/null
+++ b/internal/bench/control.go
@@ -0,0 +1,118 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/world"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+const (
+	controlChanges = 5
+	controlCheck   = 2 * time.Millisecond
+	controlMost    = 19 * time.Second
+)
+
+// control measures what the daemons cost when nobody searches, and how long a
+// change takes to be in force on the last of them.
+func control(loss float64, killWatcher bool) func(*Options) *Plan {
+	return func(*Options) *Plan {
+		return &Plan{
+			World: world.World{LinkLoss: loss, Services: []world.Service{{
+				Deployment: deployment, Name: service, Shards: 1, Replicas: 3, Slots: 3, Connections: 1000, Documents: 10,
+				Behaviour: shard.Behaviour{Median: time.Millisecond},
+			}}},
+			Faults: func(ctx context.Context, s *Stage) {
+				measureRest(ctx, s)
+				measureChanges(ctx, s, killWatcher)
+			},
+			Check: func(s *Stage) []string {
+				if s.Notes["InForceMostMillis"] > float64(controlMost.Milliseconds()) || s.Notes["Changes"] < controlChanges {
+					return []string{fmt.Sprintf("InForce after %v ms, %v changes", s.Notes["InForceMostMillis"], s.Notes["Changes"])}
+				}
+				return nil
+			},
+		}
+	}
+}
+
+// measureRest takes the slopes over the first part of the run.
+func measureRest(ctx context.Context, s *Stage) {
+	s.Wait(ctx, 0.1)
+	daemons := float64(len(s.World.Alive()))
+	began, bytes, calls, cpu := time.Now(), s.World.LinkBytes(), s.storeCalls(), processorTime()
+	s.Wait(ctx, 0.5)
+	seconds := time.Since(began).Seconds()
+	s.Notes["LinkBytesPerDaemonPerSecond"] = float64(s.World.LinkBytes()-bytes) / daemons / seconds
+	s.Notes["StoreCallsPerSecond"] = float64(s.storeCalls()-calls) / seconds
+	s.Notes["CPUPercentPerDaemon"] = 100 * (processorTime() - cpu).Seconds() / daemons / seconds
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	s.Notes["HeapKBPerDaemon"] = float64(memory.HeapAlloc) / daemons / 1024
+}
+
+func (s *Stage) storeCalls() int64 {
+	sum := int64(0)
+	for _, count := range s.World.Store.Calls() {
+		sum += count
+	}
+	return sum
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// measureChanges applies changes one after the other and waits for the last
+// daemon each time.
+func measureChanges(ctx context.Context, s *Stage, killWatcher bool) {
+	for n := range controlChanges {
+		if killWatcher && n == 1 {
+			s.killWatcher()
+		}
+		files := tree.Files{"firm.ini": fmt.Sprintf("[Cost]\nQueueLength = %d\n", 100+n)}
+		result, err := s.World.Apply(ctx, files)
+		if err != nil {
+			return
+		}
+		began := time.Now()
+		for !s.inForce(result.Change.Revision) {
+			if time.Since(began) > 2*controlMost || ctx.Err() != nil {
+				return
+			}
+			time.Sleep(controlCheck)
+		}
+		took := float64(time.Since(began).Milliseconds())
+		s.Notes["InForceMostMillis"] = max(s.Notes["InForceMostMillis"], took)
+		s.Notes["InForceMeanMillis"] += took / controlChanges
+		s.Notes["Changes"]++
+	}
+}
+
+func (s *Stage) killWatcher() {
+	for _, d := range s.World.Alive() {
+		if d.Snapshot().Watching {
+			s.World.Remove(d)
+			return
+		}
+	}
+}
+
+func (s *Stage) inForce(revision int64) bool {
+	for _, d := range s.World.Alive() {
+		if d.Keeper.Current().Change.Revision < revision {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -53,6 +53,9 @@
 	if o.Rate == 0 {
 		o.Rate = defaults.Rate
 	}
+	if len(defaults.Policies) > 0 {
+		o.Policies = defaults.Policies
+	}
 	if len(o.Policies) == 0 {
 		o.Policies = []string{PolicyNaive, PolicyRelay}
 	}
@@ -89,8 +92,12 @@
 	}
 	t := newTraffic(stage, plan.Streams, o.Seed)
 	t.run(ctx)
-	cancel()
+	if len(plan.Streams) > 0 {
+		cancel()
+	}
+	// Without traffic the run lasts as long as its faults.
 	faults.Wait()
+	cancel()
 	result := t.result(policy)
 	after := count(stage)
 	result.apply(before, after)
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -33,6 +33,9 @@
 // narrow are those of the scenarios that need more requests than shards.
 var narrow = Options{Shards: 16, Replicas: 3, Rate: 60, Daemons: 2, Duration: 10 * time.Second}
 
+// still are those of the experiments without searches.
+var still = Options{Shards: 1, Replicas: 3, Daemons: 9, Duration: 12 * time.Second, Policies: []string{PolicyRelay}}
+
 // chaotic are those of Chaos.
 var chaotic = Options{Shards: 16, Replicas: 3, Rate: 60, Daemons: 4, Duration: 20 * time.Second}
 
@@ -109,6 +112,14 @@
 		Name: "ColdStart", About: "The targets restart in rolling order and are slow at first.", Defaults: narrow,
 		Plan: coldStart,
 	},
+	{
+		Name: "Control", About: "No searches: what the daemons cost each other and the store, and how fast changes spread.",
+		Defaults: still, Plan: control(0, false),
+	},
+	{
+		Name: "ControlFaults", About: "Control with 5% of packets lost between daemons and a watcher killed.",
+		Defaults: still, Plan: control(0.05, true),
+	},
 	{
 		Name: "Chaos", About: "A seeded mix of faults; the seed alone decides which and when.", Defaults: chaotic,
 		Plan: chaos,
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -67,7 +67,10 @@
 	Keys    *keys.Keys
 	// Handle takes a message and returns the reply to an Ask.
 	Handle func(from net.Addr, kind Type, body []byte) []byte
+	// Wrap, if set, stands between QUIC and the socket, for experiments.
+	Wrap func(net.PacketConn) net.PacketConn
 
+	socket    net.PacketConn
 	transport *quic.Transport
 	listener  *quic.Listener
 	mu        sync.Mutex
@@ -100,7 +103,11 @@
 	}
 	l.peers = map[string]*peer{}
 	l.Address = socket.LocalAddr().String()
-	l.transport = &quic.Transport{Conn: socket}
+	l.socket = socket
+	if l.Wrap != nil {
+		l.socket = l.Wrap(socket)
+	}
+	l.transport = &quic.Transport{Conn: l.socket}
 	l.listener, err = l.transport.Listen(l.Keys.TLS(), l.config())
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
@@ -126,7 +133,7 @@
 	// Errors while closing leave nothing to do.
 	_ = l.listener.Close()
 	_ = l.transport.Close()
-	_ = l.transport.Conn.Close()
+	_ = l.socket.Close()
 }
 
 // Bytes returns the bytes of messages sent and received.
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -20,6 +20,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
@@ -84,6 +85,8 @@
 	Seed        uint64
 	// Proxied puts a fault-injecting proxy before each searcher.
 	Proxied bool
+	// LinkLoss is the share of packets between daemons that are lost.
+	LinkLoss float64
 	// NoStore leaves the store out: the default settings are in force.
 	NoStore bool
 
@@ -97,6 +100,7 @@
 	Proxies map[string][]*proxy.Proxy
 
 	authority *keys.Authority
+	linkBytes atomic.Int64
 	// mu guards what faults change while traffic runs: Running and listed.
 	mu     sync.Mutex
 	listed []wire.Host
@@ -252,7 +256,7 @@
 	if w.Store != nil {
 		s.Store = []string{w.Store.URL()}
 	}
-	d := &daemon.Daemon{Setup: s, Keys: k}
+	d := &daemon.Daemon{Setup: s, Keys: k, WrapLink: w.wrapLink}
 	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
@@ -271,6 +275,14 @@
 	return slices.Clone(w.Running)
 }
 
+// Remove kills a daemon for good; the host list goes on naming it.
+func (w *World) Remove(d *daemon.Daemon) {
+	d.Kill()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Running = slices.DeleteFunc(w.Running, func(other *daemon.Daemon) bool { return other == d })
+}
+
 // List adds a host to the host list.
 func (w *World) List(h wire.Host) {
 	w.mu.Lock()
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -71,6 +71,8 @@
 type Daemon struct {
 	Setup *setup.Setup
 	Keys  *keys.Keys
+	// WrapLink, if set, stands between QUIC and the socket, for experiments.
+	WrapLink func(net.PacketConn) net.PacketConn
 
 	Meter  *meter.Meter
 	Keeper *epoch.Keeper
@@ -104,13 +106,12 @@
 	d.Keeper = epoch.NewKeeper()
 	d.Poison = poison.New()
 	d.hosts = &hosts.Hosts{URL: d.Setup.HostList}
-	d.link = &link.Link{Address: d.Setup.Link, Keys: d.Keys, Handle: func(_ net.Addr, _ link.Type, _ []byte) []byte { return nil }}
+	d.link = &link.Link{Address: d.Setup.Link, Keys: d.Keys, Handle: d.handle, Wrap: d.WrapLink}
 	d.gossip = &gossip.Gossip{
 		Link: d.link, Keeper: d.Keeper, Poison: d.Poison, Meter: d.Meter,
 		Accepted: d.applySettings, Execute: d.executeForwarded,
 	}
 	d.gossip.Init()
-	d.link.Handle = d.handle
 	d.server = &server.Server{Address: d.Setup.Listen, Name: d.Setup.Name, Backend: d, Meter: d.Meter}
 	if err := d.listen(); err != nil {
 		return err
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -13,6 +13,9 @@
 
 // Config is set once, before New.
 type Config struct {
+	// Daemon is this daemon's name; it decides which targets the daemon uses
+	// when there are more than it may connect to.
+	Daemon     string
 	Deployment string
 	Service    string
 	// Seed makes the selection repeatable.
@@ -28,13 +31,16 @@
 	random   *rand.Rand
 	settings *tree.Settings
 	daemons  int
-	targets  map[string]*Target
-	order    []*Target
-	views    []*View
-	plan     *View
-	dirty    bool
-	waiters  map[int][]*waiter
-	latency  *latencies
+	// sharers is how many daemons are expected to use each target.
+	sharers int
+	routine time.Time
+	targets map[string]*Target
+	order   []*Target
+	views   []*View
+	plan    *View
+	dirty   bool
+	waiters map[int][]*waiter
+	latency *latencies
 }
 
 // New returns an empty fleet under default settings.
@@ -44,6 +50,7 @@
 		random:   rand.New(rand.NewPCG(config.Seed, 0x9e3779b97f4a7c15)),
 		settings: tree.Default(),
 		daemons:  1,
+		sharers:  1,
 		targets:  map[string]*Target{},
 		waiters:  map[int][]*waiter{},
 		latency:  newLatencies(),
@@ -61,7 +68,10 @@
 func (f *Fleet) SetDaemons(count int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.daemons = max(count, 1)
+	if count = max(count, 1); count != f.daemons {
+		f.daemons = count
+		f.dirty = true
+	}
 }
 
 // SetHosts takes the platform's host list. Hosts that it no longer names are
@@ -232,6 +242,16 @@
 	f.dirty = false
 	f.views = buildViews(f.config.Service, f.order)
 	f.plan = choose(f.views)
+	f.sharers = f.daemons
+	if f.plan == nil {
+		return
+	}
+	for _, v := range f.views {
+		sharers := v.cut(f.config.Daemon, f.daemons)
+		if v == f.plan {
+			f.sharers = sharers
+		}
+	}
 }
 
 // Capacity returns how many whole queries this daemon may run at once. The sum
@@ -285,11 +305,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var due []string
+	mayRoutine := now.Sub(f.routine) >= routineInterval
 	for _, t := range f.order {
-		if t.pollDue(now, interval) {
-			t.polled = now
-			due = append(due, t.Address)
+		routine := t.routineDue(now, interval)
+		if !t.pollDue(now, interval) && !(routine && mayRoutine) {
+			continue
+		}
+		if routine {
+			f.routine = now
+			mayRoutine = false
 		}
+		t.polled = now
+		due = append(due, t.Address)
 	}
 	return due
 }
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -230,6 +230,7 @@
 		f.targets["t0"].slots = tt.slots
 		f.targets["t0"].limit = 1
 		f.SetDaemons(tt.daemons)
+		f.Plan()
 		sum := 0
 		for range tt.daemons {
 			sum += f.room(f.targets["t0"])
@@ -240,6 +241,37 @@
 	}
 }
 
+// Many daemons use each a few replicas of a shard; together they stay within the
+// connections of every target, and none is left without a replica.
+func TestSubsetsOfManyDaemons(t *testing.T) {
+	const daemons, replicas, connections = 400, 60, 40
+	used := map[string]int{}
+	for d := range daemons {
+		var targets []*Target
+		for r := range replicas {
+			targets = append(targets, &Target{Address: fmt.Sprint("t", r), state: StateReady, connections: connections})
+		}
+		v := &View{Replicas: [][]*Target{targets}}
+		if sharers := v.cut(fmt.Sprint("d", d), daemons); sharers > connections {
+			t.Fatalf("%d daemons expected at a target", sharers)
+		}
+		if len(v.Replicas[0]) < subsetLeast {
+			t.Fatalf("daemon %d uses %d replicas", d, len(v.Replicas[0]))
+		}
+		for _, x := range v.Replicas[0] {
+			used[x.Address]++
+		}
+	}
+	for address, count := range used {
+		if count > connections {
+			t.Errorf("%d daemons use %s, over its %d connections", count, address, connections)
+		}
+	}
+	if len(used) != replicas {
+		t.Errorf("only %d of %d replicas are used", len(used), replicas)
+	}
+}
+
 func TestWaitersAreWokenByPriority(t *testing.T) {
 	f := fleetOf(1)
 	f.SetDaemons(4)
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -164,14 +164,14 @@
 func (f *Fleet) room(t *Target) int {
 	room := int(max(t.limit, f.floor(t)))
 	if t.connections > 0 {
-		room = min(room, max(1, t.connections/f.daemons))
+		room = min(room, max(1, t.connections/f.sharers))
 	}
 	return max(room, 1)
 }
 
 // floor is this daemon's even share of a target's slots, at least one.
 func (f *Fleet) floor(t *Target) float64 {
-	return max(1, float64(t.slots/f.daemons))
+	return max(1, float64(t.slots/f.sharers))
 }
 
 // Outcome is how an attempt ended.
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -36,8 +36,12 @@
 	ejectMost = 10 * time.Second
 	// limitCut is the factor applied to the limit when a target is overloaded.
 	limitCut = 0.7
-	// pollFactor is how much less often a target is polled whose replies come in.
+	// pollFactor is how much less often a target is polled whose replies come
+	// in, and how much sooner one whose status is known to be out of date.
 	pollFactor = 5
+	// routineInterval spaces the polls of targets whose replies come in, so
+	// that their cost does not grow with the targets.
+	routineInterval = 500 * time.Millisecond
 	// defaultSlots is assumed until a target has reported.
 	defaultSlots = 2
 )
@@ -98,17 +102,20 @@
 }
 
 // pollDue reports whether the target is to be asked for its status: at once
-// when its indexes have changed, each interval when it is silent or out of use,
-// and now and then in any case.
+// when its indexes have changed, each interval when it is silent or out of use.
 func (t *Target) pollDue(now time.Time, interval time.Duration) bool {
 	since := now.Sub(t.polled)
-	switch {
-	case t.outdated && since >= interval/pollFactor:
-		return true
-	case t.state != StateReady || now.Sub(t.seen) >= interval:
-		return since >= interval
+	if t.outdated {
+		return since >= interval/pollFactor
 	}
-	return since >= pollFactor*interval
+	silent := t.state != StateReady || now.Sub(t.seen) >= interval
+	return silent && since >= interval
+}
+
+// routineDue reports whether a target whose replies come in may be polled in
+// its turn, should its replies not tell of a new index.
+func (t *Target) routineDue(now time.Time, interval time.Duration) bool {
+	return !t.pollDue(now, interval) && now.Sub(t.polled) >= pollFactor*interval
 }
 
 // fail counts a failure and ejects the target after several in a row.
--- a/internal/process/fleet/view.go
+++ b/internal/process/fleet/view.go
@@ -1,6 +1,21 @@
 package fleet
 
-import "sort"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// subsetFill is the part of a target's connections that subsets aim to
+	// use, since the daemons that choose a target are only so many on average.
+	subsetFill = 0.5
+	// subsetLeast is the least number of replicas of a shard that a daemon uses.
+	subsetLeast = 3
+)
 
 // View is the shard map of one index version: for each shard its replicas.
 type View struct {
@@ -90,3 +105,42 @@
 	}
 	return fallback
 }
+
+// cut leaves each shard only the replicas that this daemon uses, and returns
+// how many daemons are expected to share a target. With few daemons it leaves
+// all. A daemon uses the replicas that its name hashes to, so all daemons
+// together spread evenly, and a lost replica is replaced by the next.
+func (v *View) cut(daemon string, daemons int) int {
+	total, kept := 0, 0
+	for shard, replicas := range v.Replicas {
+		total += len(replicas)
+		if keep := subset(replicas, daemons); keep < len(replicas) {
+			v.Replicas[shard] = nearest(daemon, replicas, keep)
+		}
+		kept += len(v.Replicas[shard])
+	}
+	if total == 0 {
+		return daemons
+	}
+	return max(1, int(math.Ceil(float64(daemons)*float64(kept)/float64(total))))
+}
+
+// subset is the number of a shard's replicas that each daemon may use.
+func subset(replicas []*Target, daemons int) int {
+	connections := 0
+	for _, t := range replicas {
+		if t.connections == 0 {
+			return len(replicas)
+		}
+		connections += t.connections
+	}
+	return max(subsetLeast, int(subsetFill*float64(connections)/float64(daemons)))
+}
+
+// nearest returns the replicas with the highest hash with the daemon's name.
+func nearest(daemon string, replicas []*Target, keep int) []*Target {
+	weight := func(t *Target) uint64 { return xxhash.Sum64String(daemon + "\x00" + t.Address) }
+	chosen := slices.Clone(replicas)
+	slices.SortFunc(chosen, func(a, b *Target) int { return cmp.Compare(weight(b), weight(a)) })
+	return chosen[:keep]
+}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -41,7 +41,8 @@
 
 // Heartbeat is the message of type link.Heartbeat.
 type Heartbeat struct {
-	From     member.Member
+	_        struct{} `cbor:",toarray"`
+	From     member.Brief
 	Updates  []member.Member
 	Revision int64
 	Digest   uint64
@@ -118,8 +119,9 @@
 }
 
 func (g *Gossip) encode(now time.Time, updates []member.Member) []byte {
+	self := g.Table.Self(now)
 	body, err := codec.Encode(&Heartbeat{
-		From:     g.Table.Self(now),
+		From:     self.Brief(),
 		Updates:  updates,
 		Revision: g.Keeper.Current().Change.Revision,
 		Digest:   g.Table.Digest(),
@@ -164,31 +166,35 @@
 		return
 	}
 	now := time.Now()
-	news := g.Table.Heard(now, h.From)
-	news = append(news, g.Table.Merge(now, h.Updates)...)
-	if record, ok := g.Table.Contradicted(now, h.From); ok {
-		g.Link.Send(h.From.Link, link.Heartbeat, g.encode(now, []member.Member{record}))
-	}
+	news := g.Table.Merge(now, h.Updates)
 	if g.Poison.Merge(now, h.Suspects) || len(news) > 0 {
 		g.Push()
 	}
-	g.compareRevisions(&h)
-	g.compareDigests(&h)
+	from, known := g.Table.Heard(now, h.From)
+	if !known {
+		// The sender introduces itself with one of its next heartbeats.
+		return
+	}
+	if from.State != h.From.State {
+		g.Link.Send(from.Link, link.Heartbeat, g.encode(now, []member.Member{from}))
+	}
+	g.compareRevisions(h.Revision, &from)
+	g.compareDigests(h.Digest, &from)
 }
 
-func (g *Gossip) compareRevisions(h *Heartbeat) {
+func (g *Gossip) compareRevisions(revision int64, from *member.Member) {
 	own := g.Keeper.Current().Change.Revision
 	switch {
-	case h.Revision > own:
-		go g.fetch(h.From.Link)
-	case h.Revision < own && h.From.State < member.Silent:
-		g.Link.Send(h.From.Link, link.Heartbeat, g.encode(time.Now(), nil))
+	case revision > own:
+		go g.fetch(from.Link)
+	case revision < own && from.State < member.Silent:
+		g.Link.Send(from.Link, link.Heartbeat, g.encode(time.Now(), nil))
 	}
 }
 
 // compareDigests compares whole tables once they have differed for long.
-func (g *Gossip) compareDigests(h *Heartbeat) {
-	if h.Digest == g.Table.Digest() {
+func (g *Gossip) compareDigests(digest uint64, from *member.Member) {
+	if digest == g.Table.Digest() {
 		g.mismatches.Store(0)
 		return
 	}
@@ -200,7 +206,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 		defer cancel()
 		g.Meter.Decide("CompareTables")
-		g.askTable(ctx, h.From.Link)
+		g.askTable(ctx, from.Link)
 	}()
 }
 
--- a/internal/process/member/doc.go
+++ b/internal/process/member/doc.go
@@ -10,7 +10,7 @@
 //
 //	t := member.New(member.Member{Name: "a", Incarnation: 1, State: member.Ready})
 //	news := t.Merge(now, heartbeat.Updates)
-//	t.Heard(now, heartbeat.From)
+//	record, known := t.Heard(now, heartbeat.From)
 //	claims := t.Expire(now, 2*time.Second)
 //	for _, m := range t.Neighbours() {
 //		// send a heartbeat
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -36,10 +36,17 @@
 	repeats = 6
 	// updatesMost bounds the updates in one heartbeat.
 	updatesMost = 32
+	// introduceEvery is the number of heartbeats after which a daemon sends its
+	// whole record again, for neighbours that have missed it.
+	introduceEvery = 10
+	// strangerFor is how long the random neighbour stays the same, since a new
+	// connection costs far more than a heartbeat.
+	strangerFor = 30 * time.Second
 )
 
 // Member is one daemon's record.
 type Member struct {
+	_    struct{} `cbor:",toarray"`
 	Name string
 	// Link is the UDP "ip:port" for the other daemons.
 	Link string
@@ -56,6 +63,21 @@
 	UptimeMillis int64
 }
 
+// Brief is what a heartbeat says of its sender: enough to tell whether the
+// record that the receiver holds is still true.
+type Brief struct {
+	_           struct{} `cbor:",toarray"`
+	Name        string
+	Incarnation uint64
+	Version     uint64
+	State       State
+}
+
+// Brief returns the short form of a record.
+func (m *Member) Brief() Brief {
+	return Brief{Name: m.Name, Incarnation: m.Incarnation, Version: m.Version, State: m.State}
+}
+
 // Serves reports whether callers may be sent there.
 func (m *Member) Serves() bool { return m.State == Ready }
 
@@ -78,6 +100,10 @@
 	ring    []*entry
 	dirty   bool
 	random  *rand.Rand
+	beats   int
+	// stranger is the random neighbour, chosen at a time.
+	stranger   string
+	strangerAt time.Time
 }
 
 // New returns a table that holds the daemon itself.
@@ -168,31 +194,17 @@
 	return order > 0
 }
 
-// Heard records a heartbeat that came from the daemon itself.
-func (t *Table) Heard(now time.Time, m Member) []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var news []Member
-	if t.merge(now, &m) {
-		news = []Member{m}
-	}
-	e := t.members[m.Name]
-	if e == nil || e == t.self || e.Incarnation != m.Incarnation {
-		return news
-	}
-	e.heard = now
-	return news
-}
-
-// Contradicted returns the record held of a daemon when it differs from what
-// the daemon says of itself, so that the daemon can refute it.
-func (t *Table) Contradicted(now time.Time, m Member) (Member, bool) {
+// Heard records a heartbeat that came from the daemon itself, and returns the
+// record held of it. The second result is false when that record is missing or
+// belongs to another incarnation.
+func (t *Table) Heard(now time.Time, from Brief) (Member, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.members[m.Name]
-	if e == nil || e == t.self || e.Incarnation != m.Incarnation || e.State == m.State {
+	e := t.members[from.Name]
+	if e == nil || e == t.self || e.Incarnation != from.Incarnation {
 		return Member{}, false
 	}
+	e.heard = now
 	return t.export(now, e), true
 }
 
@@ -286,10 +298,8 @@
 	defer t.mu.Unlock()
 	t.refresh()
 	chosen := t.successors()
-	if len(t.ring) > 1 {
-		if e := t.ring[t.random.IntN(len(t.ring))]; e != t.self && !slices.Contains(chosen, e) {
-			chosen = append(chosen, e)
-		}
+	if e := t.randomNeighbour(now); e != nil && !slices.Contains(chosen, e) {
+		chosen = append(chosen, e)
 	}
 	if e := t.randomSilent(); e != nil {
 		chosen = append(chosen, e)
@@ -301,6 +311,19 @@
 	return found
 }
 
+// randomNeighbour is one member of the ring, another every half minute.
+func (t *Table) randomNeighbour(now time.Time) *entry {
+	e := t.members[t.stranger]
+	if e == nil || e.State >= Silent || now.Sub(t.strangerAt) > strangerFor {
+		e = t.ring[t.random.IntN(len(t.ring))]
+		t.stranger, t.strangerAt = e.Name, now
+	}
+	if e == t.self {
+		return nil
+	}
+	return e
+}
+
 func (t *Table) randomSilent() *entry {
 	var silent []*entry
 	for _, e := range t.members {
@@ -320,6 +343,9 @@
 func (t *Table) Updates(now time.Time) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.beats++; t.beats%introduceEvery == 0 {
+		t.self.sends = max(t.self.sends, 1)
+	}
 	var due []*entry
 	for _, e := range t.members {
 		if e.sends > 0 {
--- a/internal/process/member/member_test.go
+++ b/internal/process/member/member_test.go
@@ -84,9 +84,9 @@
 			}
 			c.sent++
 			self := from.Self(c.now)
-			to.Heard(c.now, self)
 			to.Merge(c.now, updates)
-			if record, ok := to.Contradicted(c.now, self); ok && !c.cut(n.Name, name) {
+			record, known := to.Heard(c.now, self.Brief())
+			if known && record.State != self.State && !c.cut(n.Name, name) {
 				from.Merge(c.now, []Member{record})
 			}
 		}
--- a/internal/process/tenant/tenant.go
+++ b/internal/process/tenant/tenant.go
@@ -71,7 +71,7 @@
 	}
 	t := &Tenant{
 		config:   config,
-		Fleet:    fleet.New(fleet.Config{Deployment: config.Deployment, Service: config.Service, Seed: config.Seed}),
+		Fleet:    fleet.New(fleet.Config{Daemon: config.Daemon, Deployment: config.Deployment, Service: config.Service, Seed: config.Seed}),
 		Queue:    admit.New(),
 		Pool:     target.NewPool(),
 		limiters: limiters,
