--- a/cmd/magnoliarelay/main_test.go
+++ b/cmd/magnoliarelay/main_test.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -45,7 +48,7 @@
 
 // tier is daemons as processes of their own, against stand-ins in the test.
 type tier struct {
-	t      *testing.T
+	t      testing.TB
 	world  *world.World
 	dir    string
 	listen []string
@@ -54,7 +57,7 @@
 	logs   []*bytes.Buffer
 }
 
-func free(t *testing.T, network string) string {
+func free(t testing.TB, network string) string {
 	t.Helper()
 	if network == "udp" {
 		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
@@ -72,7 +75,12 @@
 	return listener.Addr().String()
 }
 
-func startTier(t *testing.T, daemons int, proxied bool, settings tree.Files) *tier {
+func startTier(t testing.TB, daemons int, proxied bool, settings tree.Files) *tier {
+	t.Helper()
+	return startTierOver(t, daemons, proxied, settings, 6, 3)
+}
+
+func startTierOver(t testing.TB, daemons int, proxied bool, settings tree.Files, shards, replicas int) *tier {
 	t.Helper()
 	files := tree.Files{"firm.ini": "[System]\nHeartbeatInterval = 100ms\nSilentAfter = 600ms\nAddressKeep = 1s\n[Targets]\nStatusInterval = 200ms\n"}
 	for path, content := range settings {
@@ -81,7 +89,7 @@
 	w := &world.World{
 		Settings: files, Seed: 1, Proxied: proxied,
 		Services: []world.Service{{
-			Deployment: "D", Name: "S", Shards: 6, Replicas: 3, Slots: 4, Connections: 60, Documents: 300,
+			Deployment: "D", Name: "S", Shards: shards, Replicas: replicas, Slots: 4, Connections: 60, Documents: 300,
 			Behaviour: shard.Behaviour{Median: 2 * time.Millisecond},
 		}},
 	}
@@ -98,7 +106,7 @@
 		r.start(i)
 	}
 	for i := range daemons {
-		r.waitListed(i, daemons)
+		r.waitListed(i, daemons, shards, replicas)
 	}
 	return r
 }
@@ -141,8 +149,8 @@
 
 func (r *tier) url(i int) string { return "http://" + r.listen[i] }
 
-func (r *tier) caller(name string, seeds ...int) *caller.Caller {
-	c := &caller.Caller{Deployment: "D", Name: name, DataCentre: "dc-0", Region: "r-1"}
+func (r *tier) caller(seeds ...int) *caller.Caller {
+	c := &caller.Caller{Deployment: "D", Name: "c", DataCentre: "dc-0", Region: "r-1"}
 	for _, i := range seeds {
 		c.Seeds = append(c.Seeds, r.url(i))
 	}
@@ -151,12 +159,13 @@
 }
 
 // waitListed waits until a daemon lists a number of daemons and serves all shards.
-func (r *tier) waitListed(i, count int) {
+func (r *tier) waitListed(i, count, shards, replicas int) {
 	r.t.Helper()
+	served := fmt.Sprintf("D/S\t1\t%d\t0\t%d/%d", shards, shards*replicas, shards*replicas)
 	end := time.Now().Add(patience)
 	for time.Now().Before(end) {
 		out, err := exec.Command(binary, "status", "--daemon", r.url(i)).Output()
-		if err == nil && strings.Count(string(out), "\tReady\t") == count && strings.Contains(string(out), "D/S\t1\t6\t0\t18/18") {
+		if err == nil && strings.Count(string(out), "\tReady\t") == count && strings.Contains(string(out), served) {
 			return
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -197,7 +206,7 @@
 
 func TestTermStopsGracefullyUnderLoad(t *testing.T) {
 	r := startTier(t, 3, false, nil)
-	stop := r.load(r.caller("c", 0, 1, 2))
+	stop := r.load(r.caller(0, 1, 2))
 	time.Sleep(300 * time.Millisecond)
 	r.signal(1, syscall.SIGTERM)
 	if err := r.procs[1].Wait(); err != nil {
@@ -212,7 +221,7 @@
 
 func TestKilledDaemonIsNotSeenByCallers(t *testing.T) {
 	r := startTier(t, 3, false, nil)
-	stop := r.load(r.caller("c", 0, 1, 2))
+	stop := r.load(r.caller(0, 1, 2))
 	time.Sleep(300 * time.Millisecond)
 	r.signal(2, syscall.SIGKILL)
 	time.Sleep(1500 * time.Millisecond)
@@ -220,7 +229,7 @@
 	if len(failures) > 0 {
 		t.Errorf("%d of %d searches failed: %v", len(failures), queries, failures[0])
 	}
-	r.waitListed(0, 2)
+	r.waitListed(0, 2, 6, 3)
 }
 
 // A home is paused with a request on its way, the caller resends through
@@ -230,7 +239,7 @@
 	r := startTier(t, 2, false, nil)
 	for n := range 6 {
 		home := n % 2
-		c := r.caller("c", home, 1-home)
+		c := r.caller(home, 1-home)
 		key := fmt.Sprintf("jar-%d", n)
 		if n%3 == 0 {
 			r.signal(home, syscall.SIGSTOP)
@@ -301,7 +310,7 @@
 		}},
 	}
 	r := startTier(t, 2, true, tree.Files{"D/deployment.ini": "[Cost]\nExtraLoad = 0.2\nRetryBudget = 0.5\n"})
-	c := r.caller("c", 0, 1)
+	c := r.caller(0, 1)
 	// Latencies are learnt before the faults begin.
 	for n := range 60 {
 		if _, err := c.Search(t.Context(), caller.Query{Service: "S", Text: fmt.Sprint("mint ", n), Deadline: 2 * time.Second}); err != nil {
@@ -328,3 +337,53 @@
 		})
 	}
 }
+
+// BenchmarkDaemonProcess measures a daemon's own processor time, apart from
+// that of callers and targets, which are in this process.
+func BenchmarkDaemonProcess(b *testing.B) {
+	for _, shards := range []int{1, 30, 260} {
+		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) {
+			r := startTierOver(b, 1, false, nil, shards, 1)
+			c := r.caller(0)
+			ask := func(n int) {
+				answer, err := c.Search(b.Context(), caller.Query{Service: "S", Text: fmt.Sprint("sage ", n), Deadline: 2 * time.Second})
+				if err != nil || !answer.Complete {
+					b.Fatalf("answer %+v, %v", answer, err)
+				}
+			}
+			for n := range 50 {
+				ask(n)
+			}
+			before := r.processorSeconds(0)
+			b.ResetTimer()
+			for n := 0; b.Loop(); n++ {
+				ask(100 + n)
+			}
+			micros := (r.processorSeconds(0) - before) * 1e6 / float64(b.N)
+			b.ReportMetric(micros, "daemon-cpu-µs/query")
+			b.ReportMetric(micros/float64(shards), "daemon-cpu-µs/sub-request")
+		})
+	}
+}
+
+// processorSeconds reads a daemon's processor time from its metrics.
+func (r *tier) processorSeconds(i int) float64 {
+	r.t.Helper()
+	response, err := http.Get(r.url(i) + "/metrics")
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if value, ok := strings.CutPrefix(scanner.Text(), "process_cpu_seconds_total "); ok {
+			seconds, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				r.t.Fatal(err)
+			}
+			return seconds
+		}
+	}
+	r.t.Fatal("the metrics lack process_cpu_seconds_total")
+	return 0
+}
--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
@@ -48,6 +49,7 @@
 	if err := k.Load(); err != nil {
 		return &term.Error{Op: "daemon", Kind: term.KindUsage, Err: err}
 	}
+	tuneCollector()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(signals)
@@ -61,6 +63,23 @@
 	return o.stop(d, signals)
 }
 
+// A daemon's heap is small and what it allocates lives for one request, so the
+// collector runs less often than by default, until the heap nears the limit.
+const (
+	collectorPercent = 400
+	collectorLimit   = 1 << 30
+)
+
+// tuneCollector leaves alone what the environment sets.
+func tuneCollector() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(collectorLimit)
+	}
+}
+
 // stop leaves gracefully unless a second signal comes.
 func (o *Options) stop(d *daemon.Daemon, signals <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -307,8 +307,8 @@
 	var due []string
 	mayRoutine := now.Sub(f.routine) >= routineInterval
 	for _, t := range f.order {
-		routine := t.routineDue(now, interval)
-		if !t.pollDue(now, interval) && !(routine && mayRoutine) {
+		routine := mayRoutine && t.routineDue(now, interval)
+		if !routine && !t.pollDue(now, interval) {
 			continue
 		}
 		if routine {
