--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -61,6 +61,16 @@
 	if err != nil {
 		return err
 	}
+	s.server = &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	s.address = listener.Addr().String()
+	server := s.server
+	// Serve ends with an error when the server is closed, as it is meant to.
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// Handler answers the gateway's calls; Start serves it.
+func (s *Store) Handler() http.Handler {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.keys == nil {
@@ -80,12 +90,7 @@
 	mux.HandleFunc("POST /v3/lease/grant", handle(s, "grant", s.grant))
 	mux.HandleFunc("POST /v3/lease/keepalive", handle(s, "keepalive", s.keepAlive))
 	mux.HandleFunc("POST /v3/watch", s.watch)
-	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
-	s.address = listener.Addr().String()
-	server := s.server
-	// Serve ends with an error when the server is closed, as it is meant to.
-	go func() { _ = server.Serve(listener) }()
-	return nil
+	return mux
 }
 
 // URL returns the base URL.
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -79,9 +79,10 @@
 	Endpoints []string
 	// Count is called with the kind of each call; it may be nil.
 	Count func(call string)
+	// Transport carries the calls; nil is HTTP over the network.
+	Transport http.RoundTripper
 
-	next   atomic.Uint32
-	client http.Client
+	next atomic.Uint32
 }
 
 // Get reads a key; an absent one has revision zero.
@@ -222,7 +223,8 @@
 	// Without GetBody the library never sends a request a second time.
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
-	response, err := s.client.Do(request)
+	client := http.Client{Transport: s.Transport}
+	response, err := client.Do(request)
 	if err != nil {
 		s.next.Add(1)
 		return nil, &Error{Op: name, Kind: kindOf(err), Err: err}
