--- a/internal/cmd/settings/apply/apply.go
+++ b/internal/cmd/settings/apply/apply.go
@@ -64,7 +64,7 @@
 	}
 	result, err := changer.Apply(ctx, change.Request{Files: files, Author: o.author(), Message: o.Message, Expect: &expect})
 	if err != nil {
-		o.showConflict(ctx, changer, current.Files, difference, err)
+		o.showConflict(ctx, changer, expect, files, err)
 		return source.Fail("apply", err)
 	}
 	return o.report(result)
@@ -85,17 +85,26 @@
 	return nil
 }
 
-// showConflict prints both sides of a lost race.
-func (o *Options) showConflict(ctx context.Context, changer *change.Change, base tree.Files, own string, err error) {
+// showConflict prints both sides of a lost race, each against the revision that
+// the change was made from.
+func (o *Options) showConflict(ctx context.Context, changer *change.Change, base int64, own tree.Files, err error) {
 	var e *change.Error
 	if !errors.As(err, &e) || e.Kind != change.KindConflict {
 		return
 	}
-	now, readErr := changer.Current(ctx)
-	if readErr != nil {
+	past, historyErr := changer.History(ctx)
+	if historyErr != nil || len(past) == 0 {
 		return
 	}
-	o.Streams.Sayf("== your change\n%s== the change that came first (%s: %s)\n%s", own, now.Author, now.Message, source.Diff(base, now.Files))
+	from := tree.Files{}
+	for i := range past {
+		if past[i].Revision == base {
+			from = past[i].Files
+		}
+	}
+	now := &past[len(past)-1]
+	o.Streams.Sayf("== your change\n%s== the changes that came first, up to %d (%s: %s)\n%s",
+		source.Diff(from, own), now.Number, now.Author, now.Message, source.Diff(from, now.Files))
 }
 
 func (o *Options) files(ctx context.Context, changer *change.Change) (tree.Files, error) {
--- a/internal/cmd/settings/source/source.go
+++ b/internal/cmd/settings/source/source.go
@@ -52,6 +52,7 @@
 			kind = term.KindUsage
 		case change.KindUnavailable:
 		}
+		err = e.Err
 	}
 	return &term.Error{Op: op, Kind: kind, Err: err}
 }
--- a/internal/process/poison/poison_test.go
+++ b/internal/process/poison/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -96,3 +97,42 @@
 		t.Errorf("%d suspects, %d and %d known", len(r.suspects), len(r.known), len(r.older))
 	}
 }
+
+// A rack of two targets fails while novel queries have two canaries out, each
+// on a random target. Counting failure domains apart from targets is what keeps
+// innocent queries out of quarantine: without it (a domain for each target) the
+// queries that had both canaries in the rack are held.
+func TestRackLossQuarantinesNoInnocent(t *testing.T) {
+	const queries, racks, perRack = 300, 3, 2
+	held := func(domain func(target int) string, distinct bool) int {
+		random := rand.New(rand.NewPCG(9, 9))
+		r := New()
+		count := 0
+		for n := range queries {
+			q := Query{Fingerprint: uint64(n + 1)}
+			first := random.IntN(racks * perRack)
+			second := random.IntN(racks * perRack)
+			for second == first || distinct && second/perRack == first/perRack {
+				second = random.IntN(racks * perRack)
+			}
+			// Each query meets a rack loss of its own, minutes apart.
+			at := start.Add(time.Duration(n) * time.Minute)
+			for _, target := range []int{first, second} {
+				if target/perRack == 0 {
+					r.Lost(at, q, Loss{Target: fmt.Sprint(target), Domain: domain(target)})
+				}
+			}
+			if _, isHeld := r.Quarantined(at, q.Fingerprint); isHeld {
+				count++
+			}
+		}
+		return count
+	}
+	byTarget := held(func(target int) string { return fmt.Sprint(target) }, false)
+	byRack := held(func(target int) string { return fmt.Sprint(target / perRack) }, false)
+	apart := held(func(target int) string { return fmt.Sprint(target) }, true)
+	t.Logf("innocents held of %d: %d by targets alone, %d by racks, %d with canaries in two racks", queries, byTarget, byRack, apart)
+	if byTarget == 0 || byRack != 0 || apart != 0 {
+		t.Errorf("held %d by targets alone, %d by racks, %d with canaries apart", byTarget, byRack, apart)
+	}
+}
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -98,7 +98,7 @@
 func (s *Server) handler() (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithoutInterruptHandler)
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithoutInterruptHandler, iris.WithFireMethodNotAllowed)
 	app.Post("/v1/search", s.search)
 	app.Post("/v1/execute", s.execute)
 	app.Get("/v1/addresses", s.addresses)
@@ -106,7 +106,10 @@
 	app.Get("/ready", s.ready)
 	app.Get("/", s.page)
 	app.Get("/metrics", iris.FromStd(s.Meter.Handler()))
+	app.Get("/debug/pprof", iris.FromStd(http.HandlerFunc(profile)))
 	app.Get("/debug/pprof/{name:path}", iris.FromStd(http.HandlerFunc(profile)))
+	app.OnErrorCode(http.StatusNotFound, s.noSuch)
+	app.OnErrorCode(http.StatusMethodNotAllowed, s.noSuch)
 	if err := app.Build(); err != nil {
 		return nil, err
 	}
@@ -257,6 +260,13 @@
 	}
 }
 
+// noSuch answers requests for paths or methods that there are not.
+func (s *Server) noSuch(ctx iris.Context) {
+	message := ctx.Method() + " " + ctx.Path() + ": there is no such request"
+	refusal := &wire.Refusal{Kind: wire.RefusalInvalid, Message: message, Ran: wire.RanNo, Daemon: s.Name}
+	s.write(ctx, ctx.GetStatusCode(), refusal)
+}
+
 func profile(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/debug/pprof/profile":
@@ -267,6 +277,8 @@
 		pprof.Cmdline(w, r)
 	case "/debug/pprof/symbol":
 		pprof.Symbol(w, r)
+	case "/debug/pprof":
+		http.Redirect(w, r, "/debug/pprof/goroutine?debug=1", http.StatusFound)
 	default:
 		pprof.Index(w, r)
 	}
