Share a caller's rate by demand, without coordination

Cause: a caller's Rate was divided evenly by the live daemons, so one that connects to its nearest daemon got a fraction of it. Change: daemons pass on their demand for limited callers with heartbeats; a share is the daemon's part of the demand known, falls at once and rises after 2 s. Searches also end as soon as the demanded coverage is out of reach. Before: one of 6 daemons may admit 5/s of 30/s.

--- a/internal/bench/churn.go
+++ b/internal/bench/churn.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -78,3 +80,67 @@
 	}
 	return plan
 }
+
+const (
+	sharedLimit = 30.0
+	settleTime  = 4 * time.Second
+)
+
+// sharedRate sends a limited caller's requests straight to one daemon and then
+// to another, and counts what all daemons together admit.
+func sharedRate(o *Options) *Plan {
+	plan := single(o, calm)
+	plan.Settings = map[string]map[string]string{
+		"Erbacee/Herbarium/service.ini": {}, "Erbacee/Herbarium/limited.ini": {"Rate": "30"},
+	}
+	plan.Streams = nil
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		running := s.World.Alive()
+		half := s.Duration / 2
+		s.Notes["FirstPerSecond"], s.Notes["FirstPeak"] = askOne(ctx, running[0], half, o.Rate)
+		s.Notes["SecondPerSecond"], s.Notes["SecondPeak"] = askOne(ctx, running[1], half, o.Rate)
+	}
+	plan.Check = func(s *Stage) []string {
+		for _, which := range []string{"First", "Second"} {
+			// A limiter's burst is one second's worth of a share.
+			if s.Notes[which+"Peak"] > 2*sharedLimit || s.Notes[which+"PerSecond"] > 1.1*sharedLimit || s.Notes[which+"PerSecond"] < 0.85*sharedLimit {
+				return []string{which + "Share"}
+			}
+		}
+		return nil
+	}
+	return plan
+}
+
+// askOne asks one daemon for a time and returns the requests a second admitted
+// once shares have settled, and the most admitted in any second.
+func askOne(ctx context.Context, d *daemon.Daemon, lasting time.Duration, rate float64) (mean, peak float64) {
+	began := time.Now()
+	perSecond := map[int]int{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for n := 0; time.Since(began) < lasting && ctx.Err() == nil; n++ {
+		time.Sleep(time.Until(began.Add(time.Duration(float64(n) / rate * float64(time.Second)))))
+		group.Go(func() {
+			at := time.Now()
+			_, refusal := d.Search(ctx, at, &wire.SearchRequest{
+				Deployment: deployment, Service: service, Caller: "limited", RequestID: "r", Deadline: "1s", Query: "oregano", Limit: 10,
+			})
+			if refusal == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				perSecond[int(at.Sub(began).Seconds())]++
+			}
+		})
+	}
+	group.Wait()
+	settled, seconds := 0, 0
+	for second, count := range perSecond {
+		peak = max(peak, float64(count))
+		if float64(second) >= settleTime.Seconds() {
+			settled += count
+			seconds++
+		}
+	}
+	return float64(settled) / float64(max(seconds, 1)), peak
+}
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -120,6 +120,11 @@
 		Name: "ControlFaults", About: "Control with 5% of packets lost between daemons and a watcher killed.",
 		Defaults: still, Plan: control(0.05, true),
 	},
+	{
+		Name: "SharedRate", About: "A caller with a Rate of 30/s asks 80/s of one daemon, then of another.",
+		Defaults: Options{Shards: 4, Replicas: 3, Rate: 80, Daemons: 6, Duration: 16 * time.Second, Policies: []string{PolicyRelay}},
+		Plan:     sharedRate,
+	},
 	{
 		Name: "Chaos", About: "A seeded mix of faults; the seed alone decides which and when.", Defaults: chaotic,
 		Plan: chaos,
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/server"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
@@ -78,6 +79,7 @@
 	Keeper *epoch.Keeper
 	Table  *member.Table
 	Poison *poison.Register
+	Quota  *quota.Quota
 
 	started  time.Time
 	self     member.Member
@@ -105,10 +107,11 @@
 	d.Meter = meter.New()
 	d.Keeper = epoch.NewKeeper()
 	d.Poison = poison.New()
+	d.Quota = quota.New(d.Setup.Name)
 	d.hosts = &hosts.Hosts{URL: d.Setup.HostList}
 	d.link = &link.Link{Address: d.Setup.Link, Keys: d.Keys, Handle: d.handle, Wrap: d.WrapLink}
 	d.gossip = &gossip.Gossip{
-		Link: d.link, Keeper: d.Keeper, Poison: d.Poison, Meter: d.Meter,
+		Link: d.link, Keeper: d.Keeper, Poison: d.Poison, Quota: d.Quota, Meter: d.Meter,
 		Accepted: d.applySettings, Execute: d.executeForwarded,
 	}
 	d.gossip.Init()
@@ -336,7 +339,7 @@
 	if t == nil {
 		t = tenant.New(tenant.Config{
 			Daemon: d.self.Name + "-" + strconv.FormatUint(d.self.Incarnation, 36), Deployment: deployment, Service: service,
-			Seed: rand.Uint64(), Meter: d.Meter, Poison: d.Poison, Suspect: d.gossip.Push,
+			Seed: rand.Uint64(), Meter: d.Meter, Poison: d.Poison, Quota: d.Quota, Suspect: d.gossip.Push,
 		})
 		d.tenants[name] = t
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	g := &gossip.Gossip{Table: table, Link: l, Keeper: keeper, Poison: register, Meter: m, Accepted: apply}
+//	g := &gossip.Gossip{Table: table, Link: l, Keeper: keeper, Poison: register, Quota: q, Meter: m, Accepted: apply}
 //	l.Handle = g.Handle
 //	g.Join(ctx, seeds, 3)
 //	go g.Run(ctx)
@@ -23,6 +23,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
 )
 
@@ -47,6 +48,7 @@
 	Revision int64
 	Digest   uint64
 	Suspects []poison.Entry
+	Claims   []quota.Claim
 }
 
 // Gossip is one daemon's part. Exported fields are set before Run.
@@ -55,6 +57,7 @@
 	Link   *link.Link
 	Keeper *epoch.Keeper
 	Poison *poison.Register
+	Quota  *quota.Quota
 	Meter  *meter.Meter
 	// Accepted is called after a revision came in force.
 	Accepted func()
@@ -126,6 +129,7 @@
 		Revision: g.Keeper.Current().Change.Revision,
 		Digest:   g.Table.Digest(),
 		Suspects: g.fresh(now),
+		Claims:   g.Quota.Claims(now),
 	})
 	if err != nil {
 		klog.Errorf("heartbeat: %v", err)
@@ -166,6 +170,7 @@
 		return
 	}
 	now := time.Now()
+	g.Quota.Merge(now, h.Claims)
 	news := g.Table.Merge(now, h.Updates)
 	if g.Poison.Merge(now, h.Suspects) || len(news) > 0 {
 		g.Push()
--- a/internal/process/tenant/tenant.go
+++ b/internal/process/tenant/tenant.go
@@ -23,6 +23,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/admit"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/check"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/search"
@@ -47,6 +48,7 @@
 	Seed       uint64
 	Meter      *meter.Meter
 	Poison     *poison.Register
+	Quota      *quota.Quota
 	// Suspect is called when a query has lost a target.
 	Suspect func()
 }
@@ -151,7 +153,9 @@
 	if settings.Rate == 0 {
 		return nil
 	}
-	limit := rate.Limit(settings.Rate / float64(t.daemons.Load()))
+	key := t.config.Deployment + "/" + t.config.Service + "/" + caller
+	t.config.Quota.Observe(now, key)
+	limit := rate.Limit(t.config.Quota.Share(now, key, settings.Rate, int(t.daemons.Load())))
 	limiter, ok := t.limiters.Get(caller)
 	if !ok {
 		limiter = rate.NewLimiter(limit, burst(limit))
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -202,6 +202,9 @@
 // Answered returns the number of shards that have answered.
 func (g *Gather) Answered() int { return g.answered }
 
+// Failed returns the number of shards that will not answer.
+func (g *Gather) Failed() int { return g.settled - g.answered }
+
 // Attempts returns the number of attempts sent.
 func (g *Gather) Attempts() int { return len(g.attempts) }
 
--- a/internal/request/search/scatter.go
+++ b/internal/request/search/scatter.go
@@ -51,7 +51,7 @@
 	step := s.gather.Begin(time.Now())
 	for {
 		s.carryOut(ctx, step)
-		if step.Done {
+		if step.Done || s.hopeless() {
 			return nil
 		}
 		timer.Reset(time.Until(step.Next))
@@ -74,6 +74,14 @@
 	}
 }
 
+// hopeless reports whether so many shards have failed that the coverage
+// demanded can not be reached; waiting for the rest would only take time. A
+// version that went away may still be replaced by a whole one.
+func (s *scatter) hopeless() bool {
+	shards := float64(s.view.Shards())
+	return !s.versionGone && shards-float64(s.gather.Failed()) < s.request.Least*shards
+}
+
 // handle takes events in order. All steps but the last are carried out here.
 func (s *scatter) handle(ctx context.Context, events []event) (*gather.Step, *wire.Refusal) {
 	var step *gather.Step
