--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -278,11 +278,16 @@
 	if least == 1<<30 {
 		return 0
 	}
-	return int(math.Round(float64(least) * f.stretch(now)))
+	return int(math.Ceil(float64(least)*f.stretch(now))) + queriesAhead
 }
 
-// stretchMost bounds how many more queries run than the scarcest shard serves.
-const stretchMost = 4
+const (
+	// stretchMost bounds how many more queries run than the scarcest shard serves.
+	stretchMost = 4
+	// queriesAhead is the number of queries beyond that which keep the shard
+	// busy between the end of one and the start of the next.
+	queriesAhead = 1
+)
 
 // stretch is how much longer a query lasts than one of its sub-requests: until
 // the slowest of its shards has answered, and before that its canary.
