Let a leaving home finish what was forwarded to it

Cause: a stop waited for callers' own requests but not for those that another daemon had passed on; the link was closed under them. Change: the stop also waits for forwards and for runs that have begun. Before: the test's forwarded request got OutcomeUnknown; after: its answer. Conclusion: a planned stop cuts no request, forwarded ones included.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -93,6 +93,8 @@
 	home     *once.Home
 	cancel   context.CancelFunc
 	leaving  atomic.Bool
+	// forwards counts requests of other daemons that are being answered.
+	forwards atomic.Int64
 	hostSeen atomic.Bool
 	seeds    atomic.Pointer[[]string]
 
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -251,6 +253,33 @@
 	}
 }
 
+// A home that leaves finishes what another daemon has passed on to it.
+func TestStoppingHomeAnswersWhatWasForwarded(t *testing.T) {
+	w := start(t, &world.World{Daemons: 2, Services: []world.Service{{
+		Deployment: "D", Name: "S", Shards: 2, Replicas: 2, Slots: 4, Connections: 40, Documents: 30,
+		Behaviour: shard.Behaviour{Median: 1200 * time.Millisecond},
+	}}})
+	home, other := w.Running[0], w.Running[1]
+	var token string
+	for _, a := range other.Addresses("", "").Addresses {
+		if a.URL == home.URL() {
+			token = a.Home
+		}
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- home.Stop(t.Context()) }()
+	time.Sleep(1400 * time.Millisecond)
+	answer, refusal := other.Execute(t.Context(), time.Now(), &wire.ExecuteRequest{
+		Deployment: "D", Service: "S", Caller: "c", RequestID: "r", Deadline: "2s", IdempotencyKey: "k", Home: token, Command: "print",
+	})
+	if answer == nil {
+		t.Errorf("the forwarded request was refused: %v", refusal)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
+
 func runsOf(w *world.World, key string) int {
 	runs := 0
 	for _, searchers := range w.Searchers {
@@ -311,6 +340,30 @@
 	}
 }
 
+func TestHostileCallerNamesAddNoMetrics(t *testing.T) {
+	w := start(t, &world.World{Daemons: 1})
+	d := w.Running[0]
+	ask := func(name string) {
+		request := &wire.SearchRequest{Deployment: "D", Service: "S", Caller: name, RequestID: "r", Deadline: "1s", Query: "mint", Limit: 1}
+		if _, refusal := d.Search(t.Context(), time.Now(), request); refusal != nil {
+			t.Fatal(refusal)
+		}
+	}
+	series := func() int {
+		recorder := httptest.NewRecorder()
+		d.Meter.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		return strings.Count(recorder.Body.String(), "magnoliarelay_latency_seconds")
+	}
+	ask("first")
+	before := series()
+	for n := range 200 {
+		ask(fmt.Sprint("caller-", n))
+	}
+	if after := series(); after != before {
+		t.Errorf("%d series of latency after 200 callers, %d before", after, before)
+	}
+}
+
 func TestLostShardsAreToldTruly(t *testing.T) {
 	files := quick()
 	files["D/S/service.ini"] = "[Cost]\nLeastCoverage = 0.5\n"
--- a/internal/process/daemon/execute.go
+++ b/internal/process/daemon/execute.go
@@ -84,6 +84,8 @@
 
 // executeForwarded answers a request that another daemon passed on.
 func (d *Daemon) executeForwarded(body []byte) []byte {
+	d.forwards.Add(1)
+	defer d.forwards.Add(-1)
 	var message forwarded
 	if err := codec.Decode(body, &message); err != nil {
 		return nil
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -153,6 +153,10 @@
 	d.gossip.Push()
 	pause.For(ctx, settings.AddressKeep+settings.SilentAfter)
 	err := d.server.Stop(ctx)
+	for d.home.Running()+int(d.forwards.Load()) > 0 && pause.For(ctx, goodbyeTime) {
+		// A home finishes what it has begun, also for other daemons.
+		continue
+	}
 	d.Table.SetState(time.Now(), member.Gone)
 	d.gossip.Push()
 	pause.For(ctx, goodbyeTime)
--- a/internal/request/once/once.go
+++ b/internal/request/once/once.go
@@ -208,6 +208,21 @@
 	}
 }
 
+// Running returns the number of keys whose run has not ended.
+func (h *Home) Running() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	running := 0
+	for _, e := range h.entries {
+		select {
+		case <-e.Done:
+		default:
+			running++
+		}
+	}
+	return running
+}
+
 // Keys returns the number of keys kept.
 func (h *Home) Keys() int {
 	h.mu.Lock()
