--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -145,6 +145,10 @@
 	Figures
 	// PeakExtraLoad is the largest of any whole second.
 	PeakExtraLoad float64
+	// ProcessCPUMicros and ProcessAllocs are for each sub-request, callers and
+	// stand-in targets included, which run in the same process.
+	ProcessCPUMicros float64
+	ProcessAllocs    float64
 	// Refusals counts refusals by kind.
 	Refusals   map[string]int
 	PerClass   map[string]Figures
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"runtime"
 	"slices"
 	"sort"
 	"strings"
@@ -162,10 +163,14 @@
 type counters struct {
 	primaries, extras     float64
 	requests, overloading int64
+	processor             time.Duration
+	allocations           uint64
 }
 
 func count(s *Stage) counters {
-	var c counters
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	c := counters{processor: processorTime(), allocations: memory.Mallocs}
 	for _, d := range s.World.Alive() {
 		c.primaries += d.Meter.Sum("primary_attempts_total")
 		c.extras += d.Meter.Sum("extra_attempts_total")
@@ -190,6 +195,10 @@
 	if primaries := after.primaries - before.primaries; primaries > 0 {
 		r.ExtraLoad = (after.extras - before.extras) / primaries
 	}
+	if sent := after.primaries + after.extras - before.primaries - before.extras; sent > 0 {
+		r.ProcessCPUMicros = float64((after.processor - before.processor).Microseconds()) / sent
+		r.ProcessAllocs = float64(after.allocations-before.allocations) / sent
+	}
 	if requests := after.requests - before.requests; requests > 0 {
 		r.TargetOverload = float64(after.overloading-before.overloading) / float64(requests)
 	}
--- a/internal/cmd/bench/bench.go
+++ b/internal/cmd/bench/bench.go
@@ -23,6 +23,7 @@
 	Streams *term.Streams `kong:"-"`
 
 	Scenario string            `arg:"" optional:"" help:"Name of the scenario."`
+	Preset   string            `help:"Run a deployment at its size: ErbaceeMorning or SalishDividends." enum:",ErbaceeMorning,SalishDividends" default:""`
 	List     bool              `help:"Name the scenarios."`
 	Seed     uint64            `help:"Seed of arrivals and service times." default:"1"`
 	Duration time.Duration     `help:"Time of each run; the scenario's by default."`
@@ -47,6 +48,9 @@
 	if o.List {
 		return o.list()
 	}
+	if o.Preset != "" {
+		o.Scenario = o.Preset
+	}
 	s, ok := bench.Find(o.Scenario)
 	if !ok {
 		return &term.Error{Op: "bench", Kind: term.KindUsage, Err: fault.Causef("no scenario %q; see bench --list", o.Scenario)}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -82,17 +82,17 @@
 	Poison *poison.Register
 	Quota  *quota.Quota
 
-	started  time.Time
-	self     member.Member
-	link     *link.Link
-	gossip   *gossip.Gossip
-	store    *store.Store
-	watch    *watch.Watch
-	hosts    *hosts.Hosts
-	server   *server.Server
-	home     *once.Home
-	cancel   context.CancelFunc
-	leaving  atomic.Bool
+	started time.Time
+	self    member.Member
+	link    *link.Link
+	gossip  *gossip.Gossip
+	store   *store.Store
+	watch   *watch.Watch
+	hosts   *hosts.Hosts
+	server  *server.Server
+	home    *once.Home
+	cancel  context.CancelFunc
+	leaving atomic.Bool
 	// forwards counts requests of other daemons that are being answered.
 	forwards atomic.Int64
 	hostSeen atomic.Bool
