Start a search again only when shards are missing, and test the runner

Cause: reading the code, a search whose every shard had answered was started again when one attempt had met a version that went away. Change: only missing shards start a search again; the caller's library wants fresh homes for first sends; Chaos keeps the policy's settings. Tests run the runner over real connections against swapped, truncated, doubled and false replies.

--- a/internal/bench/chaos.go
+++ b/internal/bench/chaos.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
-	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
 // chaosStep is the time between two faults, and chaosLasts that of each.
@@ -104,9 +104,11 @@
 	return func() { s.World.Store.SetFaults(store.Faults{}) }
 }
 
-// applySettings may fail, as an operator's apply may while the store is down.
+// applySettings changes one field and keeps the policy's own. It may fail, as
+// an operator's apply may while the store is down.
 func applySettings(ctx context.Context, s *Stage, random *rand.Rand) func() {
-	files := tree.Files{"firm.ini": "[Cost]\nLeastCoverage = 0.5\nQueueLength = " + []string{"100", "200", "300"}[random.IntN(3)] + "\n"}
+	files := maps.Clone(s.World.Settings)
+	files["Erbacee/Herbarium/changed.ini"] = "[Time]\nMaxDeadline = " + []string{"1s", "2s", "3s"}[random.IntN(3)] + "\n"
 	go func() { _, _ = s.World.Apply(context.WithoutCancel(ctx), files) }()
 	return nil
 }
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -23,8 +23,10 @@
 )
 
 const (
-	// window is the time over which demand is counted.
-	window = time.Second
+	// window is the time over which demand is counted, and emptyMost the number
+	// of empty windows after which a demand has ended.
+	window    = 500 * time.Millisecond
+	emptyMost = 2
 	// demandWeight is the weight of a new window in the demand.
 	demandWeight = 0.5
 	// raiseAfter is how long a larger share waits: heartbeats have spread the
@@ -67,6 +69,7 @@
 	demand   float64
 	granted  float64
 	begun    bool
+	empty    int
 	wantMore time.Time
 }
 
@@ -111,7 +114,12 @@
 		return
 	}
 	rate := float64(o.count) / passed.Seconds()
-	if o.demand == 0 || rate == 0 {
+	if o.count == 0 {
+		o.empty += int(passed / window)
+	} else {
+		o.empty = 0
+	}
+	if o.demand == 0 || o.empty >= emptyMost {
 		// A demand that has ended is told at once, so that others may take over.
 		o.demand = rate
 	} else {
--- a/internal/request/search/runner.go
+++ b/internal/request/search/runner.go
@@ -75,8 +75,7 @@
 			refusal.Ran = s.ran()
 			return nil, refusal
 		}
-		next := r.Fleet.Plan()
-		if s.versionGone && restarts < restartsMost && next != nil && next.Version != view.Version && ctx.Err() == nil && request.Cursor == "" {
+		if next := r.newer(s); next != nil && restarts < restartsMost && ctx.Err() == nil && request.Cursor == "" {
 			r.Meter.Decide("RestartAtNewVersion")
 			view = next
 			continue
@@ -85,6 +84,19 @@
 	}
 }
 
+// newer returns the view to start again with, when shards are missing because
+// their version went away.
+func (r *Runner) newer(s *scatter) *fleet.View {
+	if !s.versionGone || s.gather.Answered() == s.view.Shards() {
+		return nil
+	}
+	next := r.Fleet.Plan()
+	if next == nil || next.Version == s.view.Version {
+		return nil
+	}
+	return next
+}
+
 // plan pins the view that the whole request runs on.
 func (r *Runner) plan(request *Request) (view *fleet.View, after string, refusal *wire.Refusal) {
 	if request.Cursor != "" {
--- /dev/null
+++ b/internal/request/search/runner_test.go
@@ -0,0 +1,172 @@
+package search
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/target"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/budget"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+// service is a runner over real connections to stand-in searchers, one shard
+// each, whose versions a test changes without the fleet's knowing.
+type service struct {
+	t         *testing.T
+	runner    *Runner
+	corpus    *corpus.Corpus
+	searchers []*shard.Searcher
+	settings  *tree.Settings
+	asked     int
+}
+
+func TestMain(m *testing.M) {
+	// net/http logs the replies that nobody asked for.
+	log.SetOutput(io.Discard)
+	m.Run()
+}
+
+func newService(t *testing.T, shards, replicas int) *service {
+	t.Helper()
+	x := &service{t: t, corpus: corpus.New("S", 200), settings: tree.Default()}
+	f := fleet.New(fleet.Config{Deployment: "D", Service: "S", Seed: 1})
+	var hosts []wire.Host
+	for i := range shards * replicas {
+		s := &shard.Searcher{Service: "S", Slots: 4, Connections: 40}
+		s.Hold(x.corpus, 1, shards, []int{i % shards})
+		if err := s.Start("127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Stop)
+		x.searchers = append(x.searchers, s)
+		hosts = append(hosts, wire.Host{Address: s.Address(), Rack: fmt.Sprint(i / shards)})
+	}
+	f.SetHosts(time.Now(), hosts)
+	x.runner = &Runner{
+		Deployment: "D", Service: "S", Fleet: f, Pool: target.NewPool(), Hedges: budget.New(), Retries: budget.New(),
+		Poison: poison.New(), Meter: meter.New(), Suspect: func() {},
+	}
+	t.Cleanup(x.runner.Pool.Close)
+	x.report(1)
+	return x
+}
+
+// report tells the fleet of a version on every target.
+func (x *service) report(version uint64) {
+	shards := len(x.searchers) / 2
+	for i, s := range x.searchers {
+		x.runner.Fleet.Report(time.Now(), s.Address(), &wire.TargetStatus{
+			Slots: 4, Connections: 40, Indexes: []wire.Index{{Service: "S", Version: version, ShardCount: shards, Shards: []int{i % shards}}},
+		})
+	}
+}
+
+func (x *service) ask(query string, cursor string) (*wire.SearchAnswer, *wire.Refusal) {
+	x.asked++
+	return x.runner.Run(x.t.Context(), &Request{
+		ID: fmt.Sprint("r", x.asked), Query: query, Limit: 5, Least: 1, All: cursor != "", Cursor: cursor, Deadline: time.Now().Add(2 * time.Second), Settings: x.settings,
+	})
+}
+
+func TestVersionGoneStartsAgainWholeAtTheNewOne(t *testing.T) {
+	x := newService(t, 4, 2)
+	for i, s := range x.searchers {
+		s.Hold(x.corpus, 2, 4, []int{i % 4})
+	}
+	// Two shards lose version 1 on all replicas before the daemon hears of version 2.
+	for _, i := range []int{0, 1, 4, 5} {
+		x.searchers[i].Drop(1)
+	}
+	learned := make(chan struct{})
+	go func() {
+		defer close(learned)
+		time.Sleep(2 * time.Millisecond)
+		x.report(2)
+	}()
+	answer, refusal := x.ask("oregano", "")
+	<-learned
+	if refusal != nil {
+		// The daemon had not heard of version 2 in time; what it says must be true.
+		if refusal.Kind != wire.RefusalCoverage || refusal.Coverage.ShardsAnswered > 2 {
+			t.Fatalf("refusal %+v", refusal)
+		}
+		answer, refusal = x.ask("oregano", "")
+	}
+	if refusal != nil || !answer.Complete || answer.Version != 2 {
+		t.Fatalf("answer %+v, refusal %v", answer, refusal)
+	}
+	for _, hit := range answer.Hits {
+		if !strings.HasSuffix(hit.Text, "at version 2") {
+			t.Errorf("hit %+v in an answer of version 2", hit)
+		}
+	}
+}
+
+// One attempt that met a version gone, with another replica that had it, is no
+// reason to start again.
+func TestCompleteAnswerIsNotStartedAgain(t *testing.T) {
+	x := newService(t, 4, 2)
+	x.searchers[0].Drop(1)
+	for n := range 10 {
+		answer, refusal := x.ask(fmt.Sprint("mint ", n), "")
+		if refusal != nil || !answer.Complete || answer.Version != 1 || answer.Restarts != 0 {
+			t.Fatalf("answer %+v, refusal %v", answer, refusal)
+		}
+	}
+}
+
+func TestFalseRepliesNeverReachTheCaller(t *testing.T) {
+	tests := []struct {
+		name   string
+		mangle func(b *shard.Behaviour)
+	}{
+		{"another version", func(b *shard.Behaviour) { b.FalseShare = 1 }},
+		{"another request's reply", func(b *shard.Behaviour) { b.CrossedShare = 1 }},
+		{"truncated", func(b *shard.Behaviour) { b.TruncatedShare = 1 }},
+		{"sent twice", func(b *shard.Behaviour) { b.DuplicatedShare = 1 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := newService(t, 4, 2)
+			x.settings.RetryBudget = 1
+			for _, s := range x.searchers[:4] {
+				s.Behave(tt.mangle)
+			}
+			for n := range 20 {
+				text := corpus.Words[n%len(corpus.Words)]
+				answer, refusal := x.ask(fmt.Sprint(text, " ", n), "")
+				if refusal != nil {
+					continue
+				}
+				want, _ := x.corpus.Index(1, 1).Search(0, &wire.ShardRequest{Query: text, Limit: 5})
+				for i := range answer.Hits {
+					if len(answer.Hits) != len(want) || answer.Hits[i].ID != want[i].ID {
+						t.Fatalf("answer %+v, want %+v", answer.Hits, want)
+					}
+				}
+			}
+			if violated := x.runner.Meter.Violated(); len(violated) > 0 {
+				t.Errorf("violated %v", violated)
+			}
+		})
+	}
+}
+
+func TestBadCursor(t *testing.T) {
+	x := newService(t, 4, 2)
+	for _, cursor := range []string{"!", "eA", "OTk5L2E"} {
+		if _, refusal := x.ask("mint", cursor); refusal == nil || refusal.Ran != wire.RanNo {
+			t.Errorf("cursor %q: refusal %v", cursor, refusal)
+		}
+	}
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -62,7 +62,9 @@
 	replyOverhead = 250 * time.Millisecond
 	// homesMost and homeMemory bound the keys whose home is remembered, so that
 	// a program that executes a key again reaches the same home.
-	homesMost  = 1 << 16
+	homesMost = 1 << 16
+	// homeSlack is the time that finding an address may take on top.
+	homeSlack  = 2 * time.Second
 	homeMemory = 10 * time.Minute
 )
 
@@ -228,10 +230,28 @@
 		return home, nil
 	}
 	home, err := c.address(ctx, 0)
-	if err == nil {
-		homes.Add(key, home)
+	if err != nil {
+		return home, err
+	}
+	if !c.homesFresh() {
+		return home, &Error{Op: "find a home", Kind: KindUnreachable, Err: errOldHomes}
+	}
+	homes.Add(key, home)
+	return home, nil
+}
+
+var errOldHomes = errors.New("no daemon answers, and the home tokens held are too old for a first send")
+
+// homesFresh reports whether the tokens of the list held may be used for a
+// first send; the homes they name may have forgotten keys otherwise.
+func (c *Caller) homesFresh() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.list == nil {
+		return false
 	}
-	return home, err
+	keep := time.Duration(c.list.HomeKeepMillis) * time.Millisecond
+	return keep <= 0 || time.Since(c.listed) <= keep+homeSlack
 }
 
 func refused(op string, refusal *wire.Refusal) error {
