--- a/internal/request/search/runner_test.go
+++ b/internal/request/search/runner_test.go
@@ -19,6 +19,8 @@
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
+const shards, replicas = 4, 2
+
 // service is a runner over real connections to stand-in searchers, one shard
 // each, whose versions a test changes without the fleet's knowing.
 type service struct {
@@ -36,7 +38,7 @@
 	m.Run()
 }
 
-func newService(t *testing.T, shards, replicas int) *service {
+func newService(t *testing.T) *service {
 	t.Helper()
 	x := &service{t: t, corpus: corpus.New("S", 200), settings: tree.Default()}
 	f := fleet.New(fleet.Config{Deployment: "D", Service: "S", Seed: 1})
@@ -63,7 +65,6 @@
 
 // report tells the fleet of a version on every target.
 func (x *service) report(version uint64) {
-	shards := len(x.searchers) / 2
 	for i, s := range x.searchers {
 		x.runner.Fleet.Report(time.Now(), s.Address(), &wire.TargetStatus{
 			Slots: 4, Connections: 40, Indexes: []wire.Index{{Service: "S", Version: version, ShardCount: shards, Shards: []int{i % shards}}},
@@ -79,7 +80,7 @@
 }
 
 func TestVersionGoneStartsAgainWholeAtTheNewOne(t *testing.T) {
-	x := newService(t, 4, 2)
+	x := newService(t)
 	for i, s := range x.searchers {
 		s.Hold(x.corpus, 2, 4, []int{i % 4})
 	}
@@ -115,7 +116,7 @@
 // One attempt that met a version gone, with another replica that had it, is no
 // reason to start again.
 func TestCompleteAnswerIsNotStartedAgain(t *testing.T) {
-	x := newService(t, 4, 2)
+	x := newService(t)
 	x.searchers[0].Drop(1)
 	for n := range 10 {
 		answer, refusal := x.ask(fmt.Sprint("mint ", n), "")
@@ -137,7 +138,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			x := newService(t, 4, 2)
+			x := newService(t)
 			x.settings.RetryBudget = 1
 			for _, s := range x.searchers[:4] {
 				s.Behave(tt.mangle)
@@ -163,7 +164,7 @@
 }
 
 func TestBadCursor(t *testing.T) {
-	x := newService(t, 4, 2)
+	x := newService(t)
 	for _, cursor := range []string{"!", "eA", "OTk5L2E"} {
 		if _, refusal := x.ask("mint", cursor); refusal == nil || refusal.Ran != wire.RanNo {
 			t.Errorf("cursor %q: refusal %v", cursor, refusal)
