--- a/internal/cmd/fake/fake.go
+++ b/internal/cmd/fake/fake.go
@@ -43,8 +43,10 @@
 type Store struct {
 	streams *term.Streams
 
-	Listen         string  `help:"Address to listen on." default:"127.0.0.1:0"`
-	CallsPerSecond float64 `help:"Rate above which calls are refused; 0 is none."`
+	Listen         string        `help:"Address to listen on." default:"127.0.0.1:0"`
+	CallsPerSecond float64       `help:"Rate above which calls are refused; 0 is none."`
+	Delay          time.Duration `help:"Time added to each call."`
+	LoseReplies    int           `help:"Number of writes whose reply is lost."`
 }
 
 // Run serves until interrupted.
@@ -53,6 +55,7 @@
 	if err := s.Start(o.Listen); err != nil {
 		return &term.Error{Op: "fake store", Kind: term.KindFailed, Err: err}
 	}
+	s.SetFaults(store.Faults{Delay: o.Delay, LoseReplies: o.LoseReplies})
 	o.streams.Sayf("store: %s", s.URL())
 	<-ctx.Done()
 	s.Stop()
@@ -123,14 +126,22 @@
 	Spread          float64       `help:"Spread of the log-normal service time." default:"0.3"`
 	StragglerShare  float64       `help:"Share of slow requests."`
 	StragglerFactor float64       `help:"How much slower they are." default:"20"`
+	ColdFor         time.Duration `help:"Time after the start in which it is slower."`
+	ColdFactor      float64       `help:"How much slower it is at first." default:"10"`
+	QueueLimit      int           `help:"Waiting requests above which it sheds; 0 is no limit."`
+	ShedAll         bool          `help:"Shed every request."`
+	ReportLag       time.Duration `help:"Delay of the load reports."`
+	CrashWord       string        `help:"Word in a query that crashes it."`
 }
 
 // Run serves until interrupted.
 func (o *Searcher) Run(ctx context.Context) error {
-	s := &shard.Searcher{Service: o.Service, Slots: o.Slots, Connections: o.Connections, ConnectCost: o.ConnectCost}
+	s := &shard.Searcher{Service: o.Service, Slots: o.Slots, Connections: o.Connections, ConnectCost: o.ConnectCost, QueueLimit: o.QueueLimit}
 	s.Behave(func(b *shard.Behaviour) {
 		b.Median, b.Spread = o.Median, o.Spread
 		b.StragglerShare, b.StragglerFactor = o.StragglerShare, o.StragglerFactor
+		b.ColdFor, b.ColdFactor = o.ColdFor, o.ColdFactor
+		b.ShedAll, b.ReportLag, b.CrashWord = o.ShedAll, o.ReportLag, o.CrashWord
 	})
 	s.Hold(corpus.New(o.Service, o.Documents), o.Version, o.Shards, o.Hold)
 	if err := s.Start(o.Listen); err != nil {
--- a/internal/cmd/status/status.go
+++ b/internal/cmd/status/status.go
@@ -50,11 +50,12 @@
 	if err := members.Flush(); err != nil {
 		return err
 	}
-	services := o.Streams.Table("SERVICE", "VERSION", "SHARDS", "LOST", "TARGETS", "CAPACITY", "RUNNING", "WAITING")
+	services := o.Streams.Table("SERVICE", "VERSION", "SHARDS", "LOST", "TARGETS", "CAPACITY", "RUNNING", "WAITING", "HEDGES/S", "RETRIES/S", "OF")
 	for _, s := range status.Services {
 		services.Row(s.Deployment+"/"+s.Service, strconv.FormatUint(s.IndexVersion, 10), strconv.Itoa(s.Shards),
 			strconv.Itoa(len(s.LostShards)), fmt.Sprintf("%d/%d", s.TargetsUp, s.Targets), strconv.Itoa(s.Capacity),
-			strconv.Itoa(s.Running), strconv.Itoa(s.Waiting))
+			strconv.Itoa(s.Running), strconv.Itoa(s.Waiting), strconv.Itoa(s.LastSecond.Hedges),
+			strconv.Itoa(s.LastSecond.Retries), strconv.Itoa(s.LastSecond.Primaries))
 	}
 	return services.Flush()
 }
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -133,6 +133,59 @@
 	})
 }
 
+// The store goes down for good and every daemon but one is restarted, twice.
+// Settings that were accepted stay in force.
+func TestSettingsOutliveRestartsOfAllButOne(t *testing.T) {
+	w := start(t, &world.World{Daemons: 3})
+	files := quick()
+	files["D/S/service.ini"] = "[Cost]\nQueueLength = 31\n"
+	result, err := w.Apply(t.Context(), files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the change in force", func() bool { return len(revisions(w)) == 1 && revisions(w)[result.Change.Revision] })
+	w.Store.SetFaults(fakestore.Faults{Down: true})
+	for range 2 {
+		for _, old := range w.Alive()[1:] {
+			name, listen, links := old.Setup.Name, strings.TrimPrefix(old.URL(), "http://"), old.Link()
+			old.Kill()
+			d, err := w.StartDaemon(t.Context(), name, listen, links, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			eventually(t, "a restarted daemon is ready", func() bool { ready, _ := d.Ready(); return ready })
+			if got := d.Keeper.Current().Tree.Resolve("D", "S", "").QueueLength; got != 31 {
+				t.Fatalf("%s came back with queue length %d", name, got)
+			}
+		}
+	}
+}
+
+// A request that has begun keeps the settings it began with.
+func TestRunningRequestKeepsItsRevision(t *testing.T) {
+	w := start(t, &world.World{Daemons: 1, Services: []world.Service{{
+		Deployment: "D", Name: "S", Shards: 2, Replicas: 2, Slots: 4, Connections: 40, Documents: 30,
+		Behaviour: shard.Behaviour{Median: 500 * time.Millisecond},
+	}}})
+	before := w.Running[0].Keeper.Current().Change.Revision
+	got := make(chan *wire.SearchAnswer, 1)
+	go func() {
+		answer, _ := w.Caller("D", "c").Search(context.Background(), caller.Query{Service: "S", Text: "mint", Deadline: 2 * time.Second})
+		got <- answer
+	}()
+	eventually(t, "the request runs", func() bool { return w.Running[0].InFlight() > 0 })
+	files := quick()
+	files["D/S/service.ini"] = "[Cost]\nQueueLength = 0\n"
+	result, err := w.Apply(t.Context(), files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the change in force", func() bool { return w.Running[0].Keeper.Current().Change.Revision == result.Change.Revision })
+	if answer := <-got; answer == nil || answer.SettingsRevision != before {
+		t.Errorf("answer %+v, want one under revision %d", answer, before)
+	}
+}
+
 func TestDaemonWithNeitherStoreNorPeersSaysSo(t *testing.T) {
 	w := start(t, &world.World{Daemons: 1})
 	w.Store.SetFaults(fakestore.Faults{Down: true})
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -135,6 +135,16 @@
 	set("Quarantined", float64(d.Poison.Count(now)))
 	set("LinkBytesSent", float64(sent))
 	set("LinkBytesHeard", float64(heard))
+	var used tenant.Usage
+	d.eachTenant(func(_, _ string, t *tenant.Tenant) {
+		usage := t.Usage(now)
+		used.Primaries += usage.Primaries
+		used.Hedges += usage.Hedges
+		used.Retries += usage.Retries
+	})
+	set("PrimariesLastSecond", float64(used.Primaries))
+	set("HedgesLastSecond", float64(used.Hedges))
+	set("RetriesLastSecond", float64(used.Retries))
 	set("InFlight", float64(d.server.InFlight()))
 }
 
--- a/internal/process/daemon/status.go
+++ b/internal/process/daemon/status.go
@@ -48,6 +48,8 @@
 	Waiting      int
 	TargetsUp    int
 	Targets      int
+	// LastSecond is the attempts of the last second against their budgets.
+	LastSecond tenant.Usage
 }
 
 // Status returns a picture of the daemon.
@@ -78,7 +80,7 @@
 }
 
 func serviceStatus(now time.Time, deployment, service string, t *tenant.Tenant) ServiceStatus {
-	status := ServiceStatus{Deployment: deployment, Service: service}
+	status := ServiceStatus{Deployment: deployment, Service: service, LastSecond: t.Usage(now)}
 	status.Capacity, status.Running, status.Waiting = t.Queue.Load()
 	if view := t.Fleet.Plan(); view != nil {
 		status.IndexVersion, status.Shards, status.LostShards = view.Version, view.Shards(), view.Lost()
--- a/internal/process/tenant/tenant.go
+++ b/internal/process/tenant/tenant.go
@@ -100,6 +100,20 @@
 	t.Queue.SetCapacity(now, capacity)
 }
 
+// Usage is the attempts of the last second against their budgets.
+type Usage struct {
+	Primaries int
+	Hedges    int
+	Retries   int
+}
+
+// Usage returns the attempts of the last second.
+func (t *Tenant) Usage(now time.Time) Usage {
+	primaries, hedges := t.runner.Hedges.Usage(now)
+	_, retries := t.runner.Retries.Usage(now)
+	return Usage{Primaries: primaries, Hedges: hedges, Retries: retries}
+}
+
 // Search admits and runs one request.
 func (t *Tenant) Search(ctx context.Context, arrived time.Time, request *wire.SearchRequest, e *epoch.Epoch) (*wire.SearchAnswer, *wire.Refusal) {
 	settings := e.Tree.Resolve(t.config.Deployment, t.config.Service, request.Caller)
