Spare restarted targets until they have answered

A restarted target was taken to be as fast as the rest, and a restart that no poll fell into was not noticed at all. Ruled out: connection cost (1 ms here). Change: a new incarnation, or a target that lost a connection, counts as up to 8 times slower than the rest, halving in a second, until it answers.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -151,6 +151,7 @@
 	}
 	t.seen = now
 	if t.incarnation != status.Incarnation {
+		t.restarted = now
 		t.incarnation = status.Incarnation
 		t.succeed()
 		t.limit = 1
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -223,6 +223,38 @@
 	}
 }
 
+// A restarted target is cold: it is spared at first, tried after a while, and
+// judged by its own replies from then on.
+func TestRestartedTargetIsSpared(t *testing.T) {
+	f := fleetOf(3)
+	for _, target := range f.targets {
+		target.inFlight++
+		f.Finish(start, target, 0, Success, 0.005, nil)
+	}
+	again := status(1, 1, 0)
+	again.Incarnation = "2"
+	f.Report(start, "t1", again)
+	picks := func(at time.Time) int {
+		cold := 0
+		for range 300 {
+			// One attempt is out at each of the others, as under steady traffic.
+			f.targets["t0"].inFlight, f.targets["t2"].inFlight = 1, 1
+			c := f.Pick(at, Query{View: f.Plan(), Shard: 0})
+			if c.Target.Address == "t1" {
+				cold++
+			}
+			f.Finish(at, c.Target, 0, Gone, 0, nil)
+		}
+		return cold
+	}
+	if got := picks(start.Add(100 * time.Millisecond)); got > 0 {
+		t.Errorf("picked %d times of 300 just after its restart", got)
+	}
+	if got := picks(start.Add(10 * time.Second)); got == 0 {
+		t.Error("never tried again")
+	}
+}
+
 func TestSharesOfSlotsAddUp(t *testing.T) {
 	tests := []struct{ slots, daemons, most int }{{6, 2, 6}, {6, 3, 6}, {4, 8, 8}, {2, 9, 9}}
 	for _, tt := range tests {
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -237,7 +237,12 @@
 		f.setState(t, StateLeaving)
 	case Refused:
 		f.setState(t, StateDown)
-	case Broken, Corrupt, Failed:
+	case Broken:
+		t.fail(now)
+		// A target that lost its connections may have been restarted.
+		t.restarted = now
+		t.outdated = true
+	case Corrupt, Failed:
 		t.fail(now)
 	case Gone:
 		t.outdated = true
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -34,6 +34,11 @@
 	// ejectBase and ejectMost bound the time a target stays out.
 	ejectBase = 500 * time.Millisecond
 	ejectMost = 10 * time.Second
+	// coldFactor is how much slower than the service a restarted target is
+	// taken to be until it has answered, and coldHalf the time in which that
+	// falls by half.
+	coldFactor = 8
+	coldHalf   = time.Second
 	// limitCut is the factor applied to the limit when a target is overloaded.
 	limitCut = 0.7
 	// pollFactor is how much less often a target is polled whose replies come
@@ -68,6 +73,9 @@
 	limit     float64
 	latency   float64
 	latencyAt time.Time
+	// restarted is when a new incarnation was first heard of; it is zero once
+	// the target has answered.
+	restarted time.Time
 
 	failures  int
 	ejections int
@@ -85,11 +93,16 @@
 		t.latency += latencyWeight * (sample - t.latency)
 	}
 	t.latencyAt = now
+	t.restarted = time.Time{}
 }
 
 // expected is the latency to expect, in seconds, decayed towards the mean of
 // the service while the target is unused.
 func (t *Target) expected(now time.Time, mean float64) float64 {
+	if !t.restarted.IsZero() {
+		age := now.Sub(t.restarted)
+		return mean * (1 + (coldFactor-1)/(1+age.Seconds()/coldHalf.Seconds()))
+	}
 	if t.latencyAt.IsZero() {
 		return mean
 	}
