--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -50,6 +50,20 @@
 	return d
 }
 
+// sent returns what the daemon was sent so far.
+func (d *daemon) sent() []wire.ExecuteRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]wire.ExecuteRequest(nil), d.bodies...)
+}
+
+// lists returns how often the daemon was asked for its list.
+func (d *daemon) lists() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listing
+}
+
 func refuse(w http.ResponseWriter, kind wire.RefusalKind, ran wire.Ran, after int64) {
 	w.WriteHeader(http.StatusServiceUnavailable)
 	_ = json.NewEncoder(w).Encode(&wire.Refusal{Kind: kind, Ran: ran, RetryAfterMillis: after})
@@ -80,8 +94,8 @@
 			}
 			c := &caller.Caller{Seeds: []string{d.URL}}
 			_, err := c.Search(t.Context(), caller.Query{Text: "q", Deadline: time.Second})
-			if (err != nil) != tt.fails || len(d.bodies) != tt.sends {
-				t.Errorf("%d sends, error %v", len(d.bodies), err)
+			if (err != nil) != tt.fails || len(d.sent()) != tt.sends {
+				t.Errorf("%d sends, error %v", len(d.sent()), err)
 			}
 		})
 	}
@@ -98,14 +112,14 @@
 	if !errors.As(err, &e) || e.Kind != caller.KindUnknown {
 		t.Errorf("error %v, want an unknown outcome", err)
 	}
-	bodies := append(append([]wire.ExecuteRequest(nil), first.bodies...), second.bodies...)
+	bodies := append(first.sent(), second.sent()...)
 	for _, body := range bodies {
 		if body.IdempotencyKey != "k" || body.Home != bodies[0].Home {
 			t.Errorf("sent %+v after %+v", body, bodies[0])
 		}
 	}
-	if len(first.bodies) == 0 || len(second.bodies) == 0 {
-		t.Errorf("%d sends to one, %d to the other", len(first.bodies), len(second.bodies))
+	if len(first.sent()) == 0 || len(second.sent()) == 0 {
+		t.Errorf("%d sends to one, %d to the other", len(first.sent()), len(second.sent()))
 	}
 }
 
@@ -120,8 +134,8 @@
 			t.Fatal(err)
 		}
 	}
-	if seed.listing != 1 {
-		t.Errorf("asked for the list %d times within its time to keep", seed.listing)
+	if seed.lists() != 1 {
+		t.Errorf("asked for the list %d times within its time to keep", seed.lists())
 	}
 	seed.Close()
 	if _, err := c.Search(t.Context(), caller.Query{Text: "q", Deadline: time.Second}); err != nil {
