Wake a waiting shard when room came before it waited

Cause: reading the code. A pick finds every replica busy; their attempts end before the shard is entered as waiting; nothing ends there again, so the shard would wait for the deadline. The window is some microseconds. Change: Wait decides once more under the same lock and wakes at once if there is room. Before: the new test waits for ever; after: it is woken. Conclusion: rare, but it would have shown as a lone late partial answer.

--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -308,10 +308,11 @@
 	f := fleetOf(1)
 	f.SetDaemons(4)
 	busy := pick(f).Target
+	q := Query{View: f.Plan(), Shard: 0}
 	var woken []string
-	f.Wait(0, 5, func(int) { woken = append(woken, "curator") })
-	f.Wait(0, 0, func(int) { woken = append(woken, "label") })
-	giveUp := f.Wait(0, 0, func(int) { woken = append(woken, "gone") })
+	f.Wait(start, q, 5, func(int) { woken = append(woken, "curator") })
+	f.Wait(start, q, 0, func(int) { woken = append(woken, "label") })
+	giveUp := f.Wait(start, q, 0, func(int) { woken = append(woken, "gone") })
 	giveUp()
 	for range 3 {
 		f.Finish(start, busy, 0, Success, 0.01, nil)
@@ -322,6 +323,23 @@
 	}
 }
 
+// An attempt that ends between a pick that found no room and the wait for it
+// must not leave the waiter asleep.
+func TestRoomThatCameMeanwhileWakesAtOnce(t *testing.T) {
+	f := fleetOf(1)
+	f.SetDaemons(4)
+	busy := pick(f).Target
+	if got := pick(f); got.Verdict != Busy {
+		t.Fatalf("verdict %v", got.Verdict)
+	}
+	f.Finish(start, busy, 0, Success, 0.01, nil)
+	woken := false
+	f.Wait(start, Query{View: f.Plan(), Shard: 0}, 5, func(int) { woken = true })
+	if !woken {
+		t.Error("waits though there is room")
+	}
+}
+
 func BenchmarkPickAndFinish(b *testing.B) {
 	f := fleetOf(3)
 	view := f.Plan()
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -45,6 +45,15 @@
 func (f *Fleet) Pick(now time.Time, q Query) Choice {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	choice := f.decide(now, q)
+	if choice.Target != nil {
+		choice.Target.inFlight++
+	}
+	return choice
+}
+
+// decide considers ready replicas, and silent ones when no ready one is left.
+func (f *Fleet) decide(now time.Time, q Query) Choice {
 	replicas := q.View.Replicas[q.Shard]
 	choice := f.pickAmong(now, replicas, q, StateReady)
 	if choice.Verdict == Exhausted || choice.Verdict == Lost {
@@ -52,9 +61,6 @@
 			choice = second
 		}
 	}
-	if choice.Target != nil {
-		choice.Target.inFlight++
-	}
 	return choice
 }
 
--- a/internal/process/fleet/wait.go
+++ b/internal/process/fleet/wait.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // waiter is a request that waits for room at any replica of a shard.
 type waiter struct {
 	priority int
@@ -8,10 +10,16 @@
 }
 
 // Wait asks for one call of wake when room may have come free at a replica of
-// the shard; lower priorities are woken first. The returned function gives up.
-func (f *Fleet) Wait(shard, priority int, wake func(shard int)) (cancel func()) {
+// the shard; lower priorities are woken first. Room that came since the pick
+// that found none wakes at once. The returned function gives up.
+func (f *Fleet) Wait(now time.Time, q Query, priority int, wake func(shard int)) (cancel func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	shard := q.Shard
+	if f.decide(now, q).Verdict != Busy {
+		wake(shard)
+		return func() {}
+	}
 	w := &waiter{priority: priority, wake: wake}
 	queue := f.waiters[shard]
 	at := len(queue)
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -211,6 +211,12 @@
 // Shard returns the shard that an attempt was for.
 func (g *Gather) Shard(id uint64) int { return g.attempts[id].shard }
 
+// Tried returns the targets that a shard was sent to, oldest first.
+func (g *Gather) Tried(shard int) []*fleet.Target {
+	s := &g.shards[shard]
+	return s.tried[:s.attempts]
+}
+
 // Missing lists the shards that have not answered.
 func (g *Gather) Missing() []int {
 	var missing []int
--- a/internal/request/search/scatter.go
+++ b/internal/request/search/scatter.go
@@ -155,7 +155,8 @@
 		s.cancels[id]()
 	}
 	for _, shard := range step.Wait {
-		s.waits[shard] = s.runner.Fleet.Wait(shard, s.request.Priority, func(shard int) {
+		q := fleet.Query{View: s.view, Shard: shard, Tried: s.gather.Tried(shard)}
+		s.waits[shard] = s.runner.Fleet.Wait(time.Now(), q, s.request.Priority, func(shard int) {
 			s.mailbox.put(event{freed: true, shard: shard})
 		})
 	}
