--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -18,7 +18,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -166,76 +165,6 @@
 	return w.Changer().Apply(ctx, change.Request{Files: files, Author: "operator", Message: "experiment"})
 }
 
-func (w *World) startService(s *Service) error {
-	name := s.Deployment + "/" + s.Name
-	w.Corpora[name] = corpus.New(s.Name, s.Documents)
-	per := max(s.ShardsPerTarget, 1)
-	for replica := range s.Replicas {
-		for first := 0; first < s.Shards; first += per {
-			var shards []int
-			for n := first; n < min(first+per, s.Shards); n++ {
-				shards = append(shards, n)
-			}
-			if err := w.startSearcher(s, name, replica, shards); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func (w *World) startSearcher(s *Service, name string, replica int, shards []int) error {
-	searcher := &shard.Searcher{
-		Service: s.Name, Slots: s.Slots, Connections: s.Connections, QueueLimit: s.QueueLimit,
-		ConnectCost: s.ConnectCost, Seed: w.Seed + uint64(len(w.listed)),
-	}
-	searcher.Behave(func(b *shard.Behaviour) { *b = s.Behaviour })
-	searcher.Hold(w.Corpora[name], FirstVersion, s.Shards, shards)
-	if err := searcher.Start(loopback); err != nil {
-		return err
-	}
-	w.Searchers[name] = append(w.Searchers[name], searcher)
-	address, err := w.front(name, searcher.Address())
-	if err != nil {
-		return err
-	}
-	at := replica % len(w.DataCentres)
-	w.listed = append(w.listed, wire.Host{
-		Address: address, Role: "Searcher", Deployment: s.Deployment, Service: s.Name,
-		Region: w.Regions[at], DataCentre: w.DataCentres[at], Rack: "rack-" + strconv.Itoa(shards[0]%4),
-	})
-	return nil
-}
-
-// front returns the address under which a searcher is listed.
-func (w *World) front(name, address string) (string, error) {
-	if !w.Proxied {
-		return address, nil
-	}
-	p := &proxy.Proxy{Target: address}
-	if err := p.Start(); err != nil {
-		return "", err
-	}
-	w.Proxies[name] = append(w.Proxies[name], p)
-	return p.Address(), nil
-}
-
-// Authority returns the authority that signs the daemons' keys.
-func (w *World) Authority() *keys.Authority { return w.authority }
-
-// Replica returns the searchers of one replica of a service, which are all in
-// one data centre.
-func (w *World) Replica(deployment, service string, replica int) []*shard.Searcher {
-	all := w.Searchers[deployment+"/"+service]
-	for i := range w.Services {
-		if s := &w.Services[i]; s.Deployment == deployment && s.Name == service {
-			each := len(all) / s.Replicas
-			return all[replica*each : (replica+1)*each]
-		}
-	}
-	return nil
-}
-
 // AddDaemon starts one daemon more.
 func (w *World) AddDaemon(ctx context.Context) (*daemon.Daemon, error) {
 	number := len(w.Running)
