Tell a joining daemon which queries are held

Heartbeats tell of a suspect for 30 s only, so a daemon that replaced another lost two more targets to a query held everywhere else. Change: the exchange of tables at joining carries all suspects. A test fails before and passes after.

--- a/internal/bench/chaos.go
+++ b/internal/bench/chaos.go
@@ -31,7 +31,10 @@
 	death.Query = func(int) string { return "sage " + shard.CrashQuery }
 	plan.Streams = append(plan.Streams, lots, death)
 	plan.Settings = map[string]map[string]string{"firm.ini": {"LeastCoverage": "0.5"}}
-	plan.Check = checkLots
+	plan.Check = func(s *Stage) []string {
+		eachSearcher(s, func(x *shard.Searcher) { s.Notes["CrashedByDeath"] += float64(x.Counts().Crashes) })
+		return checkLots(s)
+	}
 	plan.Faults = func(ctx context.Context, s *Stage) {
 		random := rand.New(rand.NewPCG(o.Seed, 99))
 		for at := chaosStep; at < s.Duration-2*chaosLasts; at += chaosStep {
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/world"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
 	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -229,6 +230,26 @@
 	}
 }
 
+// A daemon that joins learns of queries held elsewhere, also of those that
+// heartbeats tell no longer.
+func TestJoiningDaemonLearnsOfQuarantine(t *testing.T) {
+	w := start(t, &world.World{Daemons: 1})
+	const minute = 60_000
+	held := poison.Entry{
+		Query: poison.Query{Fingerprint: 7, Version: 1}, AgeMillis: minute,
+		Losses: []poison.Loss{{Target: "a", Domain: "r1"}, {Target: "b", Domain: "r2"}},
+	}
+	w.Running[0].Poison.Merge(time.Now(), []poison.Entry{held})
+	d, err := w.AddDaemon(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the newcomer holds the query", func() bool {
+		_, isHeld := d.Poison.Quarantined(time.Now(), 7)
+		return isHeld
+	})
+}
+
 func TestSilentDaemonLeavesTheAddressList(t *testing.T) {
 	w := start(t, &world.World{Daemons: 4})
 	gone := w.Running[3]
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -32,6 +32,8 @@
 	pushDelay = 20 * time.Millisecond
 	// suspectsMost bounds the suspects in one heartbeat.
 	suspectsMost = 16
+	// tableSuspects bounds the suspects told to a daemon that joins.
+	tableSuspects = 512
 	// suspectAge is how long a suspect is told of.
 	suspectAge = 30 * time.Second
 	// mismatchesMost is the number of heartbeats with another digest after
@@ -282,12 +284,18 @@
 type tableMessage struct {
 	From    member.Member
 	Members []member.Member
+	// Suspects are all that the sender knows of: a daemon that joins must not
+	// lose targets to a query that is held everywhere else.
+	Suspects []poison.Entry
+}
+
+func (g *Gossip) table(now time.Time) *tableMessage {
+	return &tableMessage{From: g.Table.Self(now), Members: g.Table.All(now), Suspects: g.Poison.Entries(now, tableSuspects)}
 }
 
 // askTable exchanges whole tables with a daemon.
 func (g *Gossip) askTable(ctx context.Context, address string) bool {
-	now := time.Now()
-	body, err := codec.Encode(&tableMessage{From: g.Table.Self(now), Members: g.Table.All(now)})
+	body, err := codec.Encode(g.table(time.Now()))
 	if err != nil {
 		return false
 	}
@@ -299,7 +307,9 @@
 	if err := codec.Decode(reply, &message); err != nil {
 		return false
 	}
-	g.Table.Merge(time.Now(), message.Members)
+	now := time.Now()
+	g.Table.Merge(now, message.Members)
+	g.Poison.Merge(now, message.Suspects)
 	g.Push()
 	return true
 }
@@ -313,7 +323,8 @@
 	if news := g.Table.Merge(now, append(message.Members, message.From)); len(news) > 0 {
 		g.Push()
 	}
-	reply, err := codec.Encode(&tableMessage{From: g.Table.Self(now), Members: g.Table.All(now)})
+	g.Poison.Merge(now, message.Suspects)
+	reply, err := codec.Encode(g.table(now))
 	if err != nil {
 		return nil
 	}
