Replace attempts presumed lost out of the retry budget

Few queries earn few hedges, and searches that hang earn none; the retry budget lay unused, since a hung attempt never fails. Change: an attempt ten hedge delays old may be replaced out of that budget. Conclusion: the budgets stay what they were.

--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -19,6 +19,9 @@
 	stragglerLeast = 8
 	// retryPause is the time before a target is tried a second time.
 	retryPause = 20 * time.Millisecond
+	// lostFactor is how many hedge delays an attempt may take before it is
+	// presumed lost, as on a connection that is cut without notice.
+	lostFactor = 10
 	// leastDelay keeps hedge checks apart.
 	leastDelay = time.Millisecond
 	// canaryPatience is the part of the deadline after which a canary that
--- a/internal/request/gather/gather_test.go
+++ b/internal/request/gather/gather_test.go
@@ -156,6 +156,24 @@
 	}
 }
 
+// With the hedge budget spent, an attempt presumed lost is replaced out of the
+// retry budget, and one that is only slow is not.
+func TestLostAttemptIsRetriedWhenHedgesAreSpent(t *testing.T) {
+	g := newRig(6, 3, false)
+	g.hedges.left, g.retries.left = 0, 2
+	g.gather.Begin(start)
+	sent := 0
+	for at := start; at.Before(start.Add(500 * time.Millisecond)); at = at.Add(time.Millisecond) {
+		sent += len(g.gather.Tick(at).Send)
+		if sent > 0 && at.Before(start.Add(lostFactor*delay)) {
+			t.Fatalf("replaced a slow attempt after %v", at.Sub(start))
+		}
+	}
+	if sent != 2 {
+		t.Errorf("%d lost attempts replaced from a budget of 2", sent)
+	}
+}
+
 func TestAllSlowIsNotHedged(t *testing.T) {
 	g := newRig(20, 3, false)
 	g.gather.Begin(start)
--- a/internal/request/gather/hedge.go
+++ b/internal/request/gather/hedge.go
@@ -42,7 +42,7 @@
 			next = earlier(next, at)
 			continue
 		}
-		if !g.hedgeShard(now, shard) {
+		if !g.hedgeShard(now, shard, delay) {
 			return earlier(next, now.Add(delay/2+leastDelay))
 		}
 		next = earlier(next, s.sent.Add(delay))
@@ -57,15 +57,21 @@
 	return b
 }
 
-// hedgeShard reports false when the budget is spent.
-func (g *Gather) hedgeShard(now time.Time, shard int) bool {
-	if !g.config.Hedges.Take(now, g.config.Settings.ExtraLoad) {
-		return false
-	}
+// hedgeShard reports false when the budget is spent. An attempt that is so late
+// that it is presumed lost may be replaced out of the retry budget instead.
+func (g *Gather) hedgeShard(now time.Time, shard int, delay time.Duration) bool {
 	s := &g.shards[shard]
+	settings := g.config.Settings
+	paid := g.config.Hedges
+	if !paid.Take(now, settings.ExtraLoad) {
+		paid = g.config.Retries
+		if now.Sub(s.sent) < lostFactor*delay || !paid.Take(now, settings.RetryBudget) {
+			return false
+		}
+	}
 	choice := g.config.Targets.Pick(now, fleet.Query{View: g.config.View, Shard: shard, Tried: s.tried[:s.attempts]})
 	if choice.Verdict != fleet.Picked {
-		g.config.Hedges.Refund(now)
+		paid.Refund(now)
 		s.sent = now
 		return true
 	}
