--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,244 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+const (
+	warmUp      = 1500 * time.Millisecond
+	sampleEvery = time.Second
+)
+
+// Run runs a scenario for each policy.
+func Run(ctx context.Context, s *Scenario, o Options) (*Report, error) {
+	o = merged(o, s.Defaults)
+	report := &Report{
+		Scenario: s.Name, Seed: o.Seed, Shards: o.Shards, Replicas: o.Replicas, Daemons: o.Daemons,
+		Rate: o.Rate, Seconds: o.Duration.Seconds(),
+	}
+	for _, policy := range o.Policies {
+		o.Say("%s: %s", s.Name, policy)
+		result, err := runPolicy(ctx, s, &o, policy)
+		if err != nil {
+			return nil, err
+		}
+		report.Runs = append(report.Runs, *result)
+	}
+	return report, nil
+}
+
+func merged(o, defaults Options) Options {
+	pick := func(value, fallback int) int {
+		if value != 0 {
+			return value
+		}
+		return fallback
+	}
+	o.Shards = pick(o.Shards, defaults.Shards)
+	o.Replicas = pick(o.Replicas, defaults.Replicas)
+	o.Daemons = pick(o.Daemons, defaults.Daemons)
+	if o.Duration == 0 {
+		o.Duration = defaults.Duration
+	}
+	if o.Rate == 0 {
+		o.Rate = defaults.Rate
+	}
+	if len(o.Policies) == 0 {
+		o.Policies = []string{PolicyNaive, PolicyRelay}
+	}
+	if o.Say == nil {
+		o.Say = func(string, ...any) {}
+	}
+	return o
+}
+
+func runPolicy(ctx context.Context, s *Scenario, o *Options, policy string) (*Result, error) {
+	plan := s.Plan(o)
+	w := &plan.World
+	w.Daemons, w.Seed = o.Daemons, o.Seed
+	files, err := settingsFiles(plan.Settings, o.Set, policy)
+	if err != nil {
+		return nil, err
+	}
+	w.Settings = files
+	defer w.Stop()
+	if err := w.Start(ctx); err != nil {
+		return nil, err
+	}
+	if err := warm(ctx, plan, o); err != nil {
+		return nil, err
+	}
+	stage := &Stage{World: w, Start: time.Now(), Duration: o.Duration, Relay: policy == PolicyRelay, Notes: map[string]float64{}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	before := count(stage)
+	sampler := startSampler(ctx, stage)
+	var faults sync.WaitGroup
+	if plan.Faults != nil {
+		faults.Go(func() { plan.Faults(ctx, stage) })
+	}
+	t := newTraffic(stage, plan.Streams, o.Seed)
+	t.run(ctx)
+	cancel()
+	faults.Wait()
+	result := t.result(policy)
+	after := count(stage)
+	result.apply(before, after)
+	result.PeakExtraLoad = sampler.peak()
+	result.Notes = stage.Notes
+	result.Violations = violations(stage, plan, t)
+	return result, nil
+}
+
+// settingsFiles writes the tree: a scenario's fields, then those of the command
+// line, then, for Naive, those that make the baseline.
+func settingsFiles(fields map[string]map[string]string, set map[string]string, policy string) (tree.Files, error) {
+	all := map[string]map[string]string{"firm.ini": {}}
+	for path, own := range fields {
+		all[path] = maps.Clone(own)
+	}
+	maps.Copy(all["firm.ini"], set)
+	if policy == PolicyNaive {
+		for path := range all {
+			for field, value := range naive {
+				if path == "firm.ini" || all[path][field] != "" {
+					all[path][field] = value
+				}
+			}
+		}
+	}
+	sections := map[string]string{}
+	for _, f := range tree.Fields() {
+		sections[f.Name] = f.Section
+	}
+	files := tree.Files{}
+	for path, own := range all {
+		var text strings.Builder
+		for _, name := range slices.Sorted(maps.Keys(own)) {
+			fmt.Fprintf(&text, "[%s]\n%s = %s\n", sections[name], name, own[name])
+		}
+		files[path] = text.String()
+	}
+	if _, err := tree.Parse(files); err != nil {
+		return nil, &Error{Op: "settings", Kind: KindInvalid, Err: err}
+	}
+	return files, nil
+}
+
+// warm sends traffic that is not measured, so that connections are open and
+// latencies known.
+func warm(ctx context.Context, plan *Plan, o *Options) error {
+	stage := &Stage{World: &plan.World, Start: time.Now(), Duration: warmUp}
+	var streams []Stream
+	for _, s := range plan.Streams {
+		if !s.Execute {
+			s.From, s.To, s.Query = 0, 1, nil
+			s.Rate = min(s.Rate, o.Rate/2)
+			streams = append(streams, s)
+		}
+	}
+	newTraffic(stage, streams, o.Seed+1000).run(ctx)
+	return ctx.Err()
+}
+
+// counters are sums over daemons and searchers.
+type counters struct {
+	primaries, extras     float64
+	requests, overloading int64
+}
+
+func count(s *Stage) counters {
+	var c counters
+	for _, d := range s.World.Running {
+		c.primaries += d.Meter.Sum("primary_attempts_total")
+		c.extras += d.Meter.Sum("extra_attempts_total")
+	}
+	eachSearcher(s, func(x *shard.Searcher) {
+		counts := x.Counts()
+		c.requests += counts.Requests
+		c.overloading += counts.OverSlots + counts.OverConnections
+	})
+	return c
+}
+
+func eachSearcher(s *Stage, do func(*shard.Searcher)) {
+	for _, searchers := range s.World.Searchers {
+		for _, x := range searchers {
+			do(x)
+		}
+	}
+}
+
+func (r *Result) apply(before, after counters) {
+	if primaries := after.primaries - before.primaries; primaries > 0 {
+		r.ExtraLoad = (after.extras - before.extras) / primaries
+	}
+	if requests := after.requests - before.requests; requests > 0 {
+		r.TargetOverload = float64(after.overloading-before.overloading) / float64(requests)
+	}
+}
+
+// sampler notes the counters each second.
+type sampler struct {
+	mu      sync.Mutex
+	samples []counters
+}
+
+func startSampler(ctx context.Context, s *Stage) *sampler {
+	p := &sampler{samples: []counters{count(s)}}
+	go func() {
+		ticker := time.NewTicker(sampleEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				c := count(s)
+				p.mu.Lock()
+				p.samples = append(p.samples, c)
+				p.mu.Unlock()
+			}
+		}
+	}()
+	return p
+}
+
+func (p *sampler) peak() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peak := 0.0
+	for i := 1; i < len(p.samples); i++ {
+		primaries := p.samples[i].primaries - p.samples[i-1].primaries
+		if primaries > 0 {
+			peak = max(peak, (p.samples[i].extras-p.samples[i-1].extras)/primaries)
+		}
+	}
+	return peak
+}
+
+// violations gathers what daemons, traffic and scenario found broken.
+func violations(s *Stage, plan *Plan, t *traffic) []string {
+	found := []string{}
+	for name, times := range s.World.Violations() {
+		found = append(found, fmt.Sprintf("%s x%d", name, times))
+	}
+	for name, times := range t.broken {
+		found = append(found, fmt.Sprintf("%s x%d", name, times))
+	}
+	if plan.Check != nil {
+		found = append(found, plan.Check(s)...)
+	}
+	sort.Strings(found)
+	return found
+}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,336 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/world"
+)
+
+const (
+	deployment = "Erbacee"
+	service    = "Herbarium"
+)
+
+// Scenarios lists every experiment.
+func Scenarios() []Scenario { return scenarios }
+
+// Find returns a scenario by name.
+func Find(name string) (*Scenario, bool) {
+	i := slices.IndexFunc(scenarios, func(s Scenario) bool { return s.Name == name })
+	if i < 0 {
+		return nil, false
+	}
+	return &scenarios[i], true
+}
+
+// wide are the defaults of the scenarios over many shards.
+var wide = Options{Shards: 260, Replicas: 3, Rate: 30, Daemons: 2, Duration: 10 * time.Second}
+
+// narrow are those of the scenarios that need more requests than shards.
+var narrow = Options{Shards: 16, Replicas: 3, Rate: 60, Daemons: 2, Duration: 10 * time.Second}
+
+var calm = shard.Behaviour{Median: 4 * time.Millisecond, Spread: 0.3}
+
+// single is one service with one stream of distinct queries.
+func single(o *Options, behaviour shard.Behaviour) *Plan {
+	return &Plan{
+		World: world.World{Services: []world.Service{{
+			Deployment: deployment, Name: service, Shards: o.Shards, Replicas: o.Replicas, Slots: 3, Connections: 40,
+			ConnectCost: time.Millisecond, Documents: 4000, Behaviour: behaviour,
+		}}},
+		Streams: []Stream{{
+			Class: "Default", Deployment: deployment, Service: service, Callers: []string{"a", "b", "c", "d"},
+			Rate: o.Rate, Deadline: 2 * time.Second,
+		}},
+	}
+}
+
+var scenarios = []Scenario{
+	{
+		Name: "Steady", About: "Nothing fails.", Defaults: wide,
+		Plan: func(o *Options) *Plan { return single(o, calm) },
+	},
+	{
+		Name: "Straggler", About: "1% of sub-requests are 20 times slower; in the second half one target in 50 is, too.", Defaults: wide,
+		Plan: straggler,
+	},
+	{
+		Name: "AllSlow", About: "Every target is ten times slower for the middle of the run.", Defaults: wide,
+		Plan: allSlow,
+	},
+	{
+		Name: "ReplicaLoss", About: "One replica of every shard, a data centre of them, dies at once.", Defaults: wide,
+		Plan: replicaLoss,
+	},
+	{
+		Name: "LastReplica", About: "All replicas of two shards are gone.", Defaults: wide,
+		Plan: lastReplica,
+	},
+	{
+		Name: "Overload", About: "One caller among five asks for three times the capacity.", Defaults: narrow,
+		Plan: overload,
+	},
+	{
+		Name: "MorningMarket", About: "Label lookups alone, then with curators' searches at 1.5 times the capacity.", Defaults: narrow,
+		Plan: morningMarket,
+	},
+	{
+		Name: "LotNumbers", About: "Non-idempotent requests while replies are lost and daemons are killed.", Defaults: narrow,
+		Plan: lotNumbers,
+	},
+	{
+		Name: "QueryOfDeath", About: "A query that crashes its targets is sent again and again.", Defaults: narrow,
+		Plan: queryOfDeath,
+	},
+	{
+		Name: "CrossedReplies", About: "Replies are swapped, truncated, duplicated and of false versions.", Defaults: narrow,
+		Plan: crossedReplies,
+	},
+	{
+		Name: "Repartition", About: "The index moves to a new version with more shards under running queries.", Defaults: narrow,
+		Plan: repartition,
+	},
+	{
+		Name: "Drain", About: "Targets leave under a host list that lags by 3 s.", Defaults: narrow,
+		Plan: drain,
+	},
+	{
+		Name: "MisleadingLoad", About: "A target reports idle and sheds all, another reports busy and is idle, reports lag 10 s.", Defaults: narrow,
+		Plan: misleadingLoad,
+	},
+	{
+		Name: "ColdStart", About: "The targets restart in rolling order and are slow at first.", Defaults: narrow,
+		Plan: coldStart,
+	},
+	{
+		Name: "StopAndGo", About: "Every daemon is restarted gracefully in turn.", Defaults: narrow,
+		Plan: stopAndGo,
+	},
+}
+
+func straggler(o *Options) *Plan {
+	behaviour := calm
+	behaviour.StragglerShare, behaviour.StragglerFactor = 0.01, 20
+	plan := single(o, behaviour)
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		if !s.Wait(ctx, 0.5) {
+			return
+		}
+		for i, x := range s.World.Searchers[deployment+"/"+service] {
+			if i%50 == 7 {
+				x.Behave(func(b *shard.Behaviour) { b.Slowness = 20 })
+			}
+		}
+	}
+	return plan
+}
+
+func allSlow(o *Options) *Plan {
+	plan := single(o, calm)
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		slow := func(factor float64) {
+			eachSearcher(s, func(x *shard.Searcher) { x.Behave(func(b *shard.Behaviour) { b.Slowness = factor }) })
+		}
+		if s.Wait(ctx, 0.3) {
+			slow(10)
+		}
+		if s.Wait(ctx, 0.6) {
+			slow(1)
+		}
+	}
+	return plan
+}
+
+func replicaLoss(o *Options) *Plan {
+	plan := single(o, calm)
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		if s.Wait(ctx, 0.4) {
+			for _, x := range s.World.Replica(deployment, service, 0) {
+				x.Stop()
+			}
+		}
+	}
+	return plan
+}
+
+func lastReplica(o *Options) *Plan {
+	plan := single(o, calm)
+	plan.Settings = map[string]map[string]string{"firm.ini": {"LeastCoverage": "0.5"}}
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		if !s.Wait(ctx, 0.4) {
+			return
+		}
+		for replica := range o.Replicas {
+			for _, x := range s.World.Replica(deployment, service, replica)[:2] {
+				x.Stop()
+			}
+		}
+	}
+	return plan
+}
+
+func overload(o *Options) *Plan {
+	plan := single(o, shard.Behaviour{Median: 30 * time.Millisecond, Spread: 0.3})
+	plan.World.Services[0].Slots = 2
+	// Each shard serves Replicas x 2 requests in about 31 ms.
+	capacity := float64(o.Replicas) * 2 / 0.0315
+	fair := plan.Streams[0]
+	fair.Class, fair.Callers, fair.Rate, fair.Deadline = "Fair", []string{"a", "b", "c", "d"}, capacity*0.3, 500*time.Millisecond
+	greedy := fair
+	greedy.Class, greedy.Callers, greedy.Rate = "Greedy", []string{"greedy"}, capacity*2.7
+	plan.Streams = []Stream{fair, greedy}
+	return plan
+}
+
+func morningMarket(o *Options) *Plan {
+	plan := single(o, shard.Behaviour{Median: 20 * time.Millisecond, Spread: 0.3})
+	plan.World.Services[0].Slots = 2
+	capacity := float64(o.Replicas) * 2 / 0.021
+	labels := plan.Streams[0]
+	labels.Class, labels.Callers, labels.Rate, labels.Deadline = "LabelsAlone", []string{"label-desk"}, capacity*0.2, time.Second
+	labels.From, labels.To = 0, 0.4
+	beside := labels
+	beside.Class, beside.From, beside.To = "LabelsBeside", 0.5, 1
+	curators := labels
+	curators.Class, curators.Callers, curators.Rate = "Curators", []string{"curator-1", "curator-2", "curator-3"}, capacity*1.3
+	curators.From, curators.To, curators.Deadline, curators.Limit = 0.45, 1, 2*time.Second, 100
+	plan.Streams = []Stream{labels, beside, curators}
+	plan.Settings = map[string]map[string]string{
+		"Erbacee/Herbarium/service.ini":    {"Class": "Curators", "Priority": "6"},
+		"Erbacee/Herbarium/label-desk.ini": {"Class": "Labels", "Priority": "0"},
+	}
+	return plan
+}
+
+func lotNumbers(o *Options) *Plan {
+	plan := single(o, calm)
+	lots := plan.Streams[0]
+	lots.Class, lots.Execute, lots.Rate = "Lots", true, o.Rate
+	plan.Streams = []Stream{lots}
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		if s.Wait(ctx, 0.2) {
+			for i, x := range s.World.Searchers[deployment+"/"+service] {
+				if i%5 == 0 {
+					x.Behave(func(b *shard.Behaviour) { b.ResultLost = true })
+				}
+			}
+		}
+		if !s.Wait(ctx, 0.5) {
+			return
+		}
+		first := s.World.Running[0]
+		first.Kill()
+		// The replacement has the same name and addresses, but is another incarnation.
+		_, _ = s.World.StartDaemon(ctx, first.Setup.Name, addressOf(first.URL()), first.Link(), 0)
+	}
+	plan.Check = func(s *Stage) []string {
+		runs, twice := map[string]int{}, 0
+		eachSearcher(s, func(x *shard.Searcher) {
+			for key, count := range x.Runs() {
+				runs[key] += count
+			}
+		})
+		for _, count := range runs {
+			if count > 1 {
+				twice++
+			}
+		}
+		s.Notes["RanOnTargets"] = float64(len(runs))
+		if twice > 0 {
+			return []string{fmt.Sprintf("RanTwice x%d", twice)}
+		}
+		return nil
+	}
+	return plan
+}
+
+func addressOf(url string) string { return url[len("http://"):] }
+
+func queryOfDeath(o *Options) *Plan {
+	plan := single(o, calm)
+	death := plan.Streams[0]
+	death.Class, death.Rate, death.Callers = "Death", 4, []string{"unlucky"}
+	death.Query = func(int) string { return "oregano " + shard.CrashQuery }
+	plan.Streams = append(plan.Streams, death)
+	plan.Check = func(s *Stage) []string {
+		crashes := int64(0)
+		eachSearcher(s, func(x *shard.Searcher) { crashes += x.Counts().Crashes })
+		s.Notes["TargetsLost"] = float64(crashes)
+		if s.Relay && crashes > 3 {
+			return []string{fmt.Sprintf("TargetsLost %d, over 3", crashes)}
+		}
+		return nil
+	}
+	return plan
+}
+
+func crossedReplies(o *Options) *Plan {
+	behaviour := calm
+	behaviour.CrossedShare, behaviour.TruncatedShare, behaviour.DuplicatedShare, behaviour.FalseShare = 0.01, 0.005, 0.01, 0.005
+	return single(o, behaviour)
+}
+
+func repartition(o *Options) *Plan {
+	plan := single(o, calm)
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		name := deployment + "/" + service
+		more := o.Shards * 2
+		// Each target takes its part of the new version, one after the other.
+		all := s.World.Searchers[name]
+		for i, x := range all {
+			if !s.Wait(ctx, 0.2+0.3*float64(i)/float64(len(all))) {
+				return
+			}
+			own := i % o.Shards
+			x.Hold(s.World.Corpora[name], world.FirstVersion+1, more, []int{own, own + o.Shards})
+		}
+		for i, x := range all {
+			if !s.Wait(ctx, 0.6+0.2*float64(i)/float64(len(all))) {
+				return
+			}
+			x.Drop(world.FirstVersion)
+		}
+	}
+	return plan
+}
+
+func drain(o *Options) *Plan {
+	plan := single(o, calm)
+	plan.World.HostLag = 3 * time.Second
+	plan.Faults = func(ctx context.Context, s *Stage) {
+		if !s.Wait(ctx, 0.2) {
+			return
+		}
+		leaving := s.World.Replica(deployment, service, 1)[:max(1, o.Shards/3)]
+		for _, x := range leaving {
+			s.World.Leave(x.Address())
+			x.Drain()
+		}
+		if !s.Wait(ctx, 0.2+3/s.Duration.Seconds()) {
+			return
+		}
+		before := afterLeaving(leaving)
+		s.Wait(ctx, 0.98)
+		s.Notes["NewWorkAfter3s"] = float64(afterLeaving(leaving) - before)
+		s.Notes["RefusedByLeaving"] = float64(before)
+	}
+	plan.Check = func(s *Stage) []string {
+		if s.Notes["NewWorkAfter3s"] > 0 {
+			return []string{"NewWorkAfter3s"}
+		}
+		return nil
+	}
+	return plan
+}
+
+func afterLeaving(searchers []*shard.Searcher) int64 {
+	sum := int64(0)
+	for _, x := range searchers {
+		sum += x.Counts().AfterLeaving
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/cmd/fake/fake.go
@@ -0,0 +1,171 @@
+// Package fake is the command that runs the stand-ins as processes of their own.
+//
+// # Usage
+//
+//	magnoliarelay fake store --listen 127.0.0.1:2379
+//	magnoliarelay fake hosts --listen 127.0.0.1:8500 --file hosts.json
+//	magnoliarelay fake searcher --listen 127.0.0.1:9001 --service Herbarium --shards 4 --hold 0,1
+//	magnoliarelay fake keys --out ./keys --name entry-1 --name entry-2
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/hosts"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+const reloadInterval = time.Second
+
+// Options are the stand-ins.
+type Options struct {
+	Store    Store    `cmd:"" help:"Stand-in for the platform's key-value service."`
+	Hosts    Hosts    `cmd:"" help:"Stand-in for the platform's host list."`
+	Searcher Searcher `cmd:"" help:"Stand-in for a searcher."`
+	Keys     Keys     `cmd:"" help:"Make temporary keys for daemons."`
+}
+
+// Init hands the streams to the stand-ins.
+func (o *Options) Init(s *term.Streams) {
+	o.Store.streams, o.Hosts.streams, o.Searcher.streams, o.Keys.streams = s, s, s, s
+}
+
+// Store is the command for the store.
+type Store struct {
+	streams *term.Streams
+
+	Listen         string  `help:"Address to listen on." default:"127.0.0.1:0"`
+	CallsPerSecond float64 `help:"Rate above which calls are refused; 0 is none."`
+}
+
+// Run serves until interrupted.
+func (o *Store) Run(ctx context.Context) error {
+	s := &store.Store{CallsPerSecond: o.CallsPerSecond}
+	if err := s.Start(o.Listen); err != nil {
+		return &term.Error{Op: "fake store", Kind: term.KindFailed, Err: err}
+	}
+	o.streams.Sayf("store: %s", s.URL())
+	<-ctx.Done()
+	s.Stop()
+	return nil
+}
+
+// Hosts is the command for the host list.
+type Hosts struct {
+	streams *term.Streams
+
+	Listen string        `help:"Address to listen on." default:"127.0.0.1:0"`
+	File   string        `help:"JSON file with the list, read again when it changes." required:"" type:"existingfile"`
+	Lag    time.Duration `help:"How long a change takes to show."`
+}
+
+// Run serves until interrupted.
+func (o *Hosts) Run(ctx context.Context) error {
+	l := &hosts.List{Lag: o.Lag}
+	if err := o.read(l); err != nil {
+		return &term.Error{Op: "fake hosts", Kind: term.KindUsage, Err: err}
+	}
+	if err := l.Start(o.Listen); err != nil {
+		return &term.Error{Op: "fake hosts", Kind: term.KindFailed, Err: err}
+	}
+	o.streams.Sayf("host list: http://%s/hosts", l.Address())
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.Stop()
+			return nil
+		case <-ticker.C:
+			if err := o.read(l); err != nil {
+				o.streams.Sayf("%s: %v", o.File, err)
+			}
+		}
+	}
+}
+
+func (o *Hosts) read(l *hosts.List) error {
+	content, err := os.ReadFile(o.File)
+	if err != nil {
+		return err
+	}
+	var list wire.HostList
+	if err := json.Unmarshal(content, &list); err != nil {
+		return err
+	}
+	l.Set(list.Hosts)
+	return nil
+}
+
+// Searcher is the command for a searcher.
+type Searcher struct {
+	streams *term.Streams
+
+	Listen          string        `help:"Address to listen on." default:"127.0.0.1:0"`
+	Service         string        `help:"Service of the index." required:""`
+	Version         uint64        `help:"Index version." default:"1"`
+	Shards          int           `help:"Shards of the whole index." required:""`
+	Hold            []int         `help:"Shards that this searcher holds." required:""`
+	Documents       int           `help:"Size of the corpus." default:"2000"`
+	Slots           int           `help:"Requests served at once." default:"3"`
+	Connections     int           `help:"Connections accepted." default:"40"`
+	ConnectCost     time.Duration `help:"Time that a new connection costs." default:"1ms"`
+	Median          time.Duration `help:"Median service time." default:"2ms"`
+	Spread          float64       `help:"Spread of the log-normal service time." default:"0.3"`
+	StragglerShare  float64       `help:"Share of slow requests."`
+	StragglerFactor float64       `help:"How much slower they are." default:"20"`
+}
+
+// Run serves until interrupted.
+func (o *Searcher) Run(ctx context.Context) error {
+	s := &shard.Searcher{Service: o.Service, Slots: o.Slots, Connections: o.Connections, ConnectCost: o.ConnectCost}
+	s.Behave(func(b *shard.Behaviour) {
+		b.Median, b.Spread = o.Median, o.Spread
+		b.StragglerShare, b.StragglerFactor = o.StragglerShare, o.StragglerFactor
+	})
+	s.Hold(corpus.New(o.Service, o.Documents), o.Version, o.Shards, o.Hold)
+	if err := s.Start(o.Listen); err != nil {
+		return &term.Error{Op: "fake searcher", Kind: term.KindFailed, Err: err}
+	}
+	o.streams.Sayf("searcher: %s", s.Address())
+	<-ctx.Done()
+	s.Stop()
+	return nil
+}
+
+// Keys is the command for keys.
+type Keys struct {
+	streams *term.Streams
+
+	Out  string   `help:"Directory to write to." required:"" type:"existingdir"`
+	Name []string `help:"Name of a daemon; may be given more than once." required:""`
+}
+
+// Run writes a certificate and key for each name, and the authority's certificate.
+func (o *Keys) Run() error {
+	authority, err := keys.NewAuthority()
+	if err != nil {
+		return &term.Error{Op: "fake keys", Kind: term.KindFailed, Err: err}
+	}
+	for _, name := range o.Name {
+		k := &keys.Keys{
+			Certificate: filepath.Join(o.Out, name+".pem"),
+			Key:         filepath.Join(o.Out, name+".key"),
+			Authority:   filepath.Join(o.Out, "authority.pem"),
+		}
+		if err := authority.Write(k, name); err != nil {
+			return &term.Error{Op: "fake keys", Kind: term.KindFailed, Err: err}
+		}
+	}
+	o.streams.Sayf("keys for %d daemons are in %s", len(o.Name), o.Out)
+	return nil
+}
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -13,19 +13,53 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/bench"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/daemon"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/demo"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/fake"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/search"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/apply"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/diff"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/explain"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/history"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/show"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/validate"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/status"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
 )
 
 // commands is the whole command line.
 type commands struct {
-	Demo demo.Options `cmd:"" help:"Show searches through stand-ins and daemons, all in this process."`
+	Daemon   daemon.Options   `cmd:"" help:"Run a daemon."`
+	Search   search.Options   `cmd:"" help:"Search from the shell."`
+	Settings settingsCommands `cmd:"" help:"Check, compare and apply the tree of settings."`
+	Status   status.Options   `cmd:"" help:"Show what a daemon sees."`
+	Demo     demo.Options     `cmd:"" help:"Show searches through stand-ins and daemons, all in this process."`
+	Bench    bench.Options    `cmd:"" help:"Run an experiment and compare it with a baseline."`
+	Fake     fake.Options     `cmd:"" help:"Run the stand-ins as processes of their own."`
+}
+
+type settingsCommands struct {
+	Validate validate.Options `cmd:"" help:"Check a tree and name every problem."`
+	Diff     diff.Options     `cmd:"" help:"Compare a tree with the one in force."`
+	Apply    apply.Options    `cmd:"" help:"Put a tree in force."`
+	Show     show.Options     `cmd:"" help:"Print the tree in force."`
+	Explain  explain.Options  `cmd:"" help:"Print each field in force and where it came from."`
+	History  history.Options  `cmd:"" help:"List past changes."`
+}
+
+// connect hands the streams to every command.
+func (c *commands) connect(s *term.Streams) {
+	c.Daemon.Streams, c.Search.Streams, c.Status.Streams, c.Demo.Streams, c.Bench.Streams = s, s, s, s, s
+	c.Settings.Validate.Streams, c.Settings.Diff.Streams, c.Settings.Apply.Streams = s, s, s
+	c.Settings.Show.Streams, c.Settings.Explain.Streams, c.Settings.History.Streams = s, s, s
+	c.Fake.Init(s)
 }
 
 // Main runs the program and returns its exit code.
 func Main(ctx context.Context, arguments []string, streams *term.Streams) int {
 	c := &commands{}
-	c.Demo.Streams = streams
+	c.connect(streams)
 	exited := -1
 	parser, err := kong.New(c,
 		kong.Name("magnoliarelay"),
--- /dev/null
+++ b/internal/cmd/status/status.go
@@ -0,0 +1,76 @@
+// Package status is the command that shows what a daemon sees.
+//
+// # Usage
+//
+//	magnoliarelay status --daemon http://127.0.0.1:7000
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
+)
+
+const timeout = 5 * time.Second
+
+// Options are the command's flags and dependencies.
+type Options struct {
+	Streams *term.Streams `kong:"-"`
+
+	Daemon string `help:"Base URL of the daemon." required:""`
+	JSON   bool   `help:"Print the status as JSON." name:"json"`
+}
+
+// Help adds examples to the command's help.
+func (o *Options) Help() string {
+	return "Example:\n  magnoliarelay status --daemon http://127.0.0.1:7000"
+}
+
+// Run asks the daemon and prints what it sees.
+func (o *Options) Run(ctx context.Context) error {
+	status, err := o.read(ctx)
+	if err != nil {
+		return &term.Error{Op: "status", Kind: term.KindFailed, Err: err}
+	}
+	if o.JSON {
+		return o.Streams.JSON(status)
+	}
+	o.Streams.Sayf("%s: %s %s, settings revision %d, %d idempotency keys, %d queries quarantined",
+		status.Name, status.State, status.Reason, status.SettingsRevision, status.IdempotencyKeys, status.Quarantined)
+	members := o.Streams.Table("DAEMON", "STATE", "DATA CENTRE", "URL")
+	for _, m := range status.Members {
+		members.Row(m.Name, m.State, m.DataCentre, m.URL)
+	}
+	if err := members.Flush(); err != nil {
+		return err
+	}
+	services := o.Streams.Table("SERVICE", "VERSION", "SHARDS", "LOST", "TARGETS", "CAPACITY", "RUNNING", "WAITING")
+	for _, s := range status.Services {
+		services.Row(s.Deployment+"/"+s.Service, strconv.FormatUint(s.IndexVersion, 10), strconv.Itoa(s.Shards),
+			strconv.Itoa(len(s.LostShards)), fmt.Sprintf("%d/%d", s.TargetsUp, s.Targets), strconv.Itoa(s.Capacity),
+			strconv.Itoa(s.Running), strconv.Itoa(s.Waiting))
+	}
+	return services.Flush()
+}
+
+func (o *Options) read(ctx context.Context) (*daemon.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, o.Daemon+"/v1/status", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	var status daemon.Status
+	return &status, json.NewDecoder(response.Body).Decode(&status)
+}
--- a/internal/fake/shard/searcher.go
+++ b/internal/fake/shard/searcher.go
@@ -42,8 +42,14 @@
 	CrashWord string
 	// ResultLost drops the connection after an order has taken effect.
 	ResultLost bool
-	// FalseVersion answers with another version than asked.
-	FalseVersion bool
+	// FalseShare of replies claim another version than asked.
+	FalseShare float64
+	// CrossedShare of replies are those of an earlier request.
+	CrossedShare float64
+	// TruncatedShare of replies end in the middle.
+	TruncatedShare float64
+	// DuplicatedShare of replies are sent twice.
+	DuplicatedShare float64
 }
 
 // Counts is a searcher's own record of what reached it.
@@ -82,6 +88,7 @@
 	draining    bool
 	runs        map[string]int
 	lagged      []laggedLoad
+	earlier     []byte
 
 	slots    chan struct{}
 	inFlight atomic.Int64
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -178,3 +178,6 @@
 func jitter(interval time.Duration) time.Duration {
 	return interval/2 + time.Duration(rand.Int64N(int64(interval)))
 }
+
+// InFlight returns the number of callers' requests being answered.
+func (d *Daemon) InFlight() int64 { return d.server.InFlight() }
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -124,3 +124,21 @@
 	}
 	return violated
 }
+
+// Sum adds up all values of a counter by its name without the prefix.
+func (m *Meter) Sum(name string) float64 {
+	families, err := m.registry.Gather()
+	if err != nil {
+		return 0
+	}
+	sum := 0.0
+	for _, family := range families {
+		if family.GetName() != namespace+"_"+name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			sum += metric.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
