--- /dev/null
+++ b/cmd/magnoliarelay/main_test.go
@@ -0,0 +1,330 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/proxy"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/world"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+const patience = 20 * time.Second
+
+var binary string
+
+func TestMain(m *testing.M) {
+	directory, err := os.MkdirTemp("", "magnoliarelay")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(directory, "magnoliarelay")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(directory)
+	os.Exit(code)
+}
+
+// tier is daemons as processes of their own, against stand-ins in the test.
+type tier struct {
+	t      *testing.T
+	world  *world.World
+	dir    string
+	listen []string
+	links  []string
+	procs  []*exec.Cmd
+	logs   []*bytes.Buffer
+}
+
+func free(t *testing.T, network string) string {
+	t.Helper()
+	if network == "udp" {
+		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer socket.Close()
+		return socket.LocalAddr().String()
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func startTier(t *testing.T, daemons int, proxied bool, settings tree.Files) *tier {
+	t.Helper()
+	files := tree.Files{"firm.ini": "[System]\nHeartbeatInterval = 100ms\nSilentAfter = 600ms\nAddressKeep = 1s\n[Targets]\nStatusInterval = 200ms\n"}
+	for path, content := range settings {
+		files[path] = content
+	}
+	w := &world.World{
+		Settings: files, Seed: 1, Proxied: proxied,
+		Services: []world.Service{{
+			Deployment: "D", Name: "S", Shards: 6, Replicas: 3, Slots: 4, Connections: 60, Documents: 300,
+			Behaviour: shard.Behaviour{Median: 2 * time.Millisecond},
+		}},
+	}
+	t.Cleanup(w.Stop)
+	if err := w.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	r := &tier{t: t, world: w, dir: t.TempDir()}
+	for i := range daemons {
+		r.listen = append(r.listen, free(t, "tcp"))
+		r.links = append(r.links, free(t, "udp"))
+		r.procs = append(r.procs, nil)
+		r.logs = append(r.logs, &bytes.Buffer{})
+		r.start(i)
+	}
+	for i := range daemons {
+		r.waitListed(i, daemons)
+	}
+	return r
+}
+
+func (r *tier) start(i int) {
+	r.t.Helper()
+	name := fmt.Sprintf("d%d", i)
+	k := &keys.Keys{
+		Certificate: filepath.Join(r.dir, name+".pem"), Key: filepath.Join(r.dir, name+".key"), Authority: filepath.Join(r.dir, "authority.pem"),
+	}
+	if err := r.world.Authority().Write(k, name); err != nil {
+		r.t.Fatal(err)
+	}
+	config := fmt.Sprintf("[Daemon]\nName = %s\nListen = %s\nLink = %s\nDataCentre = dc-%d\nRegion = r-1\n[Platform]\nStore = %s\nHostList = http://%s/hosts\n"+
+		"[Keys]\nCertificate = %s\nKey = %s\nAuthority = %s\n",
+		name, r.listen[i], r.links[i], i%2, r.world.Store.URL(), r.world.Hosts.Address(), k.Certificate, k.Key, k.Authority)
+	path := filepath.Join(r.dir, name+".ini")
+	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	command := exec.Command(binary, "daemon", "--config", path)
+	command.Stderr = r.logs[i]
+	if err := command.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	r.procs[i] = command
+	r.world.List(wire.Host{Address: r.links[i], Role: "Daemon", DataCentre: fmt.Sprintf("dc-%d", i%2), Region: "r-1"})
+	r.t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+}
+
+func (r *tier) signal(i int, s syscall.Signal) {
+	r.t.Helper()
+	if err := r.procs[i].Process.Signal(s); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *tier) url(i int) string { return "http://" + r.listen[i] }
+
+func (r *tier) caller(name string, seeds ...int) *caller.Caller {
+	c := &caller.Caller{Deployment: "D", Name: name, DataCentre: "dc-0", Region: "r-1"}
+	for _, i := range seeds {
+		c.Seeds = append(c.Seeds, r.url(i))
+	}
+	r.t.Cleanup(c.Close)
+	return c
+}
+
+// waitListed waits until a daemon lists a number of daemons and serves all shards.
+func (r *tier) waitListed(i, count int) {
+	r.t.Helper()
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		out, err := exec.Command(binary, "status", "--daemon", r.url(i)).Output()
+		if err == nil && strings.Count(string(out), "\tReady\t") == count && strings.Contains(string(out), "D/S\t1\t6\t0\t18/18") {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	r.t.Fatalf("daemon %d does not list %d daemons:\n%s", i, count, r.logs[i].String())
+}
+
+// load searches until told to stop and returns the errors.
+func (r *tier) load(c *caller.Caller) (stop func() (queries int, failures []error)) {
+	ctx, cancel := context.WithCancel(r.t.Context())
+	var mu sync.Mutex
+	var failures []error
+	queries := 0
+	var group sync.WaitGroup
+	for worker := range 4 {
+		group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				answer, err := c.Search(context.WithoutCancel(ctx), caller.Query{Service: "S", Text: fmt.Sprintf("sage %d-%d", worker, n), Deadline: 2 * time.Second})
+				mu.Lock()
+				queries++
+				if err == nil && !answer.Complete {
+					err = fmt.Errorf("coverage %+v", answer.Coverage)
+				}
+				if err != nil {
+					failures = append(failures, err)
+				}
+				mu.Unlock()
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+	return func() (int, []error) {
+		cancel()
+		group.Wait()
+		return queries, failures
+	}
+}
+
+func TestTermStopsGracefullyUnderLoad(t *testing.T) {
+	r := startTier(t, 3, false, nil)
+	stop := r.load(r.caller("c", 0, 1, 2))
+	time.Sleep(300 * time.Millisecond)
+	r.signal(1, syscall.SIGTERM)
+	if err := r.procs[1].Wait(); err != nil {
+		t.Errorf("the stopped daemon ended with %v:\n%s", err, r.logs[1].String())
+	}
+	time.Sleep(300 * time.Millisecond)
+	queries, failures := stop()
+	if len(failures) > 0 || queries < 50 {
+		t.Errorf("%d of %d searches failed: %v", len(failures), queries, failures[0])
+	}
+}
+
+func TestKilledDaemonIsNotSeenByCallers(t *testing.T) {
+	r := startTier(t, 3, false, nil)
+	stop := r.load(r.caller("c", 0, 1, 2))
+	time.Sleep(300 * time.Millisecond)
+	r.signal(2, syscall.SIGKILL)
+	time.Sleep(1500 * time.Millisecond)
+	queries, failures := stop()
+	if len(failures) > 0 {
+		t.Errorf("%d of %d searches failed: %v", len(failures), queries, failures[0])
+	}
+	r.waitListed(0, 2)
+}
+
+// A home is paused with a request on its way, the caller resends through
+// another daemon, and the home goes on after the deadline. The request must not
+// run twice, nor run after it was said not to.
+func TestPausedHomeRunsNothingTwice(t *testing.T) {
+	r := startTier(t, 2, false, nil)
+	for n := range 6 {
+		home := n % 2
+		c := r.caller("c", home, 1-home)
+		key := fmt.Sprintf("jar-%d", n)
+		if n%3 == 0 {
+			r.signal(home, syscall.SIGSTOP)
+			time.AfterFunc(1200*time.Millisecond, func() { _ = r.procs[home].Process.Signal(syscall.SIGCONT) })
+		} else {
+			time.AfterFunc(time.Duration(n)*time.Millisecond, func() {
+				_ = r.procs[home].Process.Signal(syscall.SIGSTOP)
+				time.Sleep(1200 * time.Millisecond)
+				_ = r.procs[home].Process.Signal(syscall.SIGCONT)
+			})
+		}
+		_, err := c.Execute(t.Context(), caller.Command{Service: "S", Text: "print", Key: key, Deadline: 700 * time.Millisecond})
+		time.Sleep(1500 * time.Millisecond)
+		runs := 0
+		for _, s := range r.world.Searchers["D/S"] {
+			runs += s.Runs()["c/"+key]
+		}
+		var e *caller.Error
+		toldNotRun := errors.As(err, &e) && e.Refusal != nil && e.Refusal.Ran == wire.RanNo
+		if runs > 1 || runs == 0 && err == nil || runs > 0 && toldNotRun {
+			t.Errorf("%s ran %d times, the caller was told %v", key, runs, err)
+		}
+	}
+}
+
+func TestSettingsReachAllThroughKilledWatcherAndOutage(t *testing.T) {
+	r := startTier(t, 4, false, nil)
+	r.signal(0, syscall.SIGKILL)
+	r.world.Store.SetFaults(fakestore.Faults{Down: true})
+	time.Sleep(300 * time.Millisecond)
+	r.world.Store.SetFaults(fakestore.Faults{})
+	directory := t.TempDir()
+	if err := os.WriteFile(filepath.Join(directory, "firm.ini"), []byte("[Cost]\nQueueLength = 55\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	apply := exec.Command(binary, "settings", "apply", directory, "--store", r.world.Store.URL(), "--message", "test", "--author", "ada")
+	if out, err := apply.CombinedOutput(); err != nil {
+		t.Fatalf("apply: %v\n%s", err, out)
+	}
+	for i := 1; i < 4; i++ {
+		end := time.Now().Add(patience)
+		for !strings.Contains(r.status(i), "settings revision 3") && time.Now().Before(end) {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if status := r.status(i); !strings.Contains(status, "settings revision") || strings.Contains(status, "settings revision 2,") {
+			t.Errorf("daemon %d: %s", i, status)
+		}
+	}
+}
+
+func (r *tier) status(i int) string {
+	out, _ := exec.Command(binary, "status", "--daemon", r.url(i)).CombinedOutput()
+	return string(out)
+}
+
+func TestFaultyConnectionsToTargets(t *testing.T) {
+	tests := []struct {
+		name    string
+		inflict func(p *proxy.Proxy)
+	}{
+		{"half-open", func(p *proxy.Proxy) { p.Set(proxy.Faults{HalfOpen: true}) }},
+		{"held replies", func(p *proxy.Proxy) { p.Set(proxy.Faults{HoldReplies: true}) }},
+		{"dropped replies", func(p *proxy.Proxy) { p.Set(proxy.Faults{DropReplies: true}) }},
+		{"slow", func(p *proxy.Proxy) { p.Set(proxy.Faults{Delay: 200 * time.Millisecond}) }},
+		{"cut and refused", func(p *proxy.Proxy) {
+			p.Set(proxy.Faults{Refuse: true})
+			p.Cut()
+		}},
+	}
+	r := startTier(t, 2, true, tree.Files{"D/deployment.ini": "[Cost]\nExtraLoad = 0.2\nRetryBudget = 0.5\n"})
+	c := r.caller("c", 0, 1)
+	// Latencies are learnt before the faults begin.
+	for n := range 60 {
+		if _, err := c.Search(t.Context(), caller.Query{Service: "S", Text: fmt.Sprint("mint ", n), Deadline: 2 * time.Second}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			// One replica of every shard is behind a faulty connection.
+			for _, p := range r.world.Proxies["D/S"][:6] {
+				tt.inflict(p)
+			}
+			defer func() {
+				for _, p := range r.world.Proxies["D/S"][:6] {
+					p.Set(proxy.Faults{})
+				}
+			}()
+			stop := r.load(c)
+			time.Sleep(1200 * time.Millisecond)
+			queries, failures := stop()
+			if len(failures) > 0 {
+				t.Errorf("%d of %d searches failed: %v", len(failures), queries, failures[0])
+			}
+		})
+	}
+}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -14,10 +14,14 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/world"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
 // Kind classifies an Error.
@@ -84,6 +88,23 @@
 	Relay    bool
 	// Notes are figures that a scenario adds to the result.
 	Notes map[string]float64
+
+	mu     sync.Mutex
+	notRun []string
+	ran    []string
+}
+
+// noteExecute keeps what a caller was told of a non-idempotent request.
+func (s *Stage) noteExecute(key string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var e *caller.Error
+	switch {
+	case err == nil:
+		s.ran = append(s.ran, key)
+	case errors.As(err, &e) && e.Refusal != nil && e.Refusal.Ran == wire.RanNo:
+		s.notRun = append(s.notRun, key)
+	}
 }
 
 // Wait sleeps until a share of the duration has passed; it reports false when
--- a/internal/bench/traffic.go
+++ b/internal/bench/traffic.go
@@ -111,6 +111,7 @@
 		key := fmt.Sprintf("%s-%d", s.Class, n)
 		_, err := c.Execute(ctx, caller.Command{Service: s.Service, Text: text, Key: key, Deadline: s.Deadline})
 		t.record(s, time.Since(intended), nil, err)
+		t.stage.noteExecute(s.Callers[n%len(s.Callers)]+"/"+key, err)
 		return
 	}
 	answer, err := c.Search(ctx, caller.Query{Service: s.Service, Text: text, Deadline: s.Deadline, Limit: s.Limit})
--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -10,6 +10,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 
 	"github.com/alecthomas/kong"
 
@@ -58,6 +60,8 @@
 
 // Main runs the program and returns its exit code.
 func Main(ctx context.Context, arguments []string, streams *term.Streams) int {
+	// net/http logs what callers and targets send amiss; the daemon counts that.
+	log.SetOutput(io.Discard)
 	c := &commands{}
 	c.connect(streams)
 	exited := -1
--- a/internal/fake/shard/searcher.go
+++ b/internal/fake/shard/searcher.go
@@ -84,6 +84,7 @@
 	address     string
 	started     time.Time
 	incarnation uint64
+	generation  uint64
 	open        map[net.Conn]struct{}
 	draining    bool
 	runs        map[string]int
@@ -121,6 +122,7 @@
 	defer s.mu.Unlock()
 	index := wire.Index{Service: s.Service, Version: version, ShardCount: shardCount, Shards: shards}
 	s.indexes = append(s.indexes, held{corpus: c, index: index})
+	s.generation++
 }
 
 // Drop removes an index version.
@@ -134,6 +136,7 @@
 		}
 	}
 	s.indexes = kept
+	s.generation++
 }
 
 // Address returns the address it listens on.
@@ -300,7 +303,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	load := wire.Load{InFlight: int(s.inFlight.Load()), Queued: int(s.queued.Load()), Draining: s.draining}
+	load := wire.Load{InFlight: int(s.inFlight.Load()), Queued: int(s.queued.Load()), Draining: s.draining, Generation: s.generation}
 	b := &s.behaviour
 	if b.Report != nil {
 		return *b.Report
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -23,6 +23,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/hosts"
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/proxy"
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
 	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
@@ -80,6 +81,8 @@
 	Settings    tree.Files
 	HostLag     time.Duration
 	Seed        uint64
+	// Proxied puts a fault-injecting proxy before each searcher.
+	Proxied bool
 	// NoStore leaves the store out: the default settings are in force.
 	NoStore bool
 
@@ -89,6 +92,8 @@
 	// Searchers holds each service's, replica by replica, by "deployment/service".
 	Searchers map[string][]*shard.Searcher
 	Corpora   map[string]*corpus.Corpus
+	// Proxies stand before the searchers of the same places.
+	Proxies map[string][]*proxy.Proxy
 
 	authority *keys.Authority
 	listed    []wire.Host
@@ -102,6 +107,7 @@
 	}
 	w.Searchers = map[string][]*shard.Searcher{}
 	w.Corpora = map[string]*corpus.Corpus{}
+	w.Proxies = map[string][]*proxy.Proxy{}
 	w.Hosts = &hosts.List{Lag: w.HostLag}
 	if err := w.Hosts.Start(loopback); err != nil {
 		return err
@@ -182,14 +188,34 @@
 		return err
 	}
 	w.Searchers[name] = append(w.Searchers[name], searcher)
+	address, err := w.front(name, searcher.Address())
+	if err != nil {
+		return err
+	}
 	at := replica % len(w.DataCentres)
 	w.listed = append(w.listed, wire.Host{
-		Address: searcher.Address(), Role: "Searcher", Deployment: s.Deployment, Service: s.Name,
+		Address: address, Role: "Searcher", Deployment: s.Deployment, Service: s.Name,
 		Region: w.Regions[at], DataCentre: w.DataCentres[at], Rack: "rack-" + strconv.Itoa(shards[0]%4),
 	})
 	return nil
 }
 
+// front returns the address under which a searcher is listed.
+func (w *World) front(name, address string) (string, error) {
+	if !w.Proxied {
+		return address, nil
+	}
+	p := &proxy.Proxy{Target: address}
+	if err := p.Start(); err != nil {
+		return "", err
+	}
+	w.Proxies[name] = append(w.Proxies[name], p)
+	return p.Address(), nil
+}
+
+// Authority returns the authority that signs the daemons' keys.
+func (w *World) Authority() *keys.Authority { return w.authority }
+
 // Replica returns the searchers of one replica of a service, which are all in
 // one data centre.
 func (w *World) Replica(deployment, service string, replica int) []*shard.Searcher {
@@ -326,6 +352,11 @@
 	for _, d := range w.Running {
 		d.Kill()
 	}
+	for _, proxies := range w.Proxies {
+		for _, p := range proxies {
+			p.Stop()
+		}
+	}
 	for _, searchers := range w.Searchers {
 		for _, s := range searchers {
 			s.Stop()
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -146,6 +146,8 @@
 		t.limit = 1
 		t.latencyAt = time.Time{}
 	}
+	t.generation = status.Load.Generation
+	t.outdated = false
 	t.slots = max(status.Slots, 1)
 	t.connections = status.Connections
 	if !sameIndexes(t.indexes, status.Indexes) {
@@ -265,15 +267,13 @@
 	return min(max(last/f.latency.mean, 1), stretchMost)
 }
 
-// PollDue lists the targets to poll: those that have neither replied nor been
-// polled within the interval.
+// PollDue lists the targets to poll and counts them as polled.
 func (f *Fleet) PollDue(now time.Time, interval time.Duration) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var due []string
 	for _, t := range f.order {
-		silent := t.state != StateReady || now.Sub(t.seen) >= interval
-		if silent && now.Sub(t.polled) >= interval {
+		if t.pollDue(now, interval) {
 			t.polled = now
 			due = append(due, t.Address)
 		}
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -221,6 +221,7 @@
 		if t.state == StateSilent {
 			f.setState(t, StateReady)
 		}
+		t.read(load)
 		if load != nil && load.Draining {
 			f.setState(t, StateLeaving)
 		}
@@ -239,5 +240,6 @@
 	case Broken, Corrupt, Failed:
 		t.fail(now)
 	case Gone:
+		t.outdated = true
 	}
 }
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -36,6 +36,8 @@
 	ejectMost = 10 * time.Second
 	// limitCut is the factor applied to the limit when a target is overloaded.
 	limitCut = 0.7
+	// pollFactor is how much less often a target is polled whose replies come in.
+	pollFactor = 5
 	// defaultSlots is assumed until a target has reported.
 	defaultSlots = 2
 )
@@ -55,6 +57,8 @@
 	slots       int
 	connections int
 	indexes     []wire.Index
+	generation  uint64
+	outdated    bool
 
 	inFlight  int
 	limit     float64
@@ -93,6 +97,20 @@
 	return mean + (t.latency-mean)*keep
 }
 
+// pollDue reports whether the target is to be asked for its status: at once
+// when its indexes have changed, each interval when it is silent or out of use,
+// and now and then in any case.
+func (t *Target) pollDue(now time.Time, interval time.Duration) bool {
+	since := now.Sub(t.polled)
+	switch {
+	case t.outdated && since >= interval/pollFactor:
+		return true
+	case t.state != StateReady || now.Sub(t.seen) >= interval:
+		return since >= interval
+	}
+	return since >= pollFactor*interval
+}
+
 // fail counts a failure and ejects the target after several in a row.
 func (t *Target) fail(now time.Time) {
 	t.failures++
@@ -123,3 +141,10 @@
 	}
 	t.limit = min(max(t.limit, floor), max(most, floor))
 }
+
+// read notes from a reply's load that the status known is out of date.
+func (t *Target) read(load *wire.Load) {
+	if load != nil && load.Generation != t.generation {
+		t.outdated = true
+	}
+}
--- a/pkg/wire/target.go
+++ b/pkg/wire/target.go
@@ -25,6 +25,9 @@
 	InFlight int
 	Queued   int
 	Draining bool
+	// Generation changes whenever the target's indexes do, so that a daemon
+	// knows to ask for the status again.
+	Generation uint64
 }
 
 // ShardReply is the CBOR body of a searcher's 200 reply.
