--- /dev/null
+++ b/internal/conn/http1/http1.go
@@ -0,0 +1,326 @@
+// Package http1 sends HTTP/1.1 requests to one target over connections that it
+// keeps. Unlike http.Transport it never sends a request twice by itself, tells
+// whether a request that failed was sent at all, and never gives bytes that
+// belong to no request to anyone.
+//
+// # Usage
+//
+//	p := &http1.Pool{Address: "10.0.0.7:8080"}
+//	reply, err := p.Do(ctx, request, deadline)
+//	var e *http1.Error
+//	if errors.As(err, &e) && e.Kind == http1.KindNotSent {
+//		// the target has not seen the request
+//	}
+//
+// A context that ends closes the connection in use, which tells the target to
+// stop.
+package http1
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds.
+const (
+	// KindNotSent means that no byte of the request left this host, or that the
+	// connection was refused.
+	KindNotSent Kind = "NotSent"
+	// KindBroken means that the connection ended before a whole reply; the
+	// request may have run.
+	KindBroken Kind = "Broken"
+	// KindExpired means that the time was up; the request may have run.
+	KindExpired Kind = "Expired"
+	// KindCorrupt means that what came was no reply of the protocol.
+	KindCorrupt Kind = "Corrupt"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// dialTimeout bounds the opening of a connection; the longest way between
+	// regions takes a tenth of it.
+	dialTimeout = time.Second
+	// userTimeout is how long sent bytes may stay unacknowledged, so that a
+	// connection that went silent ends.
+	userTimeout = 3 * time.Second
+	// readBuffer fits the head and body of a usual reply.
+	readBuffer = 2 << 10
+	// replyMost bounds the body of a reply.
+	replyMost = 8 << 20
+	// inlineBody is the size up to which a body is written before the reply is
+	// read; it fits the windows of a connection.
+	inlineBody = 8 << 10
+	// idleMargin is how long before the target closes an idle connection it is
+	// no longer used.
+	idleMargin = time.Second
+	// idleMost is how long an idle connection is kept when the target does not say.
+	idleMost = 30 * time.Second
+	// idleSoonest is the idle time of a target that closes within a second.
+	idleSoonest = 300 * time.Millisecond
+)
+
+// Reply is a whole reply.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Pool is the connections to one target. Exported fields are set before Do.
+type Pool struct {
+	// Address is "ip:port".
+	Address string
+	// Opened, if set, is called for each new connection.
+	Opened func()
+
+	mu     sync.Mutex
+	idle   []*conn
+	closed bool
+}
+
+// conn is one connection; it serves one request at a time.
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	expire time.Time
+}
+
+var dialer = net.Dialer{
+	Timeout: dialTimeout,
+	Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		})
+		return errors.Join(err, failed)
+	},
+}
+
+// Do sends the request and returns the whole reply. Connections are reused
+// only after a reply that leaves nothing behind.
+func (p *Pool) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
+	c, err := p.get(ctx, deadline)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { c.close() })
+	reply, keep, err := c.exchange(request, deadline)
+	if !stop() || err != nil || !keep {
+		c.close()
+		return reply, err
+	}
+	p.put(c)
+	return reply, nil
+}
+
+// get returns an idle connection that is still whole, or a new one.
+func (p *Pool) get(ctx context.Context, deadline time.Time) (*conn, error) {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		last := len(p.idle) - 1
+		if last < 0 {
+			p.mu.Unlock()
+			break
+		}
+		c := p.idle[last]
+		p.idle = p.idle[:last]
+		p.mu.Unlock()
+		if now.Before(c.expire) && c.quiet() {
+			return c, nil
+		}
+		c.close()
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	raw, err := dialer.DialContext(ctx, "tcp", p.Address)
+	if err != nil && ctx.Err() != nil {
+		// The time was up before the target had a chance to accept.
+		return nil, &Error{Op: "connect", Kind: KindExpired, Err: err}
+	}
+	if err != nil {
+		return nil, &Error{Op: "connect", Kind: KindNotSent, Err: err}
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// Sweep closes idle connections whose time is over or that the target closed.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if now.Before(c.expire) && c.quiet() {
+			kept = append(kept, c)
+			continue
+		}
+		c.close()
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// Close closes the idle connections, and those in use once they are free.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		c.close()
+	}
+	p.idle = nil
+}
+
+// close ends a connection; an error leaves nothing to do.
+func (c *conn) close() { _ = c.Close() }
+
+// quiet reports whether nothing has arrived on an idle connection: neither its
+// end nor bytes that belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, failed := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = failed == syscall.EAGAIN || failed == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// counter counts the bytes that left for the target.
+type counter struct {
+	net.Conn
+	sent int
+}
+
+func (w *counter) Write(data []byte) (int, error) {
+	n, err := w.Conn.Write(data)
+	w.sent += n
+	return n, err
+}
+
+// exchange sends one request and reads its reply. Keep reports whether the
+// connection may be used again.
+func (c *conn) exchange(request *http.Request, deadline time.Time) (reply *Reply, keep bool, err error) {
+	if err := c.SetDeadline(deadline); err != nil {
+		return nil, false, &Error{Op: "send", Kind: KindNotSent, Err: err}
+	}
+	out := &counter{Conn: c.Conn}
+	written := make(chan error, 1)
+	if request.ContentLength > inlineBody {
+		// A target may reply before it has read a long body.
+		go func() { written <- request.Write(out) }()
+	} else if err := request.Write(out); err != nil {
+		return nil, false, c.failure("send", out.sent == 0, err)
+	} else {
+		written <- nil
+	}
+	response, err := c.readHead(request)
+	if err != nil {
+		return nil, false, c.failure("receive", false, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, replyMost+1))
+	if err != nil {
+		return nil, false, c.failure("receive", false, err)
+	}
+	if len(body) > replyMost {
+		return nil, false, &Error{Op: "receive", Kind: KindCorrupt, Err: fault.Causef("the body is larger than %d bytes", replyMost)}
+	}
+	reply = &Reply{Status: response.StatusCode, Header: response.Header, Body: body}
+	select {
+	case err := <-written:
+		keep = err == nil
+	default:
+	}
+	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	keep = keep && framed && !response.Close && c.reader.Buffered() == 0
+	c.expire = time.Now().Add(idleTime(response.Header.Get("Keep-Alive")))
+	return reply, keep, nil
+}
+
+// readHead skips interim responses.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+		if err := response.Body.Close(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (c *conn) failure(op string, unsent bool, err error) error {
+	kind := KindCorrupt
+	var network net.Error
+	switch {
+	case unsent:
+		kind = KindNotSent
+	case errors.As(err, &network) && network.Timeout():
+		kind = KindExpired
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, net.ErrClosed),
+		errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.As(err, &network):
+		kind = KindBroken
+	}
+	return &Error{Op: op, Kind: kind, Err: err}
+}
+
+// idleTime reads how long the target keeps an idle connection from the value
+// of Keep-Alive, such as "timeout=5, max=100".
+func idleTime(value string) time.Duration {
+	for _, part := range strings.Split(value, ",") {
+		name, seconds, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		count, err := strconv.Atoi(strings.TrimSpace(seconds))
+		if err != nil || count < 0 {
+			continue
+		}
+		return max(time.Duration(count)*time.Second-idleMargin, idleSoonest)
+	}
+	return idleMost
+}
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -34,6 +34,12 @@
 	Fetch
 	Table
 	Execute
+	// Entries asks for the registrations that changed.
+	Entries
+	// Stall tells of a target that is late to answer.
+	Stall
+	// Gather asks for the merged parts of some shards.
+	Gather
 )
 
 // ErrorKind classifies an Error.
@@ -58,6 +64,8 @@
 	idleTimeout      = 15 * time.Second
 	streamTimeout    = 5 * time.Second
 	streamsMost      = 4096
+	// signsOfLife is how many are sent before a silent connection is given up.
+	signsOfLife = 3
 )
 
 // Link is one daemon's end. Exported fields are set before Start.
@@ -65,10 +73,14 @@
 	// Address is the UDP "ip:port" to listen on.
 	Address string
 	Keys    *keys.Keys
-	// Handle takes a message and returns the reply to an Ask.
-	Handle func(from net.Addr, kind Type, body []byte) []byte
+	// Handle takes a message and returns the reply to an Ask. The context ends
+	// when the asker gives up.
+	Handle func(ctx context.Context, from net.Addr, kind Type, body []byte) []byte
 	// Wrap, if set, stands between QUIC and the socket, for experiments.
 	Wrap func(net.PacketConn) net.PacketConn
+	// IdleTimeout, if set, ends a connection on which nothing is heard; a third
+	// of it is the time between signs of life.
+	IdleTimeout time.Duration
 
 	socket    net.PacketConn
 	transport *quic.Transport
@@ -117,12 +129,17 @@
 }
 
 func (l *Link) config() *quic.Config {
-	return &quic.Config{
+	config := &quic.Config{
 		HandshakeIdleTimeout:  handshakeTimeout,
 		MaxIdleTimeout:        idleTimeout,
 		MaxIncomingStreams:    streamsMost,
 		MaxIncomingUniStreams: streamsMost,
 	}
+	if l.IdleTimeout > 0 {
+		config.MaxIdleTimeout = l.IdleTimeout
+		config.KeepAlivePeriod = l.IdleTimeout / signsOfLife
+	}
+	return config
 }
 
 // Close ends all connections.
@@ -145,11 +162,26 @@
 		if err != nil {
 			return
 		}
-		go l.serveUni(conn)
-		go l.serveBidi(conn)
+		go l.adopt(conn)
 	}
 }
 
+// adopt serves a connection, and uses it to send to the daemon at its other
+// end: daemons dial from the socket that they listen on. A new connection
+// replaces an older one, whose peer may have been restarted.
+func (l *Link) adopt(conn *quic.Conn) {
+	p := l.peer(conn.RemoteAddr().String())
+	p.mu.Lock()
+	p.conn = conn
+	p.mu.Unlock()
+	l.serve(conn)
+}
+
+func (l *Link) serve(conn *quic.Conn) {
+	go l.serveUni(conn)
+	go l.serveBidi(conn)
+}
+
 func (l *Link) serveUni(conn *quic.Conn) {
 	for {
 		stream, err := conn.AcceptUniStream(conn.Context())
@@ -158,7 +190,7 @@
 		}
 		go func() {
 			if kind, body, err := l.read(stream); err == nil {
-				l.Handle(conn.RemoteAddr(), kind, body)
+				l.Handle(conn.Context(), conn.RemoteAddr(), kind, body)
 			}
 		}()
 	}
@@ -180,7 +212,8 @@
 	if err != nil {
 		return
 	}
-	reply := l.Handle(conn.RemoteAddr(), kind, body)
+	// An asker that gives up cancels its reading, which ends the stream's context.
+	reply := l.Handle(stream.Context(), conn.RemoteAddr(), kind, body)
 	l.sent.Add(int64(len(reply)))
 	// A reply that can not be written is lost, and its asker sees that.
 	_, _ = stream.Write(reply)
@@ -247,6 +280,7 @@
 		return nil, err
 	}
 	p.conn = conn
+	l.serve(conn)
 	return conn, nil
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -160,14 +160,14 @@
 }
 
 // handle passes messages on once listen has finished.
-func (d *Daemon) handle(from net.Addr, kind link.Type, body []byte) []byte {
+func (d *Daemon) handle(ctx context.Context, from net.Addr, kind link.Type, body []byte) []byte {
 	d.mu.RLock()
 	ready := d.gossip.Table != nil
 	d.mu.RUnlock()
 	if !ready {
 		return nil
 	}
-	return d.gossip.Handle(from, kind, body)
+	return d.gossip.Handle(ctx, from, kind, body)
 }
 
 // URL returns the base address for callers.
--- /dev/null
+++ b/internal/process/feed/feed.go
@@ -0,0 +1,303 @@
+// Package feed brings settings, registrations and members from the store to
+// the tier. Only a few daemons of each data centre follow the store, chosen by
+// rendezvous hashing over the members that each daemon knows; the others hear
+// from them. A daemon that loses the store says so, and the next one takes its
+// place. Every daemon keeps its own record in the store under a lease, which
+// is how daemons find each other after all of them were down.
+//
+// # Usage
+//
+//	f := &feed.Feed{Source: source, Table: table, Roster: roster, Meter: m, Log: l, Offer: offer, Registered: registered}
+//	f.Start(ctx)       // registers, and returns the members found
+//	go f.Run(ctx)
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/pause"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/trace"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds.
+const (
+	// KindUnavailable means that the store did not answer or turned the call away.
+	KindUnavailable Kind = "Unavailable"
+	// KindCompacted means that the store no longer has the history asked for.
+	KindCompacted Kind = "Compacted"
+	// KindLapsed means that a lease has ended.
+	KindLapsed Kind = "Lapsed"
+)
+
+// Error is the error of this package, also for sources.
+type Error = fault.Error[Kind]
+
+// News is what a store holds, or what has changed there.
+type News struct {
+	// Whole is true for all that the store holds, false for changes.
+	Whole bool
+	// Settings is the newest change of the settings; nil is none.
+	Settings *epoch.Change
+	Entries  []roster.Entry
+	// Members are records of daemons; Departed names those whose lease ended.
+	Members  []member.Member
+	Departed []string
+	// Revision is the store's, up to which the news are complete.
+	Revision int64
+}
+
+// Source is the store. Its methods return *Error.
+type Source interface {
+	// Load reads all that the store holds.
+	Load(ctx context.Context) (*News, error)
+	// Follow waits for changes after a revision, and returns without any when
+	// the time is up.
+	Follow(ctx context.Context, after int64, wait time.Duration) (*News, error)
+	// Members reads the records of daemons, which may be some seconds old.
+	Members(ctx context.Context) ([]member.Member, error)
+	// Register keeps a record under a lease. A lease of zero asks for one; the
+	// lease in force is returned.
+	Register(ctx context.Context, lease int64, record *member.Member, life time.Duration) (int64, error)
+	// Renew extends a lease.
+	Renew(ctx context.Context, lease int64) error
+}
+
+const (
+	electInterval = 250 * time.Millisecond
+	// followWait is how long one call waits for changes. It also bounds for how
+	// long a connection that went silent hides them.
+	followWait = 5 * time.Second
+	// callTimeout bounds a call that does not wait.
+	callTimeout = 2 * time.Second
+	// leaseLife is how long the record of a daemon outlives it, and
+	// leaseInterval the time between renewals.
+	leaseLife     = 12 * time.Second
+	leaseInterval = 4 * time.Second
+	retryLeast    = 150 * time.Millisecond
+	retryMost     = 1500 * time.Millisecond
+	// lostAfter is the number of calls in a row after which the store is lost.
+	lostAfter = 2
+	// watchersLeast is the number of daemons of the whole tier that follow the
+	// store at least.
+	watchersLeast = 2
+)
+
+// Feed is one daemon's part. Exported fields are set before Start.
+type Feed struct {
+	Source Source
+	Table  *member.Table
+	Roster *roster.Roster
+	Meter  *meter.Meter
+	Log    *trace.Log
+	// Watchers is the number of daemons of each data centre that follow the store.
+	Watchers int
+	// Offer takes the settings that the store holds.
+	Offer func(epoch.Change)
+	// Registered takes the pools whose registrations changed.
+	Registered func(pools []string)
+	// Met takes members that the store told of and the table did not know.
+	Met func()
+
+	failures int
+	lost     bool
+}
+
+// Chosen reports whether this daemon follows the store: it is among the first
+// of its data centre that reach the store, or of the tier if there are few.
+func (f *Feed) Chosen(now time.Time) bool {
+	self := f.Table.Self(now)
+	var able []member.Member
+	centres := map[string]bool{}
+	for _, m := range f.Table.All(now) {
+		if m.State <= member.Ready && !m.StoreLost || m.Name == self.Name && m.State <= member.Ready {
+			able = append(able, m)
+			centres[m.DataCentre] = true
+		}
+	}
+	for _, name := range watch.Choose(self.DataCentre, able, f.Watchers) {
+		if name == self.Name {
+			return true
+		}
+	}
+	return len(centres)*f.Watchers < watchersLeast && len(able) <= watchersLeast
+}
+
+// Run follows the store while this daemon is chosen, and keeps its record.
+func (f *Feed) Run(ctx context.Context) {
+	go f.register(ctx)
+	following := false
+	for ctx.Err() == nil {
+		chosen := f.Chosen(time.Now())
+		if chosen != following {
+			f.Log.State("following the store", "chosen", chosen)
+			following = chosen
+		}
+		if !chosen {
+			pause.For(ctx, electInterval)
+			continue
+		}
+		f.follow(ctx)
+	}
+}
+
+// follow reads everything once and then waits for changes until this daemon is
+// no longer chosen or the store fails.
+func (f *Feed) follow(ctx context.Context) {
+	retry := newRetry()
+	revision := int64(0)
+	for ctx.Err() == nil && f.Chosen(time.Now()) {
+		news, err := f.next(ctx, revision)
+		var e *Error
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.As(err, &e) && e.Kind == KindCompacted:
+			f.Log.State("the store has dropped its history, reading all of it", "revision", revision)
+			revision = 0
+		case err != nil:
+			f.failed(err)
+			pause.For(ctx, retry.NextBackOff())
+		default:
+			retry.Reset()
+			f.reached()
+			f.take(news)
+			revision = news.Revision
+		}
+	}
+}
+
+func (f *Feed) next(ctx context.Context, revision int64) (*News, error) {
+	if revision == 0 {
+		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		defer cancel()
+		return f.Source.Load(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+	defer cancel()
+	return f.Source.Follow(ctx, revision, followWait)
+}
+
+// failed counts a call without an answer. The store counts as lost after a few.
+func (f *Feed) failed(err error) {
+	f.failures++
+	if f.failures < lostAfter || f.lost {
+		return
+	}
+	f.lost = true
+	f.Meter.Decide("StoreLost")
+	f.Log.State("the store is lost", "error", err, "rosterRevision", f.Roster.Revision())
+	f.Table.SetStoreLost(time.Now(), true)
+	f.Met()
+}
+
+// reached notes an answer. After an outage, registrations that lapsed meanwhile
+// get time to come back.
+func (f *Feed) reached() {
+	f.failures = 0
+	if !f.lost {
+		return
+	}
+	f.lost = false
+	f.Meter.Decide("StoreRegained")
+	f.Log.State("the store answers again", "rosterRevision", f.Roster.Revision())
+	now := time.Now()
+	f.Roster.Returned(now)
+	f.Table.SetStoreLost(now, false)
+	f.Met()
+}
+
+func (f *Feed) take(news *News) {
+	now := time.Now()
+	if news.Settings != nil {
+		f.Offer(*news.Settings)
+	}
+	var pools []string
+	if news.Whole {
+		pools = f.Roster.Replace(now, news.Entries, news.Revision)
+	} else if len(news.Entries) > 0 {
+		pools = f.Roster.Apply(now, news.Entries, news.Revision)
+	}
+	f.Registered(pools)
+	if len(f.Table.Merge(now, news.Members)) > 0 {
+		f.Met()
+	}
+}
+
+// LoadOnce reads everything, for a daemon that no other can tell.
+func (f *Feed) LoadOnce(ctx context.Context) error {
+	news, err := f.next(ctx, 0)
+	if err != nil {
+		return err
+	}
+	f.take(news)
+	return nil
+}
+
+// Enter registers this daemon and merges the records of the others into the
+// table. The record goes first, so that of two daemons that start together at
+// least one finds the other.
+func (f *Feed) Enter(ctx context.Context) (lease int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	self := f.Table.Self(time.Now())
+	if lease, err = f.Source.Register(ctx, 0, &self, leaseLife); err != nil {
+		return 0, err
+	}
+	members, err := f.Source.Members(ctx)
+	if err != nil {
+		return lease, err
+	}
+	f.Table.Merge(time.Now(), members)
+	return lease, nil
+}
+
+// register keeps this daemon's record in the store, as a seed for new daemons.
+// Nothing depends on holding it, so a lapsed lease does no harm.
+func (f *Feed) register(ctx context.Context) {
+	lease := int64(0)
+	retry := newRetry()
+	for ctx.Err() == nil {
+		var err error
+		if lease, err = f.renew(ctx, lease); err != nil {
+			var e *Error
+			if errors.As(err, &e) && e.Kind == KindLapsed {
+				lease = 0
+			}
+			f.Meter.Decide("LeaseNotRenewed")
+			pause.For(ctx, retry.NextBackOff())
+			continue
+		}
+		retry.Reset()
+		pause.For(ctx, leaseInterval+rand.N(leaseInterval/4))
+	}
+}
+
+func (f *Feed) renew(ctx context.Context, lease int64) (int64, error) {
+	if lease == 0 {
+		return f.Enter(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return lease, f.Source.Renew(ctx, lease)
+}
+
+func newRetry() *backoff.ExponentialBackOff {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = retryLeast
+	retry.MaxInterval = retryMost
+	return retry
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -18,6 +18,10 @@
 	Daemon     string
 	Deployment string
 	Service    string
+	// Region is the daemon's own.
+	Region string
+	// Registered is true for a pool whose targets are known by SetEntries.
+	Registered bool
 	// Seed makes the selection repeatable.
 	Seed uint64
 }
@@ -45,7 +49,7 @@
 
 // New returns an empty fleet under default settings.
 func New(config Config) *Fleet {
-	return &Fleet{
+	f := &Fleet{
 		config:   config,
 		random:   rand.New(rand.NewPCG(config.Seed, 0x9e3779b97f4a7c15)),
 		settings: tree.Default(),
@@ -53,8 +57,11 @@
 		sharers:  1,
 		targets:  map[string]*Target{},
 		waiters:  map[int][]*waiter{},
-		latency:  newLatencies(),
 	}
+	if !config.Registered {
+		f.latency = newLatencies()
+	}
+	return f
 }
 
 // Configure puts the service's settings in force.
--- /dev/null
+++ b/internal/process/fleet/group.go
@@ -0,0 +1,85 @@
+package fleet
+
+import "time"
+
+// Group is the pools of one route as the shards of one request: shard i is the
+// i-th fleet. It picks as a single fleet does.
+type Group struct {
+	// View holds the targets of each shard as they were when the group was made.
+	View   *View
+	fleets []*Fleet
+}
+
+// NewGroup plans over the fleets. A nil fleet is a pool that nobody serves.
+func NewGroup(fleets []*Fleet) *Group {
+	g := &Group{View: &View{Version: registeredVersion, Replicas: make([][]*Target, len(fleets))}, fleets: fleets}
+	for i, f := range fleets {
+		if f == nil {
+			continue
+		}
+		if plan := f.Plan(); plan != nil {
+			g.View.Replicas[i] = plan.Replicas[0]
+		}
+	}
+	return g
+}
+
+// Pick chooses a target for a shard.
+func (g *Group) Pick(now time.Time, q Query) Choice {
+	if g.fleets[q.Shard] == nil {
+		return Choice{Verdict: Lost}
+	}
+	return g.fleets[q.Shard].Pick(now, q)
+}
+
+// Wait asks for a call of wake when a target of the shard has room.
+func (g *Group) Wait(now time.Time, q Query, priority int, wake func(shard int)) (cancel func()) {
+	f := g.fleets[q.Shard]
+	shard := q.Shard
+	// A fleet of one pool knows only its own shard.
+	q.View = &View{Version: q.View.Version, Replicas: g.View.Replicas[shard : shard+1]}
+	q.Shard = 0
+	return f.Wait(now, q, priority, func(int) { wake(shard) })
+}
+
+// Finish records the end of an attempt. Latency is in seconds.
+func (g *Group) Finish(now time.Time, t *Target, shard int, outcome Outcome, latency float64) {
+	g.fleets[shard].Finish(now, t, 0, outcome, latency, nil)
+}
+
+// Delay is how long after its send an attempt counts as late.
+func (g *Group) Delay(shard int, t *Target) time.Duration { return g.fleets[shard].Delay(t) }
+
+// Connections is the number of connections allowed to a target of the shard.
+func (g *Group) Connections(shard int, t *Target) int { return g.fleets[shard].Connections(t) }
+
+// HedgeDelay and Slowness are not used with a group: its shards differ, so
+// that Delay is asked for each.
+
+// HedgeDelay returns the least delay.
+func (g *Group) HedgeDelay(time.Time, float64) time.Duration { return slowLeast }
+
+// Slowness returns one.
+func (g *Group) Slowness(int) float64 { return 1 }
+
+// Up returns the number of shards that have a target which may be tried now.
+func (g *Group) Up(now time.Time) int {
+	up := 0
+	for i, f := range g.fleets {
+		if f != nil && f.up(now, g.View.Replicas[i]) {
+			up++
+		}
+	}
+	return up
+}
+
+func (f *Fleet) up(now time.Time, replicas []*Target) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range replicas {
+		if t.available(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -48,12 +48,16 @@
 	choice := f.decide(now, q)
 	if choice.Target != nil {
 		choice.Target.inFlight++
+		choice.Target.pace.send(now)
 	}
 	return choice
 }
 
 // decide considers ready replicas, and silent ones when no ready one is left.
 func (f *Fleet) decide(now time.Time, q Query) Choice {
+	if f.config.Registered {
+		return f.pickRegistered(now, q)
+	}
 	replicas := q.View.Replicas[q.Shard]
 	choice := f.pickAmong(now, replicas, q, StateReady)
 	if choice.Verdict == Exhausted || choice.Verdict == Lost {
@@ -212,7 +216,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t.inFlight--
-	f.learn(now, t, shard, outcome, latency, load)
+	if f.config.Registered {
+		f.learnRegistered(now, t, outcome, latency)
+	} else {
+		f.learn(now, t, shard, outcome, latency, load)
+	}
 	f.wake(t, shard)
 }
 
--- /dev/null
+++ b/internal/process/fleet/registered.go
@@ -0,0 +1,263 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+const (
+	// farPenalty is added to the latency of a target in another region, since
+	// bytes between regions cost more than a few milliseconds are worth.
+	farPenalty = 8 * time.Millisecond
+	// stallPenalty is about how long a pause lasts; a target that is overdue is
+	// expected back by then.
+	stallPenalty = 250 * time.Millisecond
+	// downLeast and downMost bound the time for which a target that refuses
+	// connections is left alone.
+	downLeast = 250 * time.Millisecond
+	downMost  = 2 * time.Second
+	// spareShare is the part of a target's connections that daemons leave free,
+	// since their views of how many share it differ for a while.
+	spareShare = 0.1
+	// registeredVersion and registeredShards make a pool a one-shard service.
+	registeredVersion = 1
+	registeredShards  = 1
+)
+
+// Health is what this daemon believes of a registered target.
+type Health struct {
+	ID       string
+	Near     bool
+	State    State
+	InFlight int
+	// Typical is the latency to expect, Late when an attempt counts as late.
+	Typical, Late time.Duration
+	Stalled, Dark bool
+	DownFor       time.Duration
+}
+
+// SetEntries takes the registrations of the pool. Targets that are no longer
+// registered are forgotten; one that started anew begins with a clean record.
+// It returns the IDs of targets that went away.
+func (f *Fleet) SetEntries(now time.Time, entries []roster.Entry, regionOf func(dataCentre string) string) (gone []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		listed[e.ID] = true
+		t := f.targets[e.ID]
+		if t == nil || t.born != e.Born || t.Address != e.Address {
+			if t != nil {
+				t.state = StateLeaving
+				gone = append(gone, t.ID)
+			}
+			t = f.newRegistered(now, e, regionOf(e.DataCentre))
+			f.targets[e.ID] = t
+			f.dirty = true
+		}
+		t.slots = max(e.Slots, 1)
+		f.register(t, e)
+	}
+	for id, t := range f.targets {
+		if !listed[id] {
+			t.state = StateLeaving
+			delete(f.targets, id)
+			gone = append(gone, id)
+			f.dirty = true
+		}
+	}
+	f.order = f.order[:0]
+	for _, t := range f.targets {
+		f.order = append(f.order, t)
+	}
+	slices.SortFunc(f.order, func(a, b *Target) int { return cmp.Compare(a.ID, b.ID) })
+	return gone
+}
+
+func (f *Fleet) newRegistered(now time.Time, e *roster.Entry, region string) *Target {
+	t := &Target{
+		ID: e.ID, Address: e.Address, Region: region, DataCentre: e.DataCentre, Rack: e.ID,
+		Near: region == f.config.Region, registered: true, born: e.Born, seen: now, limit: 1,
+		indexes: []wire.Index{{
+			Service: f.config.Service, Version: registeredVersion, ShardCount: registeredShards, Shards: []int{0},
+		}},
+	}
+	t.pace.guess = farGuess
+	if t.Near {
+		t.pace.guess = nearGuess
+	}
+	return t
+}
+
+func (f *Fleet) register(t *Target, e *roster.Entry) {
+	if e.Revision < t.revision {
+		return
+	}
+	t.revision = e.Revision
+	if e.Leaving {
+		f.setState(t, StateLeaving)
+		return
+	}
+	f.setState(t, StateReady)
+}
+
+// SetConnections tells how many connections each target takes from all daemons.
+func (f *Fleet) SetConnections(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range f.order {
+		if t.connections != count {
+			t.connections = count
+			f.dirty = true
+		}
+	}
+}
+
+// Delay is how long after its send an attempt at the target counts as late.
+func (f *Fleet) Delay(t *Target) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.pace.lateAfter()
+}
+
+// Connections is the number of connections that this daemon may hold to one target.
+func (f *Fleet) Connections(t *Target) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.shareOf(t)
+}
+
+// shareOf is this daemon's even share of a target's connections.
+func (f *Fleet) shareOf(t *Target) int {
+	if t.connections == 0 {
+		return defaultSlots
+	}
+	return max(1, int((1-spareShare)*float64(t.connections))/max(f.sharers, 1))
+}
+
+// Stalled takes another daemon's word that a target has not answered for some time.
+func (f *Fleet) Stalled(now time.Time, id string, since time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.targets[id]
+	if t == nil {
+		return
+	}
+	at := now.Add(-since)
+	// What this daemon has heard itself since then goes before what others say.
+	if t.pace.replied.Before(at) {
+		t.warned = at
+	}
+}
+
+// overdue reports whether the target is taken to pause at the moment.
+func (t *Target) overdue(now time.Time) bool {
+	return t.pace.stalled(now) || now.Sub(t.warned) < stallPenalty && t.pace.replied.Before(t.warned)
+}
+
+// Healths returns what is believed of each registered target, by ID.
+func (f *Fleet) Healths(now time.Time) []Health {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	rows := make([]Health, 0, len(f.order))
+	for _, t := range f.order {
+		rows = append(rows, Health{
+			ID: t.ID, Near: t.Near, State: t.state, InFlight: t.inFlight,
+			Typical: t.pace.typical(now), Late: t.pace.lateAfter(),
+			Stalled: t.overdue(now), Dark: t.pace.dark(now), DownFor: max(0, t.down.Sub(now)),
+		})
+	}
+	return rows
+}
+
+// available reports whether the target is neither leaving, down nor silent.
+func (t *Target) available(now time.Time) bool {
+	return t.state == StateReady && !now.Before(t.down) && (!t.pace.dark(now) || t.pace.probeDue(now))
+}
+
+// pickRegistered chooses among the targets of a pool: the one that is expected
+// to answer first, of those that are neither down, silent nor full.
+func (f *Fleet) pickRegistered(now time.Time, q Query) Choice {
+	var chosen *Target
+	var least time.Duration
+	busy, tried := 0, 0
+	for _, t := range q.View.Replicas[q.Shard] {
+		if !t.available(now) {
+			continue
+		}
+		if slices.Contains(q.Tried, t) && !q.Again {
+			tried++
+			continue
+		}
+		if t.inFlight >= f.shareOf(t) {
+			busy++
+			continue
+		}
+		if score := f.wait(now, t); chosen == nil || score < least {
+			chosen, least = t, score
+		}
+	}
+	switch {
+	case chosen != nil:
+		return Choice{Verdict: Picked, Target: chosen}
+	case busy > 0:
+		return Choice{Verdict: Busy}
+	case tried > 0:
+		return Choice{Verdict: Exhausted}
+	}
+	return Choice{Verdict: Lost}
+}
+
+// wait is how long an attempt at the target is expected to take.
+func (f *Fleet) wait(now time.Time, t *Target) time.Duration {
+	typical := t.pace.typical(now)
+	expected := typical + typical*time.Duration(t.inFlight)/time.Duration(t.slots)
+	if !t.Near {
+		expected += farPenalty
+	}
+	if t.overdue(now) {
+		since := t.pace.unanswered
+		if since.IsZero() {
+			since = t.warned
+		}
+		expected += max(stallPenalty-now.Sub(since), stallPenalty/5)
+		if t.pace.dark(now) {
+			expected += stallPenalty
+		}
+	}
+	if t.failures > 0 {
+		expected += typical * time.Duration(t.failures)
+	}
+	// Equals take turns.
+	return expected + time.Duration(f.random.IntN(int(time.Millisecond)))
+}
+
+// learnRegistered takes the end of an attempt at a registered target.
+func (f *Fleet) learnRegistered(now time.Time, t *Target, outcome Outcome, latency float64) {
+	sent := now.Add(-time.Duration(latency * float64(time.Second)))
+	switch outcome {
+	case Success:
+		t.seen = now
+		t.failures, t.refusals = 0, 0
+		t.down = time.Time{}
+		t.pace.reply(now, sent)
+	case Shed, Failed:
+		// A target that turns work away or fails it has at least answered.
+		t.pace.unanswered, t.pace.probe = time.Time{}, 0
+		t.failures = min(t.failures+1, ejectAfter)
+	case Refused:
+		t.down = now.Add(min(downLeast<<min(t.refusals, 4), downMost))
+		t.refusals++
+		t.pace.unanswered = time.Time{}
+	case Draining, Gone:
+		f.setState(t, StateLeaving)
+	case Broken, Corrupt:
+		t.failures = min(t.failures+1, ejectAfter)
+	case Cancelled, Expired:
+	}
+}
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -53,10 +53,14 @@
 
 // Target is one searcher. Its exported fields never change.
 type Target struct {
+	// ID names a registered target; others are known by their address.
+	ID         string
 	Address    string
 	Region     string
 	DataCentre string
 	Rack       string
+	// Near is true in the daemon's own region.
+	Near bool
 
 	state       State
 	hostLeaving bool
@@ -80,6 +84,17 @@
 	failures  int
 	ejections int
 	ejected   time.Time
+
+	// What follows is kept for registered targets only.
+	registered bool
+	born       int64
+	revision   int64
+	pace       pace
+	// warned is since when another daemon has had no answer.
+	warned time.Time
+	// down is until when a target that refused connections is left alone.
+	down     time.Time
+	refusals int
 }
 
 // Domain names the failure domain that a target shares with its rack.
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -24,6 +24,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
 )
 
@@ -51,6 +52,8 @@
 	Digest   uint64
 	Suspects []poison.Entry
 	Claims   []quota.Claim
+	// Roster is the store's revision of the sender's registrations.
+	Roster int64
 }
 
 // Gossip is one daemon's part. Exported fields are set before Run.
@@ -63,11 +66,22 @@
 	Meter  *meter.Meter
 	// Accepted is called after a revision came in force.
 	Accepted func()
-	// Execute answers a forwarded request.
+	// Execute answers a forwarded request; nil where none are.
 	Execute func(body []byte) []byte
+	// Roster holds the registrations of targets, where they are kept in the
+	// store; Registered is called with the pools that changed.
+	Roster     *roster.Roster
+	Registered func(pools []string)
+	// Stalled takes another daemon's word that a target is late.
+	Stalled func(pool, id string, since time.Duration)
+	// Gather answers another daemon's request for some shards, until the
+	// context ends.
+	Gather func(ctx context.Context, body []byte) []byte
 
 	push       chan struct{}
 	fetching   atomic.Bool
+	asking     atomic.Bool
+	warned     warnings
 	mismatches atomic.Int32
 }
 
@@ -126,14 +140,20 @@
 
 func (g *Gossip) encode(now time.Time, updates []member.Member) []byte {
 	self := g.Table.Self(now)
-	body, err := codec.Encode(&Heartbeat{
+	h := &Heartbeat{
 		From:     self.Brief(),
 		Updates:  updates,
 		Revision: g.Keeper.Current().Change.Revision,
 		Digest:   g.Table.Digest(),
 		Suspects: g.fresh(now),
-		Claims:   g.Quota.Claims(now),
-	})
+	}
+	if g.Quota != nil {
+		h.Claims = g.Quota.Claims(now)
+	}
+	if g.Roster != nil {
+		h.Roster = g.Roster.Revision()
+	}
+	body, err := codec.Encode(h)
 	if err != nil {
 		klog.Errorf("heartbeat: %v", err)
 	}
@@ -152,7 +172,7 @@
 }
 
 // Handle takes a message from the link.
-func (g *Gossip) Handle(_ net.Addr, kind link.Type, body []byte) []byte {
+func (g *Gossip) Handle(ctx context.Context, _ net.Addr, kind link.Type, body []byte) []byte {
 	switch kind {
 	case link.Heartbeat:
 		g.heard(body)
@@ -161,7 +181,17 @@
 	case link.Table:
 		return g.serveTable(body)
 	case link.Execute:
-		return g.Execute(body)
+		if g.Execute != nil {
+			return g.Execute(body)
+		}
+	case link.Entries:
+		return g.serveEntries(body)
+	case link.Stall:
+		g.hearStall(body)
+	case link.Gather:
+		if g.Gather != nil {
+			return g.Gather(ctx, body)
+		}
 	}
 	return nil
 }
@@ -173,7 +203,9 @@
 		return
 	}
 	now := time.Now()
-	g.Quota.Merge(now, h.Claims)
+	if g.Quota != nil {
+		g.Quota.Merge(now, h.Claims)
+	}
 	news := g.Table.Merge(now, h.Updates)
 	if g.Poison.Merge(now, h.Suspects) || len(news) > 0 {
 		g.Push()
@@ -187,6 +219,7 @@
 		g.Link.Send(from.Link, link.Heartbeat, g.encode(now, []member.Member{from}))
 	}
 	g.compareRevisions(h.Revision, &from)
+	g.compareRosters(h.Roster, &from)
 	g.compareDigests(h.Digest, &from)
 }
 
@@ -346,6 +379,7 @@
 		if g.askTable(ask, seed) {
 			joined++
 			g.fetch(seed)
+			g.fetchEntries(seed)
 		}
 		cancel()
 	}
--- a/internal/process/keys/keys.go
+++ b/internal/process/keys/keys.go
@@ -15,6 +15,7 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
@@ -52,6 +53,10 @@
 	Certificate string
 	Key         string
 	Authority   string
+	// Trusted, if set, decides by the fingerprint of its certificate who a peer
+	// is; no authority signs then. Dates are not checked, so that a wall clock
+	// that jumps breaks no link.
+	Trusted func(fingerprint []byte) bool
 
 	mu       sync.Mutex
 	pair     *tls.Certificate
@@ -134,6 +139,12 @@
 	if len(state.PeerCertificates) == 0 {
 		return &Error{Op: "verify peer", Kind: KindUntrusted, Err: fault.Causef("no certificate was shown")}
 	}
+	if k.Trusted != nil {
+		if !k.Trusted(fingerprintOf(state.PeerCertificates[0].Raw)) {
+			return &Error{Op: "verify peer", Kind: KindUntrusted, Err: fault.Causef("no member has shown this certificate")}
+		}
+		return nil
+	}
 	_, pool := k.current()
 	options := x509.VerifyOptions{Roots: pool, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny}}
 	if _, err := state.PeerCertificates[0].Verify(options); err != nil {
@@ -142,6 +153,38 @@
 	return nil
 }
 
+// fingerprintBytes is the length of a fingerprint: enough that no other
+// certificate with the same one can be found, and short in every record.
+const fingerprintBytes = 16
+
+// Pinned makes a key that lives as long as the process. Peers know it by its
+// fingerprint, which travels with the daemon's record.
+func Pinned(name string) (*Keys, error) {
+	authority, err := NewAuthority()
+	if err != nil {
+		return nil, err
+	}
+	key, der, err := authority.sign(name)
+	if err != nil {
+		return nil, err
+	}
+	return &Keys{
+		pair:    &tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
+		Trusted: func([]byte) bool { return false },
+	}, nil
+}
+
+// Fingerprint identifies this daemon's certificate.
+func (k *Keys) Fingerprint() []byte {
+	pair, _ := k.current()
+	return fingerprintOf(pair.Certificate[0])
+}
+
+func fingerprintOf(der []byte) []byte {
+	sum := sha256.Sum256(der)
+	return sum[:fingerprintBytes]
+}
+
 // Authority signs keys for daemons.
 type Authority struct {
 	certificate *x509.Certificate
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"bytes"
 	"cmp"
 	"math/rand/v2"
 	"slices"
@@ -64,6 +65,10 @@
 	// UptimeMillis is the daemon's own monotonic clock when the record was
 	// sent, carried forward by whoever passes it on.
 	UptimeMillis int64
+	// Fingerprint identifies the daemon's certificate where no authority signs.
+	Fingerprint []byte
+	// StoreLost is true while the daemon can not reach the store.
+	StoreLost bool
 }
 
 // Brief is what a heartbeat says of its sender: enough to tell whether the
@@ -96,6 +101,11 @@
 // Table is one daemon's view of the tier. Its methods may be called from any
 // goroutine.
 type Table struct {
+	// Outgrow makes the daemon take a higher incarnation when it hears of a
+	// predecessor that had one, as after a wall clock was set back. It is set
+	// before the first call.
+	Outgrow bool
+
 	mu      sync.Mutex
 	self    *entry
 	started time.Time
@@ -134,6 +144,28 @@
 	t.bump(now)
 }
 
+// SetStoreLost tells the others whether the daemon reaches the store.
+func (t *Table) SetStoreLost(now time.Time, lost bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self.StoreLost != lost {
+		t.self.StoreLost = lost
+		t.bump(now)
+	}
+}
+
+// Trusts reports whether a daemon of the table has shown the certificate.
+func (t *Table) Trusts(fingerprint []byte) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.members {
+		if bytes.Equal(e.Fingerprint, fingerprint) {
+			return true
+		}
+	}
+	return false
+}
+
 func (t *Table) bump(now time.Time) {
 	t.self.Version++
 	t.self.at = now
@@ -185,6 +217,11 @@
 
 // refute answers a claim about this daemon that is not true.
 func (t *Table) refute(now time.Time, m *Member) bool {
+	if t.Outgrow && m.Incarnation > t.self.Incarnation {
+		t.self.Incarnation = m.Incarnation + 1
+		t.bump(now)
+		return true
+	}
 	if m.Incarnation != t.self.Incarnation || m.Version < t.self.Version || m.State == t.self.State && m.Version == t.self.Version {
 		return false
 	}
--- a/internal/process/member/ring.go
+++ b/internal/process/member/ring.go
@@ -100,3 +100,19 @@
 	slices.SortFunc(silent, func(a, b *entry) int { return cmp.Compare(a.hash, b.hash) })
 	return silent[t.random.IntN(len(silent))]
 }
+
+// Near returns at most so many other daemons of the own region that serve, in
+// random order.
+func (t *Table) Near(now time.Time, most int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var found []Member
+	for _, e := range t.members {
+		if e != t.self && e.Region == t.self.Region && e.State <= Leaving {
+			found = append(found, t.export(now, e))
+		}
+	}
+	slices.SortFunc(found, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	t.random.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+	return found[:min(len(found), most)]
+}
--- /dev/null
+++ b/internal/process/node/life.go
@@ -0,0 +1,174 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/pause"
+)
+
+// join finds other daemons, settings and registrations, and goes on trying
+// until the daemon is ready. What others can tell is not read from the store.
+func (n *Node) join(ctx context.Context) {
+	following := false
+	for ctx.Err() == nil {
+		if !following {
+			following = true
+			if _, err := n.feed.Enter(ctx); err != nil {
+				n.Log.State("the store does not take this daemon's record yet", "error", err)
+			}
+		}
+		n.gossip.Join(ctx, n.others(), joinSeeds)
+		if !n.informed() {
+			if err := n.feed.LoadOnce(ctx); err != nil {
+				n.Log.State("the store can not be read yet", "error", err)
+				following = false
+			}
+		}
+		if n.informed() {
+			break
+		}
+		pause.For(ctx, joinRetry)
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	n.known.Store(true)
+	if !n.leaving.Load() {
+		n.Table.SetState(time.Now(), member.Ready)
+		n.gossip.Push()
+	}
+	n.Log.State("ready", "uptimeMillis", time.Since(n.started).Milliseconds(), "members", n.Table.Live(),
+		"targets", n.Roster.Len(), "revision", n.Keeper.Current().Change.Revision)
+	n.feed.Run(ctx)
+}
+
+// others lists the links of known daemons in random order.
+func (n *Node) others() []string {
+	var links []string
+	now := time.Now()
+	self := n.Table.Self(now)
+	for _, m := range n.Table.All(now) {
+		if m.Name != self.Name && m.State < member.Silent {
+			links = append(links, m.Link)
+		}
+	}
+	rand.Shuffle(len(links), func(i, j int) { links[i], links[j] = links[j], links[i] })
+	return links
+}
+
+// informed reports whether the daemon knows routes and targets.
+func (n *Node) informed() bool {
+	return n.Keeper.Current().Tree.Routes() != nil && n.Roster.Len() > 0
+}
+
+// Ready reports whether callers may be sent here.
+func (n *Node) Ready() bool {
+	return n.linked.Load() && n.Table.Self(time.Now()).State == member.Ready
+}
+
+// Addresses lists the daemons that a caller should use: those of its data
+// centre, or else of its region, or else all.
+func (n *Node) Addresses(region, dataCentre string, most int) []string {
+	if !n.linked.Load() {
+		return nil
+	}
+	now := time.Now()
+	var local, near, all []string
+	for _, m := range n.Table.All(now) {
+		if m.State != member.Ready {
+			continue
+		}
+		all = append(all, m.URL)
+		if m.Region == region {
+			near = append(near, m.URL)
+		}
+		if m.DataCentre == dataCentre {
+			local = append(local, m.URL)
+		}
+	}
+	for _, found := range [][]string{local, near, all} {
+		if len(found) > 0 {
+			rand.Shuffle(len(found), func(i, j int) { found[i], found[j] = found[j], found[i] })
+			return found[:min(len(found), most)]
+		}
+	}
+	return nil
+}
+
+// upkeep does what has come due with time alone.
+func (n *Node) upkeep(ctx context.Context) {
+	for round := 1; pause.For(ctx, houseInterval); round++ {
+		now := time.Now()
+		n.gossip.Registrations(n.Roster.Expire(now))
+		n.Pools.SetDaemons(n.Table.Live())
+		if round%sweepRounds == 0 {
+			n.Pools.Sweep(now)
+			n.keepLinks(now)
+		}
+	}
+}
+
+func (n *Node) keepLinks(now time.Time) {
+	addresses := map[string]bool{}
+	for _, m := range n.Table.All(now) {
+		if m.State < member.Silent {
+			addresses[m.Link] = true
+		}
+	}
+	n.link.Keep(addresses)
+}
+
+// Stop says that the daemon leaves, serves on while callers keep its address,
+// and ends once nothing is under way.
+func (n *Node) Stop(ctx context.Context) error {
+	began := time.Now()
+	n.leaving.Store(true)
+	n.Table.SetState(began, member.Leaving)
+	n.gossip.Push()
+	grace, keep := n.stopTimes()
+	n.Log.State("leaving", "inFlight", n.server.InFlight(), "graceMillis", grace.Milliseconds())
+	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
+	defer cancel()
+	kept := min(keepFactor*keep, grace-4*stopMargin)
+	// Callers that use a connection now learn that it is better to leave.
+	pause.For(ctx, kept/2)
+	n.server.Leave()
+	pause.For(ctx, kept-kept/2)
+	err := n.server.Stop(ctx)
+	cut := 0
+	if err != nil {
+		cut = n.server.InFlight()
+	}
+	n.Table.SetState(time.Now(), member.Gone)
+	n.gossip.Push()
+	pause.For(context.Background(), goodbyeTime)
+	n.cancel()
+	n.link.Close()
+	n.Log.State("stopped", "cut", cut, "tookMillis", time.Since(began).Milliseconds())
+	if err != nil {
+		return &Error{Op: "stop", Kind: KindStop, Err: errors.Join(err, ctx.Err())}
+	}
+	return nil
+}
+
+// goodbyeTime lets the last heartbeat leave before the link closes.
+const goodbyeTime = 60 * time.Millisecond
+
+// Update takes the parts of a setup that may change while running.
+func (n *Node) Update(setup Setup) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.Setup.Grace, n.Setup.Keep = setup.Grace, setup.Keep
+	n.Pools.SetTerms(setup.Terms)
+}
+
+// stopTimes returns the grace of a stop and how long callers keep addresses.
+func (n *Node) stopTimes() (grace, keep time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.Setup.Grace, n.Setup.Keep
+}
--- /dev/null
+++ b/internal/process/node/node.go
@@ -0,0 +1,310 @@
+// Package node is a daemon that relays opaque requests: it puts the parts that
+// decide together with a store, a dialect and an edge, and runs them.
+//
+// # Usage
+//
+//	n := &node.Node{Setup: setup, Source: source, Dialect: dialect, Codec: codec, Log: log}
+//	err := n.Start(ctx)
+//	...
+//	err = n.Stop(ctx) // graceful: cuts no request
+//
+// What differs between platforms comes in through the interfaces; the node
+// knows none of their names.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/edge"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/feed"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/gossip"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/pools"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/trace"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// The kinds.
+const (
+	KindStart Kind = "Start"
+	KindStop  Kind = "Stop"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+// Setup is what a node is told at its start.
+type Setup struct {
+	Name       string
+	DataCentre string
+	Region     string
+	// Regions names the region of each data centre.
+	Regions map[string]string
+	// Front is "ip:port" for callers, Link for other daemons.
+	Front string
+	Link  string
+	// Terms are the budget for repeated attempts.
+	Terms repeat.Terms
+	// Keep is how long callers may keep addresses; Grace bounds a stop.
+	Keep  time.Duration
+	Grace time.Duration
+}
+
+const (
+	// linkIdle ends a silent connection to another daemon. Heartbeats are sent
+	// several times as often.
+	linkIdle = 4 * time.Second
+	// joinRetry is the time between rounds of joining, and joinSeeds the number
+	// of daemons that a joining one asks.
+	joinRetry = 200 * time.Millisecond
+	joinSeeds = 3
+	// houseInterval is the time between rounds of upkeep, and sweepRounds how
+	// many of them pass between looks at idle connections.
+	houseInterval = 200 * time.Millisecond
+	sweepRounds   = 10
+	// watchers is the number of daemons of each data centre that follow the store.
+	watchers = 1
+	// keepFactor is how many times longer than told some callers keep addresses.
+	keepFactor = 3
+	// stopMargin is kept of the grace for the last replies.
+	stopMargin = 500 * time.Millisecond
+	// retryUnready is when a caller may come back to a daemon that has no routes yet.
+	retryUnready = 500 * time.Millisecond
+)
+
+// Node is one daemon. Exported fields are set before Start.
+type Node struct {
+	Setup   Setup
+	Source  feed.Source
+	Dialect relay.Dialect
+	Codec   edge.Codec
+	Log     *trace.Log
+	Meter   *meter.Meter
+	// WrapLink, if set, stands between QUIC and the socket, for tests.
+	WrapLink func(net.PacketConn) net.PacketConn
+
+	Keeper *epoch.Keeper
+	Table  *member.Table
+	Roster *roster.Roster
+	Pools  *pools.Pools
+	Poison *poison.Register
+
+	mu      sync.Mutex // guards Setup after the start
+	started time.Time
+	keys    *keys.Keys
+	link    *link.Link
+	gossip  *gossip.Gossip
+	feed    *feed.Feed
+	runner  *relay.Runner
+	server  *edge.Server
+	cancel  context.CancelFunc
+	leaving atomic.Bool
+	// linked is true once the table exists.
+	linked atomic.Bool
+	known  atomic.Bool
+}
+
+// Start listens and begins to join. It becomes ready once it knows the routes
+// and the targets.
+func (n *Node) Start(ctx context.Context) error {
+	n.started = time.Now()
+	n.build()
+	if err := n.listen(); err != nil {
+		return err
+	}
+	ctx, n.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	n.Log.State("started", "daemon", n.Setup.Name, "dataCentre", n.Setup.DataCentre, "front", n.server.Address, "link", n.link.Address)
+	go n.join(ctx)
+	go n.gossip.Run(ctx)
+	go n.upkeep(ctx)
+	return nil
+}
+
+// build makes the parts that need no socket.
+func (n *Node) build() {
+	n.Keeper = epoch.NewKeeper()
+	n.Roster = roster.New()
+	n.Poison = poison.New()
+	n.Pools = &pools.Pools{
+		Daemon: n.Setup.Name, Region: n.Setup.Region, RegionOf: func(dc string) string { return n.Setup.Regions[dc] },
+		Terms: n.Setup.Terms, Opened: func() { n.Meter.Decide("OpenTargetConnection") },
+	}
+	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, Wrap: n.WrapLink, IdleTimeout: linkIdle}
+	n.gossip = &gossip.Gossip{
+		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster,
+		Accepted: n.configure, Registered: n.register, Stalled: n.hearStall,
+	}
+	n.gossip.Init()
+	n.runner = &relay.Runner{
+		Pools: n.Pools, Dialect: n.Dialect, Poison: n.Poison, Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall,
+	}
+	n.server = &edge.Server{
+		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Limits: n.limits, Unwritten: n.unwritten,
+	}
+}
+
+// listen opens the sockets and makes what depends on their addresses.
+func (n *Node) listen() error {
+	pinned, err := keys.Pinned(n.Setup.Name)
+	if err != nil {
+		return &Error{Op: "start", Kind: KindStart, Err: err}
+	}
+	n.keys = pinned
+	n.link.Keys = pinned
+	if err := n.link.Start(); err != nil {
+		return &Error{Op: "start", Kind: KindStart, Err: err}
+	}
+	if err := n.server.Start(); err != nil {
+		n.link.Close()
+		return &Error{Op: "start", Kind: KindStart, Err: err}
+	}
+	n.Table = member.New(n.started, member.Member{
+		Name: n.Setup.Name, Link: n.link.Address, URL: n.server.Address,
+		DataCentre: n.Setup.DataCentre, Region: n.Setup.Region,
+		Incarnation: uint64(n.started.UnixMilli())<<incarnationRandom | uint64(rand.Uint32N(1<<incarnationRandom)),
+		State:       member.Joining, Fingerprint: pinned.Fingerprint(),
+	}, rand.Uint64())
+	pinned.Trusted = n.Table.Trusts
+	n.Table.Outgrow = true
+	n.gossip.Table = n.Table
+	n.feed = &feed.Feed{
+		Source: n.Source, Table: n.Table, Roster: n.Roster, Meter: n.Meter, Log: n.Log, Watchers: watchers,
+		Offer: n.gossip.Offer, Registered: n.gossip.Registrations, Met: n.gossip.Push,
+	}
+	n.linked.Store(true)
+	return nil
+}
+
+// incarnationRandom is the number of random bits below the start time in an
+// incarnation, for two starts within one millisecond.
+const incarnationRandom = 12
+
+// handle passes messages on once listen has finished.
+func (n *Node) handle(ctx context.Context, from net.Addr, kind link.Type, body []byte) []byte {
+	if !n.linked.Load() {
+		return nil
+	}
+	return n.gossip.Handle(ctx, from, kind, body)
+}
+
+// limits returns the operator's limits on what callers send.
+func (n *Node) limits() *tree.Limits {
+	routes := n.Keeper.Current().Tree.Routes()
+	if routes == nil {
+		return nil
+	}
+	return &routes.Limits
+}
+
+// configure brings a new revision to the pools.
+func (n *Node) configure() {
+	e := n.Keeper.Current()
+	routes := e.Tree.Routes()
+	if routes == nil {
+		return
+	}
+	n.Pools.Configure(routes)
+	n.Log.State("settings in force", "revision", e.Change.Revision, "version", e.Change.Number, "routes", len(routes.All),
+		"uptimeMillis", time.Since(n.started).Milliseconds())
+}
+
+// register brings changed registrations to their pools.
+func (n *Node) register(changed []string) {
+	now := time.Now()
+	seen := map[string]bool{}
+	for _, name := range changed {
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		entries := n.Roster.Pool(name)
+		n.Pools.Register(now, name, entries)
+		ready, leaving := 0, 0
+		for i := range entries {
+			if entries[i].Leaving {
+				leaving++
+			} else {
+				ready++
+			}
+		}
+		if n.known.Load() {
+			n.Log.State("targets changed", "pool", name, "ready", ready, "leaving", leaving, "revision", n.Roster.Revision())
+		}
+	}
+}
+
+// serve answers one request.
+func (n *Node) serve(ctx context.Context, request *relay.Request) *relay.Answer {
+	e := n.Keeper.Current()
+	routes := e.Tree.Routes()
+	if routes == nil {
+		n.Log.Failure(request.ID, "refused", "why", "no settings yet")
+		return &relay.Answer{Result: relay.NotRun, Why: "no settings yet", RetryAfter: retryUnready}
+	}
+	path := request.URI
+	for i := range len(path) {
+		if path[i] == '?' {
+			path = path[:i]
+			break
+		}
+	}
+	route := routes.Match(request.Host, path)
+	if route == nil {
+		n.Log.Failure(request.ID, "no route", "host", request.Host, "uri", request.URI, "revision", e.Change.Revision)
+		return &relay.Answer{Result: relay.NoRoute, Why: "no route"}
+	}
+	answer := n.runner.Run(ctx, request, route)
+	n.record(request, route, answer, e)
+	return answer
+}
+
+// record logs and counts how a request ended.
+func (n *Node) record(request *relay.Request, route *tree.Route, answer *relay.Answer, e *epoch.Epoch) {
+	took := time.Since(request.Arrived)
+	n.Meter.Answers.WithLabelValues(string(answer.Result), "", "", route.Name).Inc()
+	n.Meter.Latency.WithLabelValues("", "", route.Name).Observe(took.Seconds())
+	pairs := []any{
+		"result", answer.Result, "why", answer.Why, "route", route.Name, "pool", answer.Pool, "revision", e.Change.Revision,
+		"tookMillis", took.Milliseconds(), "patienceMillis", request.Patience.Milliseconds(),
+		"missing", answer.Missing, "extras", answer.Extras,
+	}
+	switch answer.Result {
+	case relay.Gathered:
+		n.Log.Request(request.ID, "answered", pairs...)
+	case relay.Passed:
+		n.Log.Request(request.ID, "answered", append(pairs, "status", answer.Reply.Status)...)
+	default:
+		n.Log.Failure(request.ID, "ended", append(pairs, "retryAfterMillis", answer.RetryAfter.Milliseconds())...)
+	}
+}
+
+func (n *Node) unwritten(request *relay.Request, err error) {
+	n.Log.Failure(request.ID, "the answer could not be written whole", "error", err)
+}
+
+// tellStall passes on that a target is late.
+func (n *Node) tellStall(pool string, t *fleet.Target, since time.Duration) {
+	n.gossip.Stall(pool, t.ID, since)
+}
+
+func (n *Node) hearStall(pool, id string, since time.Duration) {
+	n.Pools.Fleet(pool).Stalled(time.Now(), id, since)
+}
--- /dev/null
+++ b/internal/process/pools/pools.go
@@ -0,0 +1,171 @@
+// Package pools holds what a daemon knows of every pool of targets: the fleet
+// that chooses among them, the budget for repeated attempts, and the
+// connections. It follows the routes in force and the registrations.
+//
+// # Usage
+//
+//	p := &pools.Pools{Region: "north", RegionOf: regionOf, Terms: terms}
+//	p.Configure(now, routes)
+//	p.Register(now, "label-desk", entries)
+//	fleet, budget := p.Fleet("label-desk"), p.Budget("label-desk")
+//	reply, err := p.Connections(target).Do(ctx, request, deadline)
+package pools
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+// Pools is the state. Exported fields are set before the first call.
+type Pools struct {
+	// Daemon is the daemon's name; it decides which targets it uses when there
+	// are more than it may connect to.
+	Daemon string
+	Region string
+	// RegionOf names the region of a data centre.
+	RegionOf func(dataCentre string) string
+	// Terms are the budget for repeated attempts of each pool.
+	Terms repeat.Terms
+	// Opened, if set, is called for each new connection to a target.
+	Opened func()
+
+	mu      sync.RWMutex
+	pools   map[string]*pool
+	conns   map[string]*http1.Pool
+	daemons int
+}
+
+type pool struct {
+	fleet       *fleet.Fleet
+	budget      *repeat.Budget
+	connections int
+}
+
+func (p *Pools) get(name string) *pool {
+	p.mu.RLock()
+	found := p.pools[name]
+	p.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if found = p.pools[name]; found != nil {
+		return found
+	}
+	if p.pools == nil {
+		p.pools = map[string]*pool{}
+	}
+	found = &pool{
+		fleet:  fleet.New(fleet.Config{Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: rand.Uint64()}),
+		budget: repeat.New(p.Terms),
+	}
+	found.fleet.SetDaemons(max(p.daemons, 1))
+	found.budget.SetDaemons(max(p.daemons, 1))
+	p.pools[name] = found
+	return found
+}
+
+// Fleet returns the fleet of a pool, which may have no targets.
+func (p *Pools) Fleet(name string) *fleet.Fleet { return p.get(name).fleet }
+
+// Budget returns the budget for repeated attempts at a pool.
+func (p *Pools) Budget(name string) *repeat.Budget { return p.get(name).budget }
+
+// Configure takes the connection limits of the routes in force.
+func (p *Pools) Configure(routes *tree.Routes) {
+	for name, settings := range routes.Pools {
+		found := p.get(name)
+		p.mu.Lock()
+		found.connections = settings.Connections
+		p.mu.Unlock()
+		found.fleet.SetConnections(settings.Connections)
+	}
+}
+
+// SetDaemons tells how many live daemons share targets and budgets.
+func (p *Pools) SetDaemons(count int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if count = max(count, 1); count == p.daemons {
+		return
+	}
+	p.daemons = count
+	for _, found := range p.pools {
+		found.fleet.SetDaemons(count)
+		found.budget.SetDaemons(count)
+	}
+}
+
+// SetTerms changes the budget for repeated attempts of all pools.
+func (p *Pools) SetTerms(terms repeat.Terms) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.Terms = terms
+	for _, found := range p.pools {
+		found.budget.SetTerms(terms)
+	}
+}
+
+// Register takes the registrations of one pool.
+func (p *Pools) Register(now time.Time, name string, entries []roster.Entry) {
+	found := p.get(name)
+	gone := found.fleet.SetEntries(now, entries, p.RegionOf)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found.fleet.SetConnections(found.connections)
+	for _, id := range gone {
+		if conns := p.conns[id]; conns != nil {
+			conns.Close()
+			delete(p.conns, id)
+		}
+	}
+}
+
+// Connections returns the connections to a target.
+func (p *Pools) Connections(t *fleet.Target) *http1.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.conns[t.ID]
+	if conns == nil || conns.Address != t.Address {
+		if p.conns == nil {
+			p.conns = map[string]*http1.Pool{}
+		}
+		conns = &http1.Pool{Address: t.Address, Opened: p.Opened}
+		p.conns[t.ID] = conns
+	}
+	return conns
+}
+
+// Sweep closes idle connections that are over.
+func (p *Pools) Sweep(now time.Time) {
+	p.mu.RLock()
+	conns := make([]*http1.Pool, 0, len(p.conns))
+	for _, c := range p.conns {
+		conns = append(conns, c)
+	}
+	p.mu.RUnlock()
+	for _, c := range conns {
+		c.Sweep(now)
+	}
+}
+
+// Each calls do for every pool.
+func (p *Pools) Each(do func(name string, f *fleet.Fleet, b *repeat.Budget)) {
+	p.mu.RLock()
+	all := make(map[string]*pool, len(p.pools))
+	for name, found := range p.pools {
+		all[name] = found
+	}
+	p.mu.RUnlock()
+	for name, found := range all {
+		do(name, found.fleet, found.budget)
+	}
+}
--- /dev/null
+++ b/internal/process/repeat/repeat.go
@@ -0,0 +1,147 @@
+// Package repeat shares one budget for repeated attempts over all daemons
+// without their talking about it. In any window the tier may send a pool a
+// share of its requests, plus a fixed slack, as attempts beyond the first. Each
+// daemon spends at most the share of its own requests, plus an even part of the
+// slack.
+//
+// # Usage
+//
+//	b := repeat.New(repeat.Terms{Ratio: 0.2, Slack: 56, Window: 10 * time.Second})
+//	b.SetDaemons(8)
+//	b.Primary(now, 1)
+//	if b.Take(now, 0) {
+//		// send the attempt, or
+//		b.Refund(now)
+//	}
+package repeat
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// buckets is how many parts a window is counted in.
+	buckets = 40
+	// keptShare is the part of the budget that is spent: daemons may differ
+	// about how many they are, and attempts arrive later than they are sent.
+	keptShare = 0.85
+	// marginBuckets is how much longer than the window extras are counted, as
+	// delays may bring attempts of two windows together.
+	marginBuckets = 2
+)
+
+// Terms are what the operator allows for each pool.
+type Terms struct {
+	// Ratio is the extra attempts for each request.
+	Ratio float64
+	// Slack is the extra attempts in a window beyond the ratio.
+	Slack  float64
+	Window time.Duration
+}
+
+type bucket struct{ requests, extras int32 }
+
+// Budget is one pool's budget at one daemon. Its methods may be called from
+// any goroutine.
+type Budget struct {
+	mu      sync.Mutex
+	terms   Terms
+	daemons int
+	ring    [buckets + marginBuckets]bucket
+	slot    int64
+}
+
+// New returns a budget of which nothing is spent.
+func New(terms Terms) *Budget { return &Budget{terms: terms, daemons: 1} }
+
+// SetTerms changes what the operator allows. A window of another length starts
+// its counts anew.
+func (b *Budget) SetTerms(terms Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if terms.Window != b.terms.Window {
+		b.slot = 0
+	}
+	b.terms = terms
+}
+
+// SetDaemons tells how many daemons share the slack.
+func (b *Budget) SetDaemons(count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.daemons = max(count, 1)
+}
+
+// Primary records first attempts.
+func (b *Budget) Primary(now time.Time, count int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(now).requests += int32(count)
+}
+
+// Take spends one extra attempt if the budget allows it. The share of callers
+// with a ratio of their own is not used: the terms hold for all.
+func (b *Budget) Take(now time.Time, _ float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.at(now)
+	requests, extras := b.sum()
+	allowed := keptShare * (b.terms.Ratio*float64(requests) + b.terms.Slack/float64(b.daemons))
+	if float64(extras+1) > allowed {
+		return false
+	}
+	current.extras++
+	return true
+}
+
+// Spend records an extra attempt that was sent without asking.
+func (b *Budget) Spend(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(now).extras++
+}
+
+// Refund gives back an extra attempt that was taken but not sent.
+func (b *Budget) Refund(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if current := b.at(now); current.extras > 0 {
+		current.extras--
+	}
+}
+
+// Usage returns the requests and extra attempts of the window.
+func (b *Budget) Usage(now time.Time) (requests, extras int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(now)
+	return b.sum()
+}
+
+// sum counts requests over the window and extras over the margin too.
+func (b *Budget) sum() (requests, extras int) {
+	for i := range b.ring {
+		extras += int(b.ring[i].extras)
+	}
+	size := int64(len(b.ring))
+	for age := range int64(buckets) {
+		requests += int(b.ring[((b.slot-age)%size+size)%size].requests)
+	}
+	return requests, extras
+}
+
+// at returns the bucket of now and clears those that fell out of the window.
+func (b *Budget) at(now time.Time) *bucket {
+	slot := now.UnixNano() / int64(b.terms.Window/buckets)
+	size := int64(len(b.ring))
+	if slot-b.slot >= size || b.slot == 0 {
+		b.ring = [buckets + marginBuckets]bucket{}
+		b.slot = max(b.slot, slot)
+	}
+	for b.slot < slot {
+		b.slot++
+		b.ring[b.slot%size] = bucket{}
+	}
+	return &b.ring[b.slot%size]
+}
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -60,6 +60,18 @@
 	Canary bool
 	// CanaryShard is where the search for the canaries' shards starts.
 	CanaryShard int
+	// Pools, if set, are the budgets for extra attempts at each shard, in place
+	// of Hedges and Retries: shards that are pools of their own have one each.
+	// Then an attempt that its target turned away is paid for as well.
+	Pools []Budget
+	// Delay, if set, is how long after its send an attempt at a target counts
+	// as late. It replaces the quantile over all shards.
+	Delay func(shard int, target *fleet.Target) time.Duration
+	// Once forbids a second attempt unless the first is known not to have run.
+	Once bool
+	// Skip, if set, lists shards that the caller gathers in another way. Each is
+	// settled by Skipped.
+	Skip []bool
 }
 
 // Attempt is one sub-request to send.
@@ -304,7 +316,7 @@
 
 func (g *Gather) sendAll(now time.Time) {
 	for shard := range g.shards {
-		if g.shards[shard].phase == idle {
+		if g.shards[shard].phase == idle && !g.skipped(shard) {
 			g.launch(now, shard, false)
 		}
 	}
@@ -319,8 +331,7 @@
 	switch choice.Verdict {
 	case fleet.Picked:
 		if s.attempts == 0 {
-			g.config.Hedges.Primary(now, 1)
-			g.config.Retries.Primary(now, 1)
+			g.primary(now, shard)
 		}
 		g.send(now, shard, choice.Target)
 	case fleet.Busy:
@@ -358,15 +369,50 @@
 // a target are free; the others come out of the retry budget.
 func (g *Gather) retry(now time.Time, shard int, outcome fleet.Outcome) {
 	s := &g.shards[shard]
-	free := outcome == fleet.Refused || outcome == fleet.Draining || outcome == fleet.Gone
-	most := g.mayAttempt(s) || free && s.attempts < mostAttempts && g.config.Settings.MaxAttempts > 1
-	if !most || outcome == fleet.Expired || !free && !g.config.Retries.Take(now, g.config.Settings.RetryBudget) {
+	free := outcome == fleet.Refused || g.config.Pools == nil && (outcome == fleet.Draining || outcome == fleet.Gone)
+	most := g.mayAttempt(s) || notRun(outcome) && s.attempts < mostAttempts && g.config.Settings.MaxAttempts > 1
+	barred := outcome == fleet.Expired || g.config.Once && !notRun(outcome)
+	if !most || barred || !free && !g.retries(shard).Take(now, g.config.Settings.RetryBudget) {
 		g.giveUp(now, shard)
 		return
 	}
 	g.launch(now, shard, false)
 }
 
+// notRun reports whether an attempt with this outcome certainly did not run,
+// and will run nowhere.
+func notRun(outcome fleet.Outcome) bool {
+	switch outcome {
+	case fleet.Refused, fleet.Draining, fleet.Gone, fleet.Shed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (g *Gather) primary(now time.Time, shard int) {
+	if g.config.Pools != nil {
+		g.config.Pools[shard].Primary(now, 1)
+		return
+	}
+	g.config.Hedges.Primary(now, 1)
+	g.config.Retries.Primary(now, 1)
+}
+
+func (g *Gather) hedges(shard int) Budget {
+	if g.config.Pools != nil {
+		return g.config.Pools[shard]
+	}
+	return g.config.Hedges
+}
+
+func (g *Gather) retries(shard int) Budget {
+	if g.config.Pools != nil {
+		return g.config.Pools[shard]
+	}
+	return g.config.Retries
+}
+
 // giveUp fails a shard. A canary that fails without breaking its target says
 // nothing against the query, so the others go ahead.
 func (g *Gather) giveUp(now time.Time, shard int) {
--- a/internal/request/gather/hedge.go
+++ b/internal/request/gather/hedge.go
@@ -10,10 +10,10 @@
 // latency of its service, while most other shards have answered.
 func (g *Gather) hedge(now time.Time) {
 	settings := g.config.Settings
-	if settings.ExtraLoad <= 0 || settings.MaxAttempts < 2 {
+	if g.config.Once || settings.MaxAttempts < 2 || settings.ExtraLoad <= 0 && g.config.Pools == nil {
 		return
 	}
-	if g.allSlow() {
+	if g.config.Delay == nil && g.allSlow() {
 		// Called again by the reply that ends this state.
 		return
 	}
@@ -27,7 +27,10 @@
 
 // hedgeDue hedges what is due and returns when the next shard will be.
 func (g *Gather) hedgeDue(now time.Time) time.Time {
-	delay := max(g.config.Targets.HedgeDelay(now, 1-hedgeShare*g.config.Settings.ExtraLoad), leastDelay)
+	delay := leastDelay
+	if g.config.Delay == nil {
+		delay = max(g.config.Targets.HedgeDelay(now, 1-hedgeShare*g.config.Settings.ExtraLoad), leastDelay)
+	}
 	next := g.config.Deadline
 	for shard := range g.shards {
 		s := &g.shards[shard]
@@ -35,7 +38,7 @@
 			continue
 		}
 		at := s.sent.Add(delay)
-		if !now.Before(at) {
+		if !now.Before(at) || g.config.Delay != nil {
 			at = s.sent.Add(g.shardDelay(delay, shard))
 		}
 		if now.Before(at) {
@@ -43,9 +46,13 @@
 			continue
 		}
 		if !g.hedgeShard(now, shard, delay) {
-			return earlier(next, now.Add(delay/2+leastDelay))
+			next = earlier(next, now.Add(g.shardDelay(delay, shard)/2+leastDelay))
+			if g.config.Pools == nil {
+				return next
+			}
+			continue
 		}
-		next = earlier(next, s.sent.Add(delay))
+		next = earlier(next, s.sent.Add(g.shardDelay(delay, shard)))
 	}
 	return next
 }
@@ -62,9 +69,9 @@
 func (g *Gather) hedgeShard(now time.Time, shard int, delay time.Duration) bool {
 	s := &g.shards[shard]
 	settings := g.config.Settings
-	paid := g.config.Hedges
+	paid := g.hedges(shard)
 	if !paid.Take(now, settings.ExtraLoad) {
-		paid = g.config.Retries
+		paid = g.retries(shard)
 		if now.Sub(s.sent) < lostFactor*delay || !paid.Take(now, settings.RetryBudget) {
 			return false
 		}
@@ -79,7 +86,12 @@
 	return true
 }
 
+// shardDelay is how late the newest attempt of a shard may be.
 func (g *Gather) shardDelay(delay time.Duration, shard int) time.Duration {
+	if g.config.Delay != nil {
+		s := &g.shards[shard]
+		return max(g.config.Delay(shard, s.tried[s.attempts-1]), leastDelay)
+	}
 	return time.Duration(float64(delay) * g.config.Targets.Slowness(shard))
 }
 
--- /dev/null
+++ b/internal/request/gather/skip.go
@@ -0,0 +1,42 @@
+package gather
+
+import (
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+)
+
+// skipped reports whether the caller gathers the shard in another way.
+func (g *Gather) skipped(shard int) bool { return g.config.Skip != nil && g.config.Skip[shard] }
+
+// Skipped ends the other way of gathering a shard. With an answer the shard is
+// settled. Without one the target that was tried, if any, counts as an attempt,
+// and the shard is sent to another if the budget allows it.
+func (g *Gather) Skipped(now time.Time, shard int, answered bool, tried *fleet.Target) *Step {
+	g.reset()
+	s := &g.shards[shard]
+	switch {
+	case !g.skipped(shard) || s.phase != idle:
+	case answered:
+		g.succeed(now, shard)
+	case tried == nil:
+		g.launch(now, shard, false)
+	default:
+		s.tried[s.attempts] = tried
+		s.ids[s.attempts] = g.record(shard)
+		s.attempts++
+		if !g.mayAttempt(s) || !g.retries(shard).Take(now, g.config.Settings.RetryBudget) {
+			g.giveUp(now, shard)
+			break
+		}
+		g.launch(now, shard, false)
+	}
+	return g.finish(now)
+}
+
+// record keeps the place of an attempt that another daemon made.
+func (g *Gather) record(shard int) uint64 {
+	id := uint64(len(g.attempts))
+	g.attempts = append(g.attempts, attemptState{shard: shard, ended: true})
+	return id
+}
--- /dev/null
+++ b/internal/request/inbox/inbox.go
@@ -0,0 +1,44 @@
+// Package inbox passes events to the goroutine of one request.
+//
+// # Usage
+//
+//	in := inbox.New[event]()
+//	in.Put(event{...}) // from any goroutine
+//	<-in.Signal
+//	events = in.Take(events)
+package inbox
+
+import "sync"
+
+// Inbox holds the events that its owner has not taken yet. Put never blocks,
+// also after the owner has gone.
+type Inbox[E any] struct {
+	// Signal has a value while there may be events.
+	Signal chan struct{}
+
+	mu     sync.Mutex
+	events []E
+}
+
+// New returns an empty inbox.
+func New[E any]() *Inbox[E] { return &Inbox[E]{Signal: make(chan struct{}, 1)} }
+
+// Put adds an event.
+func (i *Inbox[E]) Put(event E) {
+	i.mu.Lock()
+	i.events = append(i.events, event)
+	i.mu.Unlock()
+	select {
+	case i.Signal <- struct{}{}:
+	default:
+	}
+}
+
+// Take returns the events and leaves the given buffer in their place.
+func (i *Inbox[E]) Take(buffer []E) []E {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	events := i.events
+	i.events = buffer[:0]
+	return events
+}
--- /dev/null
+++ b/internal/request/relay/conclude.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"time"
+)
+
+// conclude returns the answer once there is one.
+func (x *exchange) conclude(now time.Time, done bool) *Answer {
+	if x.gathers() {
+		return x.concludeGather(now, done)
+	}
+	switch {
+	case x.gather.Answered() > 0:
+		return &Answer{Result: Passed, Reply: x.failed}
+	case done || !now.Before(x.end):
+		return x.fail(now)
+	case !x.sent && now.After(x.queueUntil):
+		return &Answer{Result: NotRun, Why: "all targets are at their limit", RetryAfter: retryBusy}
+	}
+	return nil
+}
+
+func (x *exchange) concludeGather(now time.Time, done bool) *Answer {
+	shards, answered := len(x.names), x.gather.Answered()
+	enough := answered > 0 && float64(answered) >= x.route.LeastCoverage*float64(shards)
+	switch {
+	case answered == shards:
+		return x.merged(Gathered, "")
+	case enough && done:
+		return x.merged(Partial, "the other shards failed")
+	case enough && !now.Before(x.partialAt) && now.Before(x.request.Arrived.Add(x.route.LatencyTarget)):
+		return x.merged(Partial, "the latency target is near")
+	case enough && !now.Before(x.lateAt):
+		return x.merged(Partial, "the answer is late")
+	case enough && !now.Before(x.end):
+		return x.merged(Partial, "the time is up")
+	case done || !now.Before(x.end):
+		return x.fail(now)
+	case float64(shards-x.gather.Failed()) < x.route.LeastCoverage*float64(shards):
+		return x.fail(now)
+	case !x.sent && len(x.fars) == 0 && now.After(x.queueUntil):
+		return &Answer{Result: NotRun, Why: "all targets are at their limit", RetryAfter: retryBusy, Missing: shards}
+	}
+	return nil
+}
+
+func (x *exchange) merged(result Result, why string) *Answer {
+	return &Answer{
+		Result: result, Why: why, Signatures: x.signatures, Missing: len(x.names) - x.gather.Answered(),
+		Body: x.runner.Dialect.Merge(x.route, x.bodies),
+	}
+}
+
+// fail says what became of a request that has no answer. A target's own
+// failure is passed on; "not run" is said only when no attempt may have run.
+func (x *exchange) fail(now time.Time) *Answer {
+	missing := len(x.names) - x.gather.Answered()
+	switch {
+	case x.failed != nil && !x.gathers():
+		return &Answer{Result: Passed, Reply: x.failed, Why: "the target failed"}
+	case !x.unknown && !x.pending() && x.gather.Answered() == 0 && len(x.fars) == 0:
+		return &Answer{Result: NotRun, Why: "no target took the request", RetryAfter: retryBusy, Missing: missing}
+	case !now.Before(x.end):
+		return &Answer{Result: Expired, Why: "the time is up", Missing: missing}
+	}
+	return &Answer{Result: Broken, Why: "too few targets answered", Missing: missing}
+}
+
+// pending reports whether an attempt is still under way.
+func (x *exchange) pending() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.cancels) > 0
+}
--- /dev/null
+++ b/internal/request/relay/exchange.go
@@ -0,0 +1,349 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/inbox"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+// event is the end of an attempt, or room at a target of a waiting shard.
+type event struct {
+	freed   bool
+	shard   int
+	attempt uint64
+	target  *fleet.Target
+	outcome fleet.Outcome
+	reply   *http1.Reply
+	mark    string
+	// far is the end of a gather through another daemon.
+	far *farEnd
+}
+
+// exchange is one request under way.
+type exchange struct {
+	runner      *Runner
+	request     *Request
+	route       *tree.Route
+	names       []string
+	fingerprint uint64
+	group       *fleet.Group
+	gather      *gather.Gather
+	inbox       *inbox.Inbox[event]
+	waits       map[int]func()
+	// end is when the caller's time or the route's is up; partialAt is when an
+	// answer with enough shards goes out, lateAt when one that is late does.
+	end       time.Time
+	partialAt time.Time
+	lateAt    time.Time
+	// queueUntil is how long the request may wait for room before its first attempt.
+	queueUntil time.Time
+
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc
+
+	bodies     [][]byte
+	signatures []string
+	sent       bool
+	unknown    bool
+	// failed is the newest reply of a target that was no success.
+	failed *http1.Reply
+	fars   []*farCall
+}
+
+func (r *Runner) exchange(request *Request, route *tree.Route, names []string, fingerprint uint64) *exchange {
+	fleets := make([]*fleet.Fleet, len(names))
+	budgets := make([]gather.Budget, len(names))
+	for i, name := range names {
+		fleets[i] = r.Pools.Fleet(name)
+		budgets[i] = r.Pools.Budget(name)
+	}
+	x := &exchange{
+		runner: r, request: request, route: route, names: names, fingerprint: fingerprint,
+		group: fleet.NewGroup(fleets), inbox: inbox.New[event](), waits: map[int]func(){},
+		cancels: map[uint64]context.CancelFunc{},
+	}
+	x.schedule()
+	settings := *tree.Default()
+	settings.MaxAttempts = route.MaxAttempts
+	config := gather.Config{
+		View: x.group.View, Targets: x.group, Pools: budgets, Settings: &settings,
+		Deadline: x.end, Once: !route.Idempotent,
+		Delay: x.group.Delay,
+	}
+	x.planFar(&config)
+	x.gather = gather.New(config)
+	return x
+}
+
+// schedule works out the times at which the request ends one way or another.
+func (x *exchange) schedule() {
+	request, route := x.request, x.route
+	patience := route.Timeout
+	if request.Patience > 0 {
+		patience = min(patience, max(request.Patience-answerMargin, request.Patience/2))
+	}
+	x.end = request.Arrived.Add(patience)
+	margin := callerTravel + timingSlack
+	if request.Fresh {
+		margin += freshTravel
+	}
+	target := route.LatencyTarget
+	if target == 0 {
+		target = patience
+	}
+	x.partialAt = request.Arrived.Add(max(target-margin, target/2))
+	x.lateAt = request.Arrived.Add(min(patienceFactor*target, patience*3/4))
+	x.queueUntil = request.Arrived.Add(target / queueShare)
+}
+
+// gathers reports whether the route merges shards.
+func (x *exchange) gathers() bool { return len(x.route.Gather) > 0 }
+
+// run drives the request until there is an answer.
+func (x *exchange) run(ctx context.Context) *Answer {
+	if answer := x.refuse(); answer != nil {
+		return answer
+	}
+	defer x.release()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var events []event
+	step := x.gather.Begin(time.Now())
+	x.callFar()
+	for {
+		x.carryOut(step)
+		if answer := x.conclude(time.Now(), step.Done); answer != nil {
+			return answer
+		}
+		timer.Reset(time.Until(x.next(step.Next)))
+		select {
+		case <-x.inbox.Signal:
+			events = x.inbox.Take(events)
+			step = x.handle(events)
+		case <-timer.C:
+			step = x.gather.Tick(time.Now())
+		case <-ctx.Done():
+			x.cancelAll()
+			return &Answer{Result: Left, Why: "the caller went away"}
+		}
+	}
+}
+
+// refuse answers at once what can not be served: too few shards have a target.
+func (x *exchange) refuse() *Answer {
+	now := time.Now()
+	up := x.group.Up(now)
+	needed := 1.0
+	if x.gathers() {
+		needed = x.route.LeastCoverage
+	}
+	if up > 0 && float64(up) >= needed*float64(len(x.names)) {
+		return nil
+	}
+	return &Answer{Result: NotRun, Why: "too few pools have a target that is up", RetryAfter: retryDown, Missing: len(x.names) - up}
+}
+
+// next is when to look again: what the gather asks for, or the times at which
+// an answer may go out.
+func (x *exchange) next(at time.Time) time.Time {
+	now := time.Now()
+	if at.IsZero() {
+		at = x.end
+	}
+	for _, other := range [...]time.Time{x.partialAt, x.lateAt, x.queueUntil} {
+		if other.After(now) && other.Before(at) {
+			at = other
+		}
+	}
+	return at
+}
+
+// handle takes events in order. All steps but the last are carried out here.
+func (x *exchange) handle(events []event) *gather.Step {
+	var step *gather.Step
+	for i := range events {
+		if step != nil {
+			x.carryOut(step)
+		}
+		now := time.Now()
+		e := &events[i]
+		switch {
+		case e.far != nil:
+			step = x.endFar(now, e.far)
+		case e.freed:
+			delete(x.waits, e.shard)
+			step = x.gather.Freed(now, e.shard)
+		default:
+			step = x.ended(now, e)
+		}
+	}
+	if step == nil {
+		step = x.gather.Tick(time.Now())
+	}
+	return step
+}
+
+func (x *exchange) ended(now time.Time, e *event) *gather.Step {
+	before := x.gather.Answered()
+	step := x.gather.Ended(now, e.attempt, e.outcome)
+	switch e.outcome {
+	case fleet.Success:
+		if x.gather.Answered() > before {
+			x.bodies = append(x.bodies, e.reply.Body)
+			x.signatures = append(x.signatures, e.mark)
+			if !x.gathers() {
+				x.failed = e.reply
+			}
+		}
+	case fleet.Failed:
+		x.unknown = true
+		if x.gather.Answered() == 0 {
+			x.failed = e.reply
+		}
+	case fleet.Broken, fleet.Corrupt, fleet.Expired, fleet.Cancelled:
+		x.unknown = true
+	default:
+	}
+	return step
+}
+
+// carryOut sends and waits as the gather decided. Attempts that lost go on for
+// a while, since cutting them costs their connection.
+func (x *exchange) carryOut(step *gather.Step) {
+	for _, a := range step.Send {
+		x.sent = true
+		if tried := x.gather.Tried(a.Shard); len(tried) > 1 {
+			x.again(a, tried[len(tried)-2])
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		x.mu.Lock()
+		x.cancels[a.ID] = cancel
+		x.mu.Unlock()
+		go x.attempt(ctx, a)
+	}
+	for _, shard := range step.Wait {
+		q := fleet.Query{View: x.group.View, Shard: shard, Tried: x.gather.Tried(shard)}
+		x.waits[shard] = x.group.Wait(time.Now(), q, x.route.Priority, func(shard int) {
+			x.inbox.Put(event{freed: true, shard: shard})
+		})
+	}
+}
+
+// again logs a further attempt for a shard and passes on that the last target
+// is late.
+func (x *exchange) again(a gather.Attempt, last *fleet.Target) {
+	waited := time.Since(x.request.Arrived)
+	x.runner.Log.Request(x.request.ID, "sent again", "pool", x.names[a.Shard], "target", a.Target.ID,
+		"after", last.ID, "waitedMillis", waited.Milliseconds(), "lateMillis", x.group.Delay(a.Shard, last).Milliseconds())
+	if x.runner.Stalled != nil {
+		x.runner.Stalled(x.names[a.Shard], last, x.group.Delay(a.Shard, last))
+	}
+}
+
+// attempt sends the request to one target and reports how that ended.
+func (x *exchange) attempt(ctx context.Context, a gather.Attempt) {
+	r := x.runner
+	sent := time.Now()
+	request := r.Dialect.Encode(x.request, a.Target, x.end.Sub(sent))
+	reply, err := r.Pools.Connections(a.Target).Do(ctx, request, x.end)
+	now := time.Now()
+	judgement := Judgement{Outcome: outcomeOf(ctx, err)}
+	if err == nil {
+		judgement = r.Dialect.Judge(x.request, reply)
+		if judgement.Outcome == fleet.Failed && !x.gathers() && reply.Status < http.StatusInternalServerError {
+			// The request itself is at fault, and another target would say the same.
+			judgement.Outcome = fleet.Success
+		}
+	}
+	x.group.Finish(now, a.Target, a.Shard, judgement.Outcome, now.Sub(sent).Seconds())
+	x.suspect(now, a.Target, judgement.Outcome)
+	if judgement.Outcome != fleet.Success && judgement.Outcome != fleet.Cancelled {
+		r.Log.Failure(x.request.ID, "attempt failed", "pool", x.names[a.Shard], "target", a.Target.ID, "address", a.Target.Address,
+			"outcome", judgement.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "error", err)
+	}
+	x.mu.Lock()
+	if cancel := x.cancels[a.ID]; cancel != nil {
+		cancel()
+		delete(x.cancels, a.ID)
+	}
+	x.mu.Unlock()
+	x.inbox.Put(event{
+		attempt: a.ID, shard: a.Shard, target: a.Target, outcome: judgement.Outcome, reply: reply, mark: judgement.Signature,
+	})
+}
+
+// suspect collects evidence that a request crashes the targets that run it: a
+// connection that broke, and then a target that no longer listens.
+func (x *exchange) suspect(now time.Time, t *fleet.Target, outcome fleet.Outcome) {
+	r := x.runner
+	switch outcome {
+	case fleet.Broken:
+		r.crashes.note(now, t.ID, x.fingerprint)
+	case fleet.Refused:
+		fingerprint, found := r.crashes.down(now, t.ID)
+		if !found {
+			return
+		}
+		held := r.Poison.Lost(now, poison.Query{Fingerprint: fingerprint}, poison.Loss{Target: t.ID, Domain: t.ID})
+		r.Log.State("a request may have crashed its target", "target", t.ID, "fingerprint", fingerprint, "held", held)
+		if r.Suspect != nil {
+			r.Suspect()
+		}
+	case fleet.Success:
+		r.crashes.up(t.ID)
+		r.Poison.Succeeded(now, poison.Query{Fingerprint: x.fingerprint})
+	default:
+	}
+}
+
+func outcomeOf(ctx context.Context, err error) fleet.Outcome {
+	if err == nil {
+		return fleet.Success
+	}
+	var e *http1.Error
+	if !errors.As(err, &e) {
+		return fleet.Failed
+	}
+	switch {
+	case ctx.Err() != nil:
+		return fleet.Cancelled
+	case e.Kind == http1.KindNotSent:
+		return fleet.Refused
+	case e.Kind == http1.KindExpired:
+		return fleet.Expired
+	case e.Kind == http1.KindCorrupt:
+		return fleet.Corrupt
+	}
+	return fleet.Broken
+}
+
+// release lets the attempts that lost go on for a while and gives up waiting.
+func (x *exchange) release() {
+	for _, giveUp := range x.waits {
+		giveUp()
+	}
+	x.endFars()
+	x.mu.Lock()
+	left := len(x.cancels)
+	x.mu.Unlock()
+	if left > 0 {
+		time.AfterFunc(loserTime, x.cancelAll)
+	}
+}
+
+func (x *exchange) cancelAll() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, cancel := range x.cancels {
+		cancel()
+	}
+}
--- a/internal/request/search/runner.go
+++ b/internal/request/search/runner.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/inbox"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -132,10 +133,10 @@
 	})
 	return &scatter{
 		runner: r, request: request, view: view, body: body, encodeErr: err,
-		query:   q,
-		canary:  request.Settings.Canary && !r.Poison.Known(q),
-		from:    rand.IntN(max(view.Shards(), 1)),
-		mailbox: newMailbox(),
+		query:  q,
+		canary: request.Settings.Canary && !r.Poison.Known(q),
+		from:   rand.IntN(max(view.Shards(), 1)),
+		inbox:  inbox.New[event](),
 	}
 }
 
--- a/internal/request/search/scatter.go
+++ b/internal/request/search/scatter.go
@@ -7,10 +7,21 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/inbox"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/merge"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
+// event is the end of an attempt, or room at a target of a waiting shard.
+type event struct {
+	freed   bool
+	shard   int
+	attempt uint64
+	target  *fleet.Target
+	outcome fleet.Outcome
+	reply   *wire.ShardReply
+}
+
 // scatter is one run of a request over the shards of one version.
 type scatter struct {
 	runner    *Runner
@@ -24,7 +35,7 @@
 
 	gather      *gather.Gather
 	merge       *merge.Merge
-	mailbox     *mailbox
+	inbox       *inbox.Inbox[event]
 	cancels     []context.CancelFunc
 	waits       map[int]func()
 	merged      int
@@ -56,8 +67,8 @@
 		}
 		timer.Reset(time.Until(step.Next))
 		select {
-		case <-s.mailbox.signal:
-			events = s.mailbox.take(events)
+		case <-s.inbox.Signal:
+			events = s.inbox.Take(events)
 			next, refusal := s.handle(ctx, events)
 			if refusal != nil {
 				return refusal
@@ -157,7 +168,7 @@
 	for _, shard := range step.Wait {
 		q := fleet.Query{View: s.view, Shard: shard, Tried: s.gather.Tried(shard)}
 		s.waits[shard] = s.runner.Fleet.Wait(time.Now(), q, s.request.Priority, func(shard int) {
-			s.mailbox.put(event{freed: true, shard: shard})
+			s.inbox.Put(event{freed: true, shard: shard})
 		})
 	}
 }
@@ -175,7 +186,7 @@
 	}
 	s.runner.Fleet.Finish(now, a.Target, a.Shard, outcome, now.Sub(sent).Seconds(), load)
 	s.runner.Meter.Outcomes.WithLabelValues(string(outcome)).Inc()
-	s.mailbox.put(event{attempt: a.ID, shard: a.Shard, target: a.Target, outcome: outcome, reply: reply})
+	s.inbox.Put(event{attempt: a.ID, shard: a.Shard, target: a.Target, outcome: outcome, reply: reply})
 }
 
 func (s *scatter) cancelAll() {
--- a/pkg/tree/parse.go
+++ b/pkg/tree/parse.go
@@ -37,6 +37,10 @@
 func (p *parser) add(problem Problem) { p.problems = append(p.problems, problem) }
 
 func (p *parser) parseFile(path, content string) {
+	if path == RoutesFile {
+		p.parseRoutes(content)
+		return
+	}
 	key, level, ok := nodeOf(path)
 	if !ok {
 		p.add(Problem{File: path, Line: 1, Message: "is not firm.ini, <deployment>/deployment.ini, " +
--- a/pkg/tree/tree.go
+++ b/pkg/tree/tree.go
@@ -23,6 +23,7 @@
 	files    Files
 	nodes    map[string]*node
 	resolved map[string]*Settings
+	routes   *Routes
 }
 
 // Files returns the source of the tree. The caller must not change it.
