Take an attempt as settled only once its end has been taken

Lateness now goes by the quantile of a route and region, since a slow target was late only by its own measure. Change: the request counts what it sent and whose end it has taken; partial and failed answers log what each missing shard was waiting for.

--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -6,7 +6,10 @@
 // i-th fleet. It picks as a single fleet does.
 type Group struct {
 	// View holds the targets of each shard as they were when the group was made.
-	View   *View
+	View *View
+	// LateAfter is how long after its send an attempt counts as late.
+	LateAfter func(t *Target) time.Duration
+
 	fleets []*Fleet
 }
 
@@ -29,6 +32,7 @@
 	if g.fleets[q.Shard] == nil {
 		return Choice{Verdict: Lost}
 	}
+	q.LateAfter = g.LateAfter
 	return g.fleets[q.Shard].Pick(now, q)
 }
 
@@ -47,9 +51,6 @@
 	g.fleets[shard].Finish(now, t, 0, outcome, latency, nil)
 }
 
-// Delay is how long after its send an attempt counts as late.
-func (g *Group) Delay(shard int, t *Target) time.Duration { return g.fleets[shard].Delay(t) }
-
 // Connections is the number of connections allowed to a target of the shard.
 func (g *Group) Connections(shard int, t *Target) int { return g.fleets[shard].Connections(t) }
 
@@ -57,7 +58,7 @@
 // that Delay is asked for each.
 
 // HedgeDelay returns the least delay.
-func (g *Group) HedgeDelay(time.Time, float64) time.Duration { return slowLeast }
+func (g *Group) HedgeDelay(time.Time, float64) time.Duration { return initialDelay }
 
 // Slowness returns one.
 func (g *Group) Slowness(int) float64 { return 1 }
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -39,6 +39,16 @@
 	Again bool
 	// Avoid is a failure domain to keep out of while another is there.
 	Avoid string
+	// LateAfter, if set, is how long after its send an attempt counts as late.
+	LateAfter func(t *Target) time.Duration
+}
+
+// Late is how long after its send an attempt at the target counts as late.
+func (q *Query) Late(t *Target) time.Duration {
+	if q.LateAfter == nil {
+		return initialDelay
+	}
+	return q.LateAfter(t)
 }
 
 // Pick chooses a target for a shard and counts the attempt as in flight.
@@ -48,7 +58,7 @@
 	choice := f.decide(now, q)
 	if choice.Target != nil {
 		choice.Target.inFlight++
-		choice.Target.pace.send(now)
+		choice.Target.pace.send(now, q.Late(choice.Target))
 	}
 	return choice
 }
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -34,8 +34,8 @@
 	Near     bool
 	State    State
 	InFlight int
-	// Typical is the latency to expect, Late when an attempt counts as late.
-	Typical, Late time.Duration
+	// Typical is the latency to expect.
+	Typical       time.Duration
 	Stalled, Dark bool
 	DownFor       time.Duration
 }
@@ -118,13 +118,6 @@
 	}
 }
 
-// Delay is how long after its send an attempt at the target counts as late.
-func (f *Fleet) Delay(t *Target) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return t.pace.lateAfter()
-}
-
 // Connections is the number of connections that this daemon may hold to one target.
 func (f *Fleet) Connections(t *Target) int {
 	f.mu.Lock()
@@ -168,7 +161,7 @@
 	for _, t := range f.order {
 		rows = append(rows, Health{
 			ID: t.ID, Near: t.Near, State: t.state, InFlight: t.inFlight,
-			Typical: t.pace.typical(now), Late: t.pace.lateAfter(),
+			Typical: t.pace.typical(now),
 			Stalled: t.overdue(now), Dark: t.pace.dark(now), DownFor: max(0, t.down.Sub(now)),
 		})
 	}
@@ -248,12 +241,12 @@
 		t.pace.reply(now, sent)
 	case Shed, Failed:
 		// A target that turns work away or fails it has at least answered.
-		t.pace.unanswered, t.pace.probe = time.Time{}, 0
+		t.pace.heard()
 		t.failures = min(t.failures+1, ejectAfter)
 	case Refused:
 		t.down = now.Add(min(downLeast<<min(t.refusals, 4), downMost))
 		t.refusals++
-		t.pace.unanswered = time.Time{}
+		t.pace.heard()
 	case Draining, Gone:
 		f.setState(t, StateLeaving)
 	case Broken, Corrupt:
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/pools"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/tempo"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/trace"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
@@ -154,7 +155,7 @@
 	}
 	n.gossip.Init()
 	n.runner = &relay.Runner{
-		Pools: n.Pools, Dialect: n.Dialect, Poison: n.Poison, Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall,
+		Pools: n.Pools, Dialect: n.Dialect, Poison: n.Poison, Tempo: tempo.New(), Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall,
 	}
 	n.server = &edge.Server{
 		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Limits: n.limits, Unwritten: n.unwritten,
@@ -292,7 +293,8 @@
 	case relay.Passed:
 		n.Log.Request(request.ID, "answered", append(pairs, "status", answer.Reply.Status)...)
 	default:
-		n.Log.Failure(request.ID, "ended", append(pairs, "retryAfterMillis", answer.RetryAfter.Milliseconds())...)
+		n.Log.Failure(request.ID, "ended", append(pairs, "retryAfterMillis", answer.RetryAfter.Milliseconds(),
+			"outstanding", answer.Outstanding)...)
 	}
 }
 
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -232,6 +232,14 @@
 	return s.tried[:s.attempts]
 }
 
+// SentAt is when the newest attempt for a shard was sent; zero is never.
+func (g *Gather) SentAt(shard int) time.Time { return g.shards[shard].sent }
+
+// Phase names what a shard waits for, for the log.
+func (g *Gather) Phase(shard int) string {
+	return [...]string{"unsent", "sent", "full", "pausing", "answered", "failed"}[g.shards[shard].phase]
+}
+
 // Missing lists the shards that have not answered.
 func (g *Gather) Missing() []int {
 	var missing []int
--- a/internal/request/relay/conclude.go
+++ b/internal/request/relay/conclude.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"fmt"
+	"strings"
 	"time"
 )
 
@@ -47,7 +49,7 @@
 func (x *exchange) merged(result Result, why string) *Answer {
 	return &Answer{
 		Result: result, Why: why, Signatures: x.signatures, Missing: len(x.names) - x.gather.Answered(),
-		Body: x.runner.Dialect.Merge(x.route, x.bodies),
+		Outstanding: x.outstanding(), Body: x.runner.Dialect.Merge(x.route, x.bodies),
 	}
 }
 
@@ -58,17 +60,35 @@
 	switch {
 	case x.failed != nil && !x.gathers():
 		return &Answer{Result: Passed, Reply: x.failed, Why: "the target failed"}
-	case !x.unknown && !x.pending() && x.gather.Answered() == 0 && len(x.fars) == 0:
+	case !x.unknown && x.unsettled == 0 && x.gather.Answered() == 0 && len(x.fars) == 0:
 		return &Answer{Result: NotRun, Why: "no target took the request", RetryAfter: retryBusy, Missing: missing}
 	case !now.Before(x.end):
-		return &Answer{Result: Expired, Why: "the time is up", Missing: missing}
+		return &Answer{Result: Expired, Why: "the time is up", Missing: missing, Outstanding: x.outstanding()}
 	}
-	return &Answer{Result: Broken, Why: "too few targets answered", Missing: missing}
+	return &Answer{Result: Broken, Why: "too few targets answered", Missing: missing, Outstanding: x.outstanding()}
 }
 
-// pending reports whether an attempt is still under way.
-func (x *exchange) pending() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	return len(x.cancels) > 0
+// outstanding tells what became of the shards that have not answered, for the
+// log: the pool, its phase, and each target tried with the time since.
+func (x *exchange) outstanding() string {
+	var b strings.Builder
+	listed := 0
+	for _, shard := range x.gather.Missing() {
+		if listed++; listed > outstandingMost {
+			b.WriteString(" ...")
+			break
+		}
+		if listed > 1 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(x.names[shard] + ":" + x.gather.Phase(shard))
+		for _, t := range x.gather.Tried(shard) {
+			b.WriteString("," + t.ID)
+		}
+		fmt.Fprintf(&b, "@%d", time.Since(x.gather.SentAt(shard)).Milliseconds())
+	}
+	return b.String()
 }
+
+// outstandingMost bounds the shards that one line of the log tells of.
+const outstandingMost = 6
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -54,6 +54,8 @@
 	signatures []string
 	sent       bool
 	unknown    bool
+	// unsettled is the number of attempts whose end has not been taken yet.
+	unsettled int
 	// failed is the newest reply of a target that was no success.
 	failed *http1.Reply
 	fars   []*farCall
@@ -71,13 +73,14 @@
 		group: fleet.NewGroup(fleets), inbox: inbox.New[event](), waits: map[int]func(){},
 		cancels: map[uint64]context.CancelFunc{},
 	}
+	x.group.LateAfter = x.late
 	x.schedule()
 	settings := *tree.Default()
 	settings.MaxAttempts = route.MaxAttempts
 	config := gather.Config{
 		View: x.group.View, Targets: x.group, Pools: budgets, Settings: &settings,
 		Deadline: x.end, Once: !route.Idempotent,
-		Delay: x.group.Delay,
+		Delay: func(_ int, t *fleet.Target) time.Duration { return x.late(t) },
 	}
 	x.planFar(&config)
 	x.gather = gather.New(config)
@@ -105,6 +108,11 @@
 	x.queueUntil = request.Arrived.Add(target / queueShare)
 }
 
+// late is how long after its send an attempt at the target counts as late.
+func (x *exchange) late(t *fleet.Target) time.Duration {
+	return x.runner.Tempo.Late(x.route.Name, t.Region, t.Near)
+}
+
 // gathers reports whether the route merges shards.
 func (x *exchange) gathers() bool { return len(x.route.Gather) > 0 }
 
@@ -193,6 +201,7 @@
 }
 
 func (x *exchange) ended(now time.Time, e *event) *gather.Step {
+	x.unsettled--
 	before := x.gather.Answered()
 	step := x.gather.Ended(now, e.attempt, e.outcome)
 	switch e.outcome {
@@ -221,6 +230,7 @@
 func (x *exchange) carryOut(step *gather.Step) {
 	for _, a := range step.Send {
 		x.sent = true
+		x.unsettled++
 		if tried := x.gather.Tried(a.Shard); len(tried) > 1 {
 			x.again(a, tried[len(tried)-2])
 		}
@@ -243,9 +253,9 @@
 func (x *exchange) again(a gather.Attempt, last *fleet.Target) {
 	waited := time.Since(x.request.Arrived)
 	x.runner.Log.Request(x.request.ID, "sent again", "pool", x.names[a.Shard], "target", a.Target.ID,
-		"after", last.ID, "waitedMillis", waited.Milliseconds(), "lateMillis", x.group.Delay(a.Shard, last).Milliseconds())
+		"after", last.ID, "waitedMillis", waited.Milliseconds(), "lateMillis", x.late(last).Milliseconds())
 	if x.runner.Stalled != nil {
-		x.runner.Stalled(x.names[a.Shard], last, x.group.Delay(a.Shard, last))
+		x.runner.Stalled(x.names[a.Shard], last, x.late(last))
 	}
 }
 
@@ -264,6 +274,9 @@
 			judgement.Outcome = fleet.Success
 		}
 	}
+	if judgement.Outcome == fleet.Success {
+		r.Tempo.Observe(x.route.Name, a.Target.Region, now.Sub(sent))
+	}
 	x.group.Finish(now, a.Target, a.Shard, judgement.Outcome, now.Sub(sent).Seconds())
 	x.suspect(now, a.Target, judgement.Outcome)
 	if judgement.Outcome != fleet.Success && judgement.Outcome != fleet.Cancelled {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := &relay.Runner{Pools: pools, Dialect: dialect, Poison: register, Log: log}
+//	r := &relay.Runner{Pools: pools, Dialect: dialect, Poison: register, Tempo: tempo.New(), Log: log}
 //	answer := r.Run(ctx, &relay.Request{ID: id, Method: "GET", URI: "/a/b", Arrived: now}, route)
 //
 // A context that ends stands for a caller that has left.
@@ -21,6 +21,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/tempo"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/trace"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
@@ -81,6 +82,8 @@
 	Why string
 	// RetryAfter is when a request that was not run may be served.
 	RetryAfter time.Duration
+	// Outstanding tells what became of the shards left out.
+	Outstanding string
 	// Extras is the number of attempts beyond the first of each shard.
 	Extras int
 	// Pool is the pool that was chosen for a request to one pool.
@@ -116,7 +119,9 @@
 	Pools   Pools
 	Dialect Dialect
 	Poison  *poison.Register
-	Log     *trace.Log
+	// Tempo knows how long answers usually take.
+	Tempo *tempo.Tempo
+	Log   *trace.Log
 	// Suspect, if set, is called when a request may have crashed a target.
 	Suspect func()
 	// Stalled, if set, is told of a target that is late to answer.
