Answer in time for callers that spent time on their way here

Cause: answers in part went out 16 ms before the latency target counted from the arrival; callers that had looked up an address and opened a connection had spent some 20 ms before, so that P99 stood 7 ms beyond the target. Change: the time left that callers tell, against the longest on the route, gives what each has spent; it comes off the time for the answer.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -77,11 +77,6 @@
 	newest   atomic.Int64
 }
 
-// connState counts the requests of one connection.
-type connState struct{ served atomic.Int64 }
-
-type connKey struct{}
-
 // Start listens and serves.
 func (s *Server) Start() error {
 	listener, err := net.Listen("tcp", s.Address)
@@ -95,9 +90,6 @@
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleMost,
 		MaxHeaderBytes:    headerBytes,
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, &connState{})
-		},
 	}
 	// Serve ends with an error when the server is stopped, as it is meant to.
 	go func() { _ = s.server.Serve(listener) }()
@@ -111,9 +103,6 @@
 	defer s.inFlight.Add(-1)
 	request := s.Codec.Read(r)
 	request.Arrived = arrived
-	if state, ok := r.Context().Value(connKey{}).(*connState); ok {
-		request.Fresh = state.served.Add(1) == 1
-	}
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -95,10 +95,7 @@
 		patience = min(patience, max(request.Patience-answerMargin, request.Patience/2))
 	}
 	x.end = request.Arrived.Add(patience)
-	margin := callerTravel + timingSlack
-	if request.Fresh {
-		margin += freshTravel
-	}
+	margin := callerTravel + timingSlack + x.runner.patience.spent(request.Arrived, route.Name, request.Patience)
 	target := route.LatencyTarget
 	if target == 0 {
 		target = patience
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -40,9 +40,6 @@
 	Arrived time.Time
 	// Patience is how long the caller waits; zero is unknown.
 	Patience time.Duration
-	// Fresh is true for the first request on its connection, whose caller has
-	// waited for the connection as well.
-	Fresh bool
 }
 
 // Result says how a request ended.
@@ -129,19 +126,18 @@
 	// Far, if set, gathers shards through daemons of other regions.
 	Far Far
 
-	splits  splits
-	crashes crashes
+	splits   splits
+	crashes  crashes
+	patience patience
 }
 
 const (
 	// answerMargin is kept between the end of a gather and the end of the
 	// caller's time, for the answer's way back.
 	answerMargin = 15 * time.Millisecond
-	// callerTravel is how long before its arrival a request was sent, and how
-	// long its answer travels; callers are a few milliseconds away.
+	// callerTravel is the way of a request and of its answer; callers are a few
+	// milliseconds away.
 	callerTravel = 8 * time.Millisecond
-	// freshTravel is the time that opening a connection took the caller.
-	freshTravel = 8 * time.Millisecond
 	// timingSlack is kept for timers that fire late on a small share of a core.
 	timingSlack = 8 * time.Millisecond
 	// patienceFactor is how many latency targets a late answer waits for more
