Gather far shards through one daemon of their region

Change: one message over QUIC to a daemon of the region, which gathers there and returns one merged body with the signatures. It says at once that it has the message; a peer that does not is given up after the way there and back, and its shards are asked directly, elsewhere. First attempts count where the request came in, further ones where they are sent.

--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -99,6 +99,9 @@
 	sending atomic.Int32
 }
 
+// accepted is the byte that says that a message has arrived.
+const accepted = 1
+
 // sendsMost bounds the messages waiting for one peer; more are dropped, since
 // heartbeats replace each other.
 const sendsMost = 8
@@ -212,6 +215,12 @@
 	if err != nil {
 		return
 	}
+	if kind == Gather {
+		// An asker that hears nothing turns elsewhere long before the reply is due.
+		if _, err := stream.Write([]byte{accepted}); err != nil {
+			return
+		}
+	}
 	// An asker that gives up cancels its reading, which ends the stream's context.
 	reply := l.Handle(stream.Context(), conn.RemoteAddr(), kind, body)
 	l.sent.Add(int64(len(reply)))
@@ -312,6 +321,36 @@
 
 // Ask sends a message and waits for the reply.
 func (l *Link) Ask(ctx context.Context, address string, kind Type, body []byte) ([]byte, error) {
+	stream, err := l.open(ctx, address, kind, body)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.CancelRead(0)
+	stop := context.AfterFunc(ctx, func() { stream.CancelRead(0) })
+	defer stop()
+	return l.reply(stream)
+}
+
+// Consult sends a message whose reply may take a while. The peer says at once
+// that it has the message, which calls accepted.
+func (l *Link) Consult(ctx context.Context, address string, kind Type, body []byte, accepted func()) ([]byte, error) {
+	stream, err := l.open(ctx, address, kind, body)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.CancelRead(0)
+	stop := context.AfterFunc(ctx, func() { stream.CancelRead(0) })
+	defer stop()
+	var first [1]byte
+	if _, err := io.ReadFull(stream, first[:]); err != nil {
+		return nil, &Error{Op: "consult", Kind: KindBroken, Err: err}
+	}
+	accepted()
+	return l.reply(stream)
+}
+
+// open sends a message on a stream of its own.
+func (l *Link) open(ctx context.Context, address string, kind Type, body []byte) (*quic.Stream, error) {
 	conn, err := l.connect(ctx, address)
 	if err != nil {
 		return nil, &Error{Op: "ask", Kind: KindUnreachable, Err: err}
@@ -320,9 +359,6 @@
 	if err != nil {
 		return nil, &Error{Op: "ask", Kind: KindUnreachable, Err: err}
 	}
-	defer stream.CancelRead(0)
-	stop := context.AfterFunc(ctx, func() { stream.CancelRead(0) })
-	defer stop()
 	l.sent.Add(int64(len(body) + 1))
 	if _, err := stream.Write(append([]byte{byte(kind)}, body...)); err != nil {
 		return nil, &Error{Op: "ask", Kind: KindBroken, Err: err}
@@ -330,6 +366,10 @@
 	if err := stream.Close(); err != nil {
 		return nil, &Error{Op: "ask", Kind: KindBroken, Err: err}
 	}
+	return stream, nil
+}
+
+func (l *Link) reply(stream *quic.Stream) ([]byte, error) {
 	reply, err := io.ReadAll(io.LimitReader(stream, MaxMessageBytes+1))
 	if err != nil {
 		return nil, &Error{Op: "ask", Kind: KindBroken, Err: err}
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Group is the pools of one route as the shards of one request: shard i is the
 // i-th fleet. It picks as a single fleet does.
@@ -84,3 +87,35 @@
 	}
 	return false
 }
+
+// FarRegions returns the regions whose targets can serve a shard that no
+// target near can, since there is none or it is down or late; far is false
+// when one near can.
+func (g *Group) FarRegions(now time.Time, shard int) (regions []string, far bool) {
+	f := g.fleets[shard]
+	if f == nil {
+		return nil, false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range g.View.Replicas[shard] {
+		switch {
+		case !t.available(now) || t.overdue(now):
+		case t.Near:
+			return nil, false
+		case !slices.Contains(regions, t.Region):
+			regions = append(regions, t.Region)
+		}
+	}
+	return regions, len(regions) > 0
+}
+
+// In returns a target of the shard in a region, nil when there is none.
+func (g *Group) In(shard int, region string) *Target {
+	for _, t := range g.View.Replicas[shard] {
+		if t.Region == region {
+			return t
+		}
+	}
+	return nil
+}
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -143,6 +143,9 @@
 	if err != nil {
 		cut = n.server.InFlight()
 	}
+	for n.assists.Load() > 0 && ctx.Err() == nil {
+		pause.For(ctx, goodbyeTime)
+	}
 	n.Table.SetState(time.Now(), member.Gone)
 	n.gossip.Push()
 	pause.For(context.Background(), goodbyeTime)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -118,6 +118,8 @@
 	server  *edge.Server
 	cancel  context.CancelFunc
 	leaving atomic.Bool
+	// assists counts gathers under way for other daemons.
+	assists atomic.Int64
 	// linked is true once the table exists.
 	linked atomic.Bool
 	known  atomic.Bool
@@ -151,11 +153,12 @@
 	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, Wrap: n.WrapLink, IdleTimeout: linkIdle}
 	n.gossip = &gossip.Gossip{
 		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster,
-		Accepted: n.configure, Registered: n.register, Stalled: n.hearStall,
+		Accepted: n.configure, Registered: n.register, Stalled: n.hearStall, Gather: n.assist,
 	}
 	n.gossip.Init()
 	n.runner = &relay.Runner{
 		Pools: n.Pools, Dialect: n.Dialect, Poison: n.Poison, Tempo: tempo.New(), Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall,
+		Far: &far{node: n},
 	}
 	n.server = &edge.Server{
 		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Limits: n.limits, Unwritten: n.unwritten,
--- a/internal/request/relay/conclude.go
+++ b/internal/request/relay/conclude.go
@@ -8,15 +8,16 @@
 
 // conclude returns the answer once there is one.
 func (x *exchange) conclude(now time.Time, done bool) *Answer {
-	if x.gathers() {
-		return x.concludeGather(now, done)
-	}
 	switch {
+	case x.times.assisting:
+		return x.concludeAssist(now, done)
+	case x.gathers():
+		return x.concludeGather(now, done)
 	case x.gather.Answered() > 0:
 		return &Answer{Result: Passed, Reply: x.failed}
-	case done || !now.Before(x.end):
+	case done || !now.Before(x.times.end):
 		return x.fail(now)
-	case !x.sent && now.After(x.queueUntil):
+	case !x.sent && now.After(x.times.queue):
 		return &Answer{Result: NotRun, Why: "all targets are at their limit", RetryAfter: retryBusy}
 	}
 	return nil
@@ -30,22 +31,30 @@
 		return x.merged(Gathered, "")
 	case enough && done:
 		return x.merged(Partial, "the other shards failed")
-	case enough && !now.Before(x.partialAt) && now.Before(x.request.Arrived.Add(x.route.LatencyTarget)):
+	case enough && !now.Before(x.times.partial) && now.Before(x.request.Arrived.Add(x.route.LatencyTarget)):
 		return x.merged(Partial, "the latency target is near")
-	case enough && !now.Before(x.lateAt):
+	case enough && !now.Before(x.times.late):
 		return x.merged(Partial, "the answer is late")
-	case enough && !now.Before(x.end):
+	case enough && !now.Before(x.times.end):
 		return x.merged(Partial, "the time is up")
-	case done || !now.Before(x.end):
+	case done || !now.Before(x.times.end):
 		return x.fail(now)
 	case float64(shards-x.gather.Failed()) < x.route.LeastCoverage*float64(shards):
 		return x.fail(now)
-	case !x.sent && len(x.fars) == 0 && now.After(x.queueUntil):
+	case !x.sent && len(x.fars) == 0 && now.After(x.times.queue):
 		return &Answer{Result: NotRun, Why: "all targets are at their limit", RetryAfter: retryBusy, Missing: shards}
 	}
 	return nil
 }
 
+// concludeAssist ends a gather for another daemon, with whatever has come.
+func (x *exchange) concludeAssist(now time.Time, done bool) *Answer {
+	if done || x.gather.Answered() == len(x.names) || !now.Before(x.times.partial) {
+		return &Answer{Result: Partial}
+	}
+	return nil
+}
+
 func (x *exchange) merged(result Result, why string) *Answer {
 	return &Answer{
 		Result: result, Why: why, Signatures: x.signatures, Missing: len(x.names) - x.gather.Answered(),
@@ -62,7 +71,7 @@
 		return &Answer{Result: Passed, Reply: x.failed, Why: "the target failed"}
 	case !x.unknown && x.unsettled == 0 && x.gather.Answered() == 0 && len(x.fars) == 0:
 		return &Answer{Result: NotRun, Why: "no target took the request", RetryAfter: retryBusy, Missing: missing}
-	case !now.Before(x.end):
+	case !now.Before(x.times.end):
 		return &Answer{Result: Expired, Why: "the time is up", Missing: missing, Outstanding: x.outstanding()}
 	}
 	return &Answer{Result: Broken, Why: "too few targets answered", Missing: missing, Outstanding: x.outstanding()}
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -24,8 +24,24 @@
 	outcome fleet.Outcome
 	reply   *http1.Reply
 	mark    string
-	// far is the end of a gather through another daemon.
-	far *farEnd
+	// far is the end of a gather through another daemon; accepted is one that
+	// has begun.
+	far      *farEnd
+	accepted *farCall
+}
+
+// schedule is when a request ends one way or another.
+type schedule struct {
+	// end is when the caller's time or the route's is up.
+	end time.Time
+	// partial is when an answer with enough shards goes out, and late when one
+	// that is late does.
+	partial time.Time
+	late    time.Time
+	// queue is until when the request may wait for room before its first attempt.
+	queue time.Time
+	// assisting is true for shards gathered for another daemon.
+	assisting bool
 }
 
 // exchange is one request under way.
@@ -39,13 +55,7 @@
 	gather      *gather.Gather
 	inbox       *inbox.Inbox[event]
 	waits       map[int]func()
-	// end is when the caller's time or the route's is up; partialAt is when an
-	// answer with enough shards goes out, lateAt when one that is late does.
-	end       time.Time
-	partialAt time.Time
-	lateAt    time.Time
-	// queueUntil is how long the request may wait for room before its first attempt.
-	queueUntil time.Time
+	times       schedule
 
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
@@ -61,25 +71,27 @@
 	fars   []*farCall
 }
 
-func (r *Runner) exchange(request *Request, route *tree.Route, names []string, fingerprint uint64) *exchange {
+func (r *Runner) exchange(request *Request, route *tree.Route, names []string, fingerprint uint64, times schedule) *exchange {
 	fleets := make([]*fleet.Fleet, len(names))
 	budgets := make([]gather.Budget, len(names))
 	for i, name := range names {
 		fleets[i] = r.Pools.Fleet(name)
 		budgets[i] = r.Pools.Budget(name)
+		if times.assisting {
+			budgets[i] = borrowed{budgets[i]}
+		}
 	}
 	x := &exchange{
 		runner: r, request: request, route: route, names: names, fingerprint: fingerprint,
 		group: fleet.NewGroup(fleets), inbox: inbox.New[event](), waits: map[int]func(){},
-		cancels: map[uint64]context.CancelFunc{},
+		cancels: map[uint64]context.CancelFunc{}, times: times,
 	}
 	x.group.LateAfter = x.late
-	x.schedule()
 	settings := *tree.Default()
 	settings.MaxAttempts = route.MaxAttempts
 	config := gather.Config{
 		View: x.group.View, Targets: x.group, Pools: budgets, Settings: &settings,
-		Deadline: x.end, Once: !route.Idempotent,
+		Deadline: x.times.end, Once: !route.Idempotent,
 		Delay: func(_ int, t *fleet.Target) time.Duration { return x.late(t) },
 	}
 	x.planFar(&config)
@@ -87,22 +99,23 @@
 	return x
 }
 
-// schedule works out the times at which the request ends one way or another.
-func (x *exchange) schedule() {
-	request, route := x.request, x.route
+// schedule works out the times at which the request ends.
+func (r *Runner) schedule(request *Request, route *tree.Route) schedule {
 	patience := route.Timeout
 	if request.Patience > 0 {
 		patience = min(patience, max(request.Patience-answerMargin, request.Patience/2))
 	}
-	x.end = request.Arrived.Add(patience)
-	margin := callerTravel + timingSlack + x.runner.patience.spent(request.Arrived, route.Name, request.Patience)
+	margin := callerTravel + timingSlack + r.patience.spent(request.Arrived, route.Name, request.Patience)
 	target := route.LatencyTarget
 	if target == 0 {
 		target = patience
 	}
-	x.partialAt = request.Arrived.Add(max(target-margin, target/2))
-	x.lateAt = request.Arrived.Add(min(patienceFactor*target, patience*3/4))
-	x.queueUntil = request.Arrived.Add(target / queueShare)
+	return schedule{
+		end:     request.Arrived.Add(patience),
+		partial: request.Arrived.Add(max(target-margin, target/2)),
+		late:    request.Arrived.Add(min(patienceFactor*target, patience*3/4)),
+		queue:   request.Arrived.Add(target / queueShare),
+	}
 }
 
 // late is how long after its send an attempt at the target counts as late.
@@ -135,9 +148,10 @@
 			events = x.inbox.Take(events)
 			step = x.handle(events)
 		case <-timer.C:
-			step = x.gather.Tick(time.Now())
+			step = x.tick(time.Now())
 		case <-ctx.Done():
 			x.cancelAll()
+			x.endFars()
 			return &Answer{Result: Left, Why: "the caller went away"}
 		}
 	}
@@ -151,7 +165,7 @@
 	if x.gathers() {
 		needed = x.route.LeastCoverage
 	}
-	if up > 0 && float64(up) >= needed*float64(len(x.names)) {
+	if x.times.assisting || up > 0 && float64(up) >= needed*float64(len(x.names)) {
 		return nil
 	}
 	return &Answer{Result: NotRun, Why: "too few pools have a target that is up", RetryAfter: retryDown, Missing: len(x.names) - up}
@@ -162,14 +176,14 @@
 func (x *exchange) next(at time.Time) time.Time {
 	now := time.Now()
 	if at.IsZero() {
-		at = x.end
+		at = x.times.end
 	}
-	for _, other := range [...]time.Time{x.partialAt, x.lateAt, x.queueUntil} {
+	for _, other := range [...]time.Time{x.times.partial, x.times.late, x.times.queue} {
 		if other.After(now) && other.Before(at) {
 			at = other
 		}
 	}
-	return at
+	return x.waitFar(at)
 }
 
 // handle takes events in order. All steps but the last are carried out here.
@@ -182,6 +196,8 @@
 		now := time.Now()
 		e := &events[i]
 		switch {
+		case e.accepted != nil:
+			step = x.acceptFar(now, e.accepted)
 		case e.far != nil:
 			step = x.endFar(now, e.far)
 		case e.freed:
@@ -260,8 +276,8 @@
 func (x *exchange) attempt(ctx context.Context, a gather.Attempt) {
 	r := x.runner
 	sent := time.Now()
-	request := r.Dialect.Encode(x.request, a.Target, x.end.Sub(sent))
-	reply, err := r.Pools.Connections(a.Target).Do(ctx, request, x.end)
+	request := r.Dialect.Encode(x.request, a.Target, x.times.end.Sub(sent))
+	reply, err := r.Pools.Connections(a.Target).Do(ctx, request, x.times.end)
 	now := time.Now()
 	judgement := Judgement{Outcome: outcomeOf(ctx, err)}
 	if err == nil {
--- a/internal/request/relay/far.go
+++ b/internal/request/relay/far.go
@@ -1,22 +1,385 @@
 package relay
 
 import (
+	"context"
+	"net/http"
+	"sync"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
-// Far gathers shards through daemons of other regions.
-type Far interface{}
+// Far reaches daemons of other regions. One message there and back for all
+// shards that only other regions serve costs a fraction of the bytes of a
+// request to each.
+type Far interface {
+	// Peer returns a daemon of the region that serves, or false.
+	Peer(region string) (peer string, found bool)
+	// Ask sends a message and waits for the reply; accepted is called as soon as
+	// the peer says that it has the message. A context that ends makes the peer
+	// stop its work on it.
+	Ask(ctx context.Context, peer string, body []byte, accepted func()) ([]byte, error)
+	// Failed tells that a peer did not answer in time.
+	Failed(peer string)
+}
 
-type farEnd struct{}
+const (
+	// farLeast is the number of shards from which a peer is asked; for fewer,
+	// direct requests cost no more.
+	farLeast = 2
+	// farBodyMost bounds the body that is sent through a peer.
+	farBodyMost = 16 << 10
+	// farSlack is added to the way to a peer and back, after which it should have
+	// accepted, and to the time at which its reply is due.
+	farSlack = 20 * time.Millisecond
+	// wayGuess is the way to a peer and back when it is not known yet.
+	wayGuess = 45 * time.Millisecond
+)
+
+// farRequest asks a peer to gather some shards.
+type farRequest struct {
+	_      struct{} `cbor:",toarray"`
+	ID     string
+	Route  string
+	Method string
+	Host   string
+	URI    string
+	Header http.Header
+	Body   []byte
+	Pools  []string
+	// LeftMillis is the time in which the whole request ends, SoonMillis that in
+	// which what has come is wanted.
+	LeftMillis  int64
+	SoonMillis  int64
+	Top         int
+	MaxAttempts int
+	Priority    int
+}
+
+// farReply is what a peer has gathered.
+type farReply struct {
+	_          struct{} `cbor:",toarray"`
+	Signatures []string
+	// Missing are the indexes of pools without an answer.
+	Missing []int
+	Body    []byte
+	// TookMicros is the time that the peer took.
+	TookMicros int64
+}
+
+// farCall is one request to a peer.
+type farCall struct {
+	region string
+	peer   string
+	shards []int
+	cancel context.CancelFunc
+	sent   time.Time
+	// giveUp is when the shards are asked directly.
+	giveUp time.Time
+	ended  bool
+}
+
+// farEnd is the end of a call to a peer.
+type farEnd struct {
+	call  *farCall
+	reply *farReply
+	err   error
+}
+
+// planFar chooses the shards that daemons of other regions gather: those with
+// no target near that is in good health.
+func (x *exchange) planFar(config *gather.Config) {
+	if x.runner.Far == nil || x.times.assisting || !x.gathers() || len(x.request.Body) > farBodyMost {
+		return
+	}
+	now := time.Now()
+	byRegion := map[string][]int{}
+	for shard := range x.names {
+		if region, far := x.group.FarRegions(now, shard); far {
+			for _, r := range region {
+				byRegion[r] = append(byRegion[r], shard)
+			}
+		}
+	}
+	taken := make([]bool, len(x.names))
+	for len(byRegion) > 0 {
+		region := largest(byRegion)
+		shards := untaken(byRegion[region], taken)
+		delete(byRegion, region)
+		if len(shards) < farLeast {
+			continue
+		}
+		peer, found := x.runner.Far.Peer(region)
+		if !found {
+			continue
+		}
+		for _, shard := range shards {
+			taken[shard] = true
+		}
+		x.fars = append(x.fars, &farCall{region: region, peer: peer, shards: shards})
+	}
+	if len(x.fars) > 0 {
+		config.Skip = taken
+	}
+}
+
+// largest returns the region with most shards, the first by name of equals.
+func largest(byRegion map[string][]int) string {
+	best := ""
+	for region, shards := range byRegion {
+		if best == "" || len(shards) > len(byRegion[best]) || len(shards) == len(byRegion[best]) && region < best {
+			best = region
+		}
+	}
+	return best
+}
+
+func untaken(shards []int, taken []bool) []int {
+	var left []int
+	for _, shard := range shards {
+		if !taken[shard] {
+			left = append(left, shard)
+		}
+	}
+	return left
+}
+
+// callFar sends the requests to peers. Their first attempts count here, since
+// here the request came in.
+func (x *exchange) callFar() {
+	now := time.Now()
+	for _, call := range x.fars {
+		x.sent = true
+		call.sent = now
+		call.giveUp = now.Add(x.runner.ways.to(call.region) + farSlack)
+		for _, shard := range call.shards {
+			x.runner.Pools.Budget(x.names[shard]).Primary(now, 1)
+		}
+		var ctx context.Context
+		ctx, call.cancel = context.WithDeadline(context.Background(), x.times.end)
+		go x.askFar(ctx, call)
+	}
+}
+
+func (x *exchange) askFar(ctx context.Context, call *farCall) {
+	end := &farEnd{call: call}
+	pools := make([]string, len(call.shards))
+	for i, shard := range call.shards {
+		pools[i] = x.names[shard]
+	}
+	body, err := codec.Encode(&farRequest{
+		ID: x.request.ID, Route: x.route.Name, Method: x.request.Method, Host: x.request.Host, URI: x.request.URI,
+		Header: x.request.Header, Body: x.request.Body, Pools: pools,
+		LeftMillis: x.times.end.Sub(call.sent).Milliseconds(), SoonMillis: max(0, x.times.partial.Sub(call.sent)-x.runner.ways.to(call.region)).Milliseconds(),
+		Top: x.route.Top, MaxAttempts: x.route.MaxAttempts, Priority: x.route.Priority,
+	})
+	if err == nil {
+		var reply []byte
+		accepted := func() { x.inbox.Put(event{accepted: call}) }
+		if reply, err = x.runner.Far.Ask(ctx, call.peer, body, accepted); err == nil {
+			end.reply = &farReply{}
+			err = codec.Decode(reply, end.reply)
+		}
+	}
+	end.err = err
+	if err == nil {
+		x.runner.ways.observe(call.region, time.Since(call.sent)-time.Duration(end.reply.TookMicros)*time.Microsecond)
+	}
+	x.inbox.Put(event{far: end})
+}
+
+// acceptFar waits longer for a peer that has the message: until its reply is
+// due, with what it has by then.
+func (x *exchange) acceptFar(now time.Time, call *farCall) *gather.Step {
+	call.giveUp = x.times.partial.Add(farSlack)
+	if !call.giveUp.After(now) {
+		call.giveUp = now.Add(x.runner.ways.to(call.region) + farSlack)
+	}
+	return x.gather.Tick(now)
+}
+
+// endFar takes what a peer has gathered. Shards that it lacks are asked for
+// directly, and so are all when it does not answer.
+func (x *exchange) endFar(now time.Time, end *farEnd) *gather.Step {
+	call := end.call
+	if call.ended {
+		return x.gather.Tick(now)
+	}
+	call.ended = true
+	call.cancel()
+	if end.err != nil || !end.reply.valid(len(call.shards)) {
+		x.runner.Log.Failure(x.request.ID, "a peer did not gather", "peer", call.peer, "region", call.region,
+			"shards", len(call.shards), "tookMillis", now.Sub(call.sent).Milliseconds(), "error", end.err)
+		x.runner.Far.Failed(call.peer)
+		return x.direct(now, call, call.shards)
+	}
+	missing := make([]int, 0, len(end.reply.Missing))
+	lacks := map[int]bool{}
+	for _, index := range end.reply.Missing {
+		lacks[index] = true
+		missing = append(missing, call.shards[index])
+	}
+	step := x.gather.Tick(now)
+	if len(missing) < len(call.shards) {
+		x.bodies = append(x.bodies, end.reply.Body)
+		x.signatures = append(x.signatures, end.reply.Signatures...)
+	}
+	for index, shard := range call.shards {
+		if !lacks[index] {
+			x.carryOut(step)
+			step = x.gather.Skipped(now, shard, true, nil)
+		}
+	}
+	if len(missing) > 0 {
+		x.carryOut(step)
+		step = x.direct(now, call, missing)
+	}
+	return step
+}
+
+// valid reports whether the reply tells of each pool once.
+func (r *farReply) valid(pools int) bool {
+	seen := map[int]bool{}
+	for _, index := range r.Missing {
+		if index < 0 || index >= pools || seen[index] {
+			return false
+		}
+		seen[index] = true
+	}
+	return len(r.Signatures)+len(r.Missing) == pools
+}
+
+// direct sends the shards of a call to targets: elsewhere than where the peer
+// has probably tried.
+func (x *exchange) direct(now time.Time, call *farCall, shards []int) *gather.Step {
+	x.unknown = true
+	step := x.gather.Tick(now)
+	for _, shard := range shards {
+		x.carryOut(step)
+		step = x.gather.Skipped(now, shard, false, x.group.In(shard, call.region))
+	}
+	return step
+}
+
+// tick does what has come due: peers that are late are given up.
+func (x *exchange) tick(now time.Time) *gather.Step {
+	for _, call := range x.fars {
+		if !call.ended && !now.Before(call.giveUp) {
+			x.carryOut(x.endFar(now, &farEnd{call: call, err: errLate}))
+		}
+	}
+	return x.gather.Tick(now)
+}
+
+// Kind classifies an Error.
+type Kind string
+
+// KindLate means that a peer did not answer in the usual time.
+const KindLate Kind = "Late"
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+var errLate = &Error{Op: "ask a peer", Kind: KindLate}
+
+// waitFar is when the next peer is given up.
+func (x *exchange) waitFar(at time.Time) time.Time {
+	for _, call := range x.fars {
+		if !call.ended && call.giveUp.Before(at) {
+			at = call.giveUp
+		}
+	}
+	return at
+}
+
+// endFars stops the work of peers that is no longer needed.
+func (x *exchange) endFars() {
+	for _, call := range x.fars {
+		if call.cancel != nil {
+			call.cancel()
+		}
+	}
+}
+
+// Assist gathers some shards for another daemon, until the context ends. An
+// empty reply means that the request could not be read.
+func (r *Runner) Assist(ctx context.Context, body []byte) []byte {
+	now := time.Now()
+	var q farRequest
+	if err := codec.Decode(body, &q); err != nil || len(q.Pools) == 0 || q.MaxAttempts < 1 {
+		r.Log.State("a peer's request can not be read", "error", err)
+		return nil
+	}
+	x := r.assist(now, &q)
+	x.run(ctx)
+	reply := &farReply{Signatures: x.signatures, Missing: x.gather.Missing(), TookMicros: time.Since(now).Microseconds()}
+	if len(x.bodies) > 0 {
+		reply.Body = r.Dialect.Merge(x.route, x.bodies)
+	}
+	data, err := codec.Encode(reply)
+	if err != nil {
+		r.Log.Failure(q.ID, "a reply to a peer can not be written", "error", err)
+		return nil
+	}
+	return data
+}
+
+// assist makes the exchange for a peer's request. Its first attempts were
+// counted by the daemon that the request came to.
+func (r *Runner) assist(now time.Time, q *farRequest) *exchange {
+	left := time.Duration(q.LeftMillis) * time.Millisecond
+	soon := now.Add(min(time.Duration(q.SoonMillis)*time.Millisecond, left))
+	request := &Request{
+		ID: q.ID, Method: q.Method, Host: q.Host, URI: q.URI, Header: q.Header, Body: q.Body, Arrived: now, Patience: left,
+	}
+	route := &tree.Route{
+		Name: q.Route, Idempotent: true, Gather: q.Pools, Merge: tree.MergeGreatest, Top: q.Top,
+		MaxAttempts: q.MaxAttempts, Priority: q.Priority,
+	}
+	fingerprint := poison.Fingerprint(q.Method, q.Host, q.URI, string(q.Body))
+	return r.exchange(request, route, q.Pools, fingerprint, schedule{
+		end: now.Add(left), partial: soon, late: soon, queue: soon, assisting: true,
+	})
+}
+
+// borrowed is a budget whose requests are counted by another daemon.
+type borrowed struct{ gather.Budget }
 
-type farCall struct{}
+// Primary counts nothing.
+func (borrowed) Primary(time.Time, int) {}
 
-func (x *exchange) planFar(*gather.Config) {}
+// ways knows the time there and back between this daemon and each region.
+type ways struct {
+	mu      sync.Mutex
+	regions map[string]time.Duration
+}
 
-func (x *exchange) callFar() {}
+// wayWeight is the weight of a new measurement.
+const wayWeight = 0.2
 
-func (x *exchange) endFar(now time.Time, _ *farEnd) *gather.Step { return x.gather.Tick(now) }
+// observe takes how long a reply took beyond the peer's own work.
+func (w *ways) observe(region string, way time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.regions == nil {
+		w.regions = map[string]time.Duration{}
+	}
+	old, known := w.regions[region]
+	if !known {
+		old = way
+	}
+	w.regions[region] = old + time.Duration(wayWeight*float64(way-old))
+}
 
-func (x *exchange) endFars() {}
+func (w *ways) to(region string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if way, known := w.regions[region]; known {
+		return way
+	}
+	return wayGuess
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -129,6 +129,7 @@
 	splits   splits
 	crashes  crashes
 	patience patience
+	ways     ways
 }
 
 const (
@@ -167,7 +168,7 @@
 		pool = r.splits.next(route)
 		names = []string{pool}
 	}
-	x := r.exchange(request, route, names, fingerprint)
+	x := r.exchange(request, route, names, fingerprint, r.schedule(request, route))
 	answer := x.run(ctx)
 	answer.Pool = pool
 	answer.Extras = x.gather.Attempts() - x.gather.Sent()
