Use a far target only when a near one is clearly later

Change: only attempts beyond the target's slots count as waiting; another region costs as much as 30 ms.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -11,8 +11,9 @@
 
 const (
 	// farPenalty is added to the latency of a target in another region, since
-	// bytes between regions cost more than a few milliseconds are worth.
-	farPenalty = 8 * time.Millisecond
+	// bytes between regions cost more than some milliseconds at one shard of
+	// many are worth.
+	farPenalty = 30 * time.Millisecond
 	// stallPenalty is about how long a pause lasts; a target that is overdue is
 	// expected back by then.
 	stallPenalty = 250 * time.Millisecond
@@ -209,7 +210,10 @@
 // wait is how long an attempt at the target is expected to take.
 func (f *Fleet) wait(now time.Time, t *Target) time.Duration {
 	typical := t.pace.typical(now)
-	expected := typical + typical*time.Duration(t.inFlight)/time.Duration(t.slots)
+	expected := typical
+	if queued := t.inFlight + 1 - t.slots; queued > 0 {
+		expected += typical * time.Duration(queued) / time.Duration(t.slots)
+	}
 	if !t.Near {
 		expected += farPenalty
 	}
