Foresee pauses that recur, and hedge while it still helps

Daemons found each pause anew by requests that waited. Second attempts that went out at the quantile were often too late for the answer in part; a target was taken to pause as soon as a request was late, though requests differ by three times. Change: ends of pauses that recur at one period, shared by the targets, are foreseen and avoided; daemons of a region tell each other of ends. A shard gets its second attempt while another target can still answer in time. A target counts as pausing after twice the time of a hedge. No hedges while more than four shards in ten are late at once.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/cycle"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -22,6 +23,11 @@
 	Region string
 	// Registered is true for a pool whose targets are known by SetEntries.
 	Registered bool
+	// Beat is what registered targets of all pools share of their pauses.
+	Beat *cycle.Beat
+	// Resumed, if set, is told of a target that answers again after a pause. It
+	// must not call the fleet.
+	Resumed func(t *Target, at time.Time, held time.Duration)
 	// Seed makes the selection repeatable.
 	Seed uint64
 }
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -100,7 +100,7 @@
 	defer f.mu.Unlock()
 	for _, t := range g.View.Replicas[shard] {
 		switch {
-		case !t.available(now) || t.overdue(now):
+		case !t.available(now) || t.hampered(now):
 		case t.Near:
 			return nil, false
 		case !slices.Contains(regions, t.Region):
@@ -119,3 +119,11 @@
 	}
 	return nil
 }
+
+// Overdue reports whether a target of the shard is taken to pause.
+func (g *Group) Overdue(now time.Time, shard int, t *Target) bool {
+	f := g.fleets[shard]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.overdue(now)
+}
--- a/internal/process/fleet/pace.go
+++ b/internal/process/fleet/pace.go
@@ -16,6 +16,9 @@
 	// paceHalfLife is the time in which the latency of an unused target falls
 	// halfway to the guess, so that it is tried again.
 	paceHalfLife = 2 * time.Second
+	// overdueFactor is how many times the time after which a second attempt is
+	// sent a target may take before it is taken to pause: requests differ.
+	overdueFactor = 2
 	// darkAfter is the time without any reply after which a target counts as
 	// gone silent; it is longer than the pauses that targets make.
 	darkAfter = 700 * time.Millisecond
@@ -42,7 +45,7 @@
 func (p *pace) send(now time.Time, late time.Duration) {
 	if p.unanswered.IsZero() {
 		p.unanswered = now
-		p.overdue = now.Add(late)
+		p.overdue = now.Add(overdueFactor * late)
 	} else if p.dark(now) {
 		p.probe = min(max(2*p.probe, probeLeast), probeMost)
 	}
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -21,6 +21,9 @@
 	// connections is left alone.
 	downLeast = 250 * time.Millisecond
 	downMost  = 2 * time.Second
+	// pauseFactor is how many times longer than usual an answer took that a
+	// pause held up.
+	pauseFactor = 2
 	// spareShare is the part of a target's connections that daemons leave free,
 	// since their views of how many share it differ for a while.
 	spareShare = 0.1
@@ -88,6 +91,7 @@
 			Service: f.config.Service, Version: registeredVersion, ShardCount: registeredShards, Shards: []int{0},
 		}},
 	}
+	t.cycle.Beat = f.config.Beat
 	t.pace.guess = farGuess
 	if t.Near {
 		t.pace.guess = nearGuess
@@ -217,7 +221,9 @@
 	if !t.Near {
 		expected += farPenalty
 	}
-	if t.overdue(now) {
+	if until, paused := t.cycle.Paused(now, typical); paused {
+		expected += until.Sub(now)
+	} else if t.overdue(now) {
 		since := t.pace.unanswered
 		if since.IsZero() {
 			since = t.warned
@@ -242,6 +248,7 @@
 		t.seen = now
 		t.failures, t.refusals = 0, 0
 		t.down = time.Time{}
+		f.learnPause(now, t, sent)
 		t.pace.reply(now, sent)
 	case Shed, Failed:
 		// A target that turns work away or fails it has at least answered.
@@ -258,3 +265,32 @@
 	case Cancelled, Expired:
 	}
 }
+
+// learnPause takes from an answer whether the target has paused: it was overdue
+// and took much longer than usual.
+func (f *Fleet) learnPause(now time.Time, t *Target, sent time.Time) {
+	typical := t.pace.typical(now)
+	held := now.Sub(sent) - typical
+	if held <= 0 || now.Sub(sent) < pauseFactor*typical {
+		t.cycle.Answered(sent)
+		return
+	}
+	if at := now.Add(-typical); t.cycle.Resumed(at, held) && f.config.Resumed != nil {
+		f.config.Resumed(t, at, held)
+	}
+}
+
+// Resumed takes another daemon's word that a target has resumed after a pause.
+func (f *Fleet) Resumed(id string, at time.Time, held time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil && t.Near {
+		t.cycle.Resumed(at, held)
+	}
+}
+
+// hampered reports whether the target pauses, or is about to.
+func (t *Target) hampered(now time.Time) bool {
+	_, paused := t.cycle.Paused(now, t.pace.typical(now))
+	return paused || t.overdue(now)
+}
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/cycle"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -90,6 +91,7 @@
 	born       int64
 	revision   int64
 	pace       pace
+	cycle      cycle.Cycle
 	// warned is since when another daemon has had no answer.
 	warned time.Time
 	// down is until when a target that refused connections is left alone.
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -72,8 +72,8 @@
 	// store; Registered is called with the pools that changed.
 	Roster     *roster.Roster
 	Registered func(pools []string)
-	// Stalled takes another daemon's word that a target is late.
-	Stalled func(pool, id string, since time.Duration)
+	// Noticed takes another daemon's word about a target.
+	Noticed func(notice *Notice)
 	// Gather answers another daemon's request for some shards, until the
 	// context ends.
 	Gather func(ctx context.Context, body []byte) []byte
@@ -187,7 +187,7 @@
 	case link.Entries:
 		return g.serveEntries(body)
 	case link.Stall:
-		g.hearStall(body)
+		g.hearNotice(body)
 	case link.Gather:
 		if g.Gather != nil {
 			return g.Gather(ctx, body)
--- a/internal/process/gossip/stall.go
+++ b/internal/process/gossip/stall.go
@@ -18,12 +18,16 @@
 	stallPeers = 16
 )
 
-// stallNotice tells that a target has been silent for some time.
-type stallNotice struct {
-	_           struct{} `cbor:",toarray"`
-	Pool        string
-	ID          string
-	SinceMillis int64
+// Notice tells the daemons of a region what one of them has seen of a target.
+type Notice struct {
+	_    struct{} `cbor:",toarray"`
+	Pool string
+	ID   string
+	// AgeMillis is how long ago the target fell silent, or answered again.
+	AgeMillis int64
+	// HeldMillis is how long it had held up an answer, if it answers again; zero
+	// is a target that is silent.
+	HeldMillis int64
 }
 
 // warnings remembers which targets daemons were told of lately.
@@ -51,29 +55,39 @@
 	return true
 }
 
-// Stall tells the daemons of the own region that a target is late to answer,
-// so that they need not find out by requests of their own.
+// Stall tells the daemons of the own region that a target has been late to
+// answer for some time, so that they need not find out by requests of their own.
 func (g *Gossip) Stall(pool, id string, since time.Duration) {
-	now := time.Now()
-	if !g.warned.fresh(now, id) {
-		return
+	if g.warned.fresh(time.Now(), id) {
+		g.tell(&Notice{Pool: pool, ID: id, AgeMillis: since.Milliseconds()})
 	}
-	body, err := codec.Encode(&stallNotice{Pool: pool, ID: id, SinceMillis: since.Milliseconds()})
+}
+
+// Resume tells them that a target answered again a while ago.
+func (g *Gossip) Resume(pool, id string, age, held time.Duration) {
+	g.tell(&Notice{Pool: pool, ID: id, AgeMillis: age.Milliseconds(), HeldMillis: max(held.Milliseconds(), 1)})
+}
+
+func (g *Gossip) tell(notice *Notice) {
+	body, err := codec.Encode(notice)
 	if err != nil {
-		klog.ErrorS(err, "a late target can not be told of", "target", id)
+		klog.ErrorS(err, "a late target can not be told of", "target", notice.ID)
 		return
 	}
-	g.Meter.Decide("TellStall")
-	for _, m := range g.Table.Near(now, stallPeers) {
+	g.Meter.Decide("TellOfTarget")
+	for _, m := range g.Table.Near(time.Now(), stallPeers) {
 		g.Link.Send(m.Link, link.Stall, body)
 	}
 }
 
-func (g *Gossip) hearStall(body []byte) {
-	var notice stallNotice
-	if err := codec.Decode(body, &notice); err != nil || g.Stalled == nil {
+func (g *Gossip) hearNotice(body []byte) {
+	var notice Notice
+	if err := codec.Decode(body, &notice); err != nil || g.Noticed == nil {
+		g.Meter.Decide("DropMalformedNotice")
 		return
 	}
-	g.warned.fresh(time.Now(), notice.ID)
-	g.Stalled(notice.Pool, notice.ID, time.Duration(notice.SinceMillis)*time.Millisecond)
+	if notice.HeldMillis == 0 {
+		g.warned.fresh(time.Now(), notice.ID)
+	}
+	g.Noticed(&notice)
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -148,12 +148,12 @@
 	n.Poison = poison.New()
 	n.Pools = &pools.Pools{
 		Daemon: n.Setup.Name, Region: n.Setup.Region, RegionOf: func(dc string) string { return n.Setup.Regions[dc] },
-		Terms: n.Setup.Terms, Opened: func() { n.Meter.Decide("OpenTargetConnection") },
+		Terms: n.Setup.Terms, Opened: func() { n.Meter.Decide("OpenTargetConnection") }, Resumed: n.tellResumed,
 	}
 	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, Wrap: n.WrapLink, IdleTimeout: linkIdle}
 	n.gossip = &gossip.Gossip{
 		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster,
-		Accepted: n.configure, Registered: n.register, Stalled: n.hearStall, Gather: n.assist,
+		Accepted: n.configure, Registered: n.register, Noticed: n.hearNotice, Gather: n.assist,
 	}
 	n.gossip.Init()
 	n.runner = &relay.Runner{
@@ -310,6 +310,21 @@
 	n.gossip.Stall(pool, t.ID, since)
 }
 
-func (n *Node) hearStall(pool, id string, since time.Duration) {
-	n.Pools.Fleet(pool).Stalled(time.Now(), id, since)
+// tellResumed passes on that a target answers again after a pause.
+func (n *Node) tellResumed(pool string, t *fleet.Target, at time.Time, held time.Duration) {
+	if t.Near {
+		n.gossip.Resume(pool, t.ID, time.Since(at), held)
+	}
+}
+
+// hearNotice takes another daemon's word about a target.
+func (n *Node) hearNotice(notice *gossip.Notice) {
+	now := time.Now()
+	age := time.Duration(notice.AgeMillis) * time.Millisecond
+	f := n.Pools.Fleet(notice.Pool)
+	if notice.HeldMillis == 0 {
+		f.Stalled(now, notice.ID, age)
+		return
+	}
+	f.Resumed(notice.ID, now.Add(-age), time.Duration(notice.HeldMillis)*time.Millisecond)
 }
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/cycle"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
@@ -35,11 +36,14 @@
 	Terms repeat.Terms
 	// Opened, if set, is called for each new connection to a target.
 	Opened func()
+	// Resumed, if set, is told of a target that answers again after a pause.
+	Resumed func(pool string, t *fleet.Target, at time.Time, held time.Duration)
 
 	mu      sync.RWMutex
 	pools   map[string]*pool
 	conns   map[string]*http1.Pool
 	daemons int
+	shared  *cycle.Beat
 }
 
 type pool struct {
@@ -64,7 +68,14 @@
 		p.pools = map[string]*pool{}
 	}
 	found = &pool{
-		fleet:  fleet.New(fleet.Config{Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: rand.Uint64()}),
+		fleet: fleet.New(fleet.Config{
+			Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: rand.Uint64(), Beat: p.beat(),
+			Resumed: func(t *fleet.Target, at time.Time, held time.Duration) {
+				if p.Resumed != nil {
+					p.Resumed(name, t, at, held)
+				}
+			},
+		}),
 		budget: repeat.New(p.Terms),
 	}
 	found.fleet.SetDaemons(max(p.daemons, 1))
@@ -73,6 +84,14 @@
 	return found
 }
 
+// beat returns what all targets share of their pauses; the caller holds the lock.
+func (p *Pools) beat() *cycle.Beat {
+	if p.shared == nil {
+		p.shared = cycle.NewBeat()
+	}
+	return p.shared
+}
+
 // Fleet returns the fleet of a pool, which may have no targets.
 func (p *Pools) Fleet(name string) *fleet.Fleet { return p.get(name).fleet }
 
--- a/internal/process/tempo/tempo.go
+++ b/internal/process/tempo/tempo.go
@@ -47,6 +47,7 @@
 	ring  [samples]time.Duration
 	count int
 	late  time.Duration
+	usual time.Duration
 }
 
 // Tempo is the state. Its methods may be called from any goroutine.
@@ -82,6 +83,7 @@
 	sorted := r.ring
 	filled := sorted[:min(r.count, samples)]
 	slices.Sort(filled)
+	r.usual = filled[len(filled)/2]
 	r.late = min(max(filled[int(lateShare*float64(len(filled)-1))]+lateSlack, lateLeast), lateMost)
 }
 
@@ -98,3 +100,16 @@
 	}
 	return farGuess
 }
+
+// Usual is how long an answer from the region usually takes.
+func (t *Tempo) Usual(route, region string, near bool) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.records[key{route, region}]; r != nil && r.count >= few {
+		return r.usual
+	}
+	if near {
+		return nearGuess / 2
+	}
+	return farGuess / 2
+}
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -17,6 +17,10 @@
 	stragglerShare = 0.25
 	// stragglerLeast is the number of shards below which that test says nothing.
 	stragglerLeast = 8
+	// crowdShare is the share of shards that, late at once, are no stragglers,
+	// and crowdPause the time until that is looked at again.
+	crowdShare = 0.4
+	crowdPause = 5 * time.Millisecond
 	// retryPause is the time before a target is tried a second time.
 	retryPause = 20 * time.Millisecond
 	// lostFactor is how many hedge delays an attempt may take before it is
--- a/internal/request/gather/hedge.go
+++ b/internal/request/gather/hedge.go
@@ -32,6 +32,9 @@
 		delay = max(g.config.Targets.HedgeDelay(now, 1-hedgeShare*g.config.Settings.ExtraLoad), leastDelay)
 	}
 	next := g.config.Deadline
+	if g.config.Delay != nil && g.mostLate(now) {
+		return now.Add(crowdPause)
+	}
 	for shard := range g.shards {
 		s := &g.shards[shard]
 		if s.phase != flying || !g.mayAttempt(s) {
@@ -57,6 +60,23 @@
 	return next
 }
 
+// mostLate reports whether so many shards are late at once that no target is a
+// straggler: the load is high, and second attempts would raise it.
+func (g *Gather) mostLate(now time.Time) bool {
+	sent, late := 0, 0
+	for shard := range g.shards {
+		s := &g.shards[shard]
+		if s.attempts == 0 {
+			continue
+		}
+		sent++
+		if s.phase == flying && s.attempts == 1 && !now.Before(s.sent.Add(g.shardDelay(0, shard))) {
+			late++
+		}
+	}
+	return sent >= stragglerLeast && float64(late) > crowdShare*float64(sent)
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -92,7 +92,7 @@
 	config := gather.Config{
 		View: x.group.View, Targets: x.group, Pools: budgets, Settings: &settings,
 		Deadline: x.times.end, Once: !route.Idempotent,
-		Delay: func(_ int, t *fleet.Target) time.Duration { return x.late(t) },
+		Delay: x.delay,
 	}
 	x.planFar(&config)
 	x.gather = gather.New(config)
@@ -123,6 +123,25 @@
 	return x.runner.Tempo.Late(x.route.Name, t.Region, t.Near)
 }
 
+// delay is how long after its send an attempt gets company: when it is late, or
+// earlier, as long as another target can still answer before the request ends
+// with what it has.
+func (x *exchange) delay(shard int, t *fleet.Target) time.Duration {
+	late := x.late(t)
+	other := time.Duration(0)
+	for _, r := range x.group.View.Replicas[shard] {
+		if usual := x.runner.Tempo.Usual(x.route.Name, r.Region, r.Near); r != t && (other == 0 || usual < other) {
+			other = usual
+		}
+	}
+	if !x.gathers() || other == 0 {
+		return late
+	}
+	sent := x.gather.SentAt(shard)
+	last := x.times.partial.Sub(sent) - other - chanceSlack
+	return min(late, max(last, x.runner.Tempo.Usual(x.route.Name, t.Region, t.Near)+chanceSlack))
+}
+
 // gathers reports whether the route merges shards.
 func (x *exchange) gathers() bool { return len(x.route.Gather) > 0 }
 
@@ -267,7 +286,7 @@
 	waited := time.Since(x.request.Arrived)
 	x.runner.Log.Request(x.request.ID, "sent again", "pool", x.names[a.Shard], "target", a.Target.ID,
 		"after", last.ID, "waitedMillis", waited.Milliseconds(), "lateMillis", x.late(last).Milliseconds())
-	if x.runner.Stalled != nil {
+	if x.runner.Stalled != nil && x.group.Overdue(time.Now(), a.Shard, last) {
 		x.runner.Stalled(x.names[a.Shard], last, x.late(last))
 	}
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -141,6 +141,8 @@
 	callerTravel = 8 * time.Millisecond
 	// timingSlack is kept for timers that fire late on a small share of a core.
 	timingSlack = 8 * time.Millisecond
+	// chanceSlack is kept for a last attempt beyond the time that it usually takes.
+	chanceSlack = 6 * time.Millisecond
 	// patienceFactor is how many latency targets a late answer waits for more
 	// shards when it has enough but not all.
 	patienceFactor = 3
