Send nothing that can not answer in time

Change: a shard that can not answer any more before the answer in part is left out at once when the others are enough, and gets no second attempt.

--- a/internal/request/gather/skip.go
+++ b/internal/request/gather/skip.go
@@ -34,6 +34,15 @@
 	return g.finish(now)
 }
 
+// Drop gives up a shard that the caller gathers in another way.
+func (g *Gather) Drop(now time.Time, shard int) *Step {
+	g.reset()
+	if s := &g.shards[shard]; g.skipped(shard) && s.phase == idle {
+		g.fail(shard)
+	}
+	return g.finish(now)
+}
+
 // record keeps the place of an attempt that another daemon made.
 func (g *Gather) record(shard int) uint64 {
 	id := uint64(len(g.attempts))
--- a/internal/request/relay/conclude.go
+++ b/internal/request/relay/conclude.go
@@ -25,7 +25,7 @@
 
 func (x *exchange) concludeGather(now time.Time, done bool) *Answer {
 	shards, answered := len(x.names), x.gather.Answered()
-	enough := answered > 0 && float64(answered) >= x.route.LeastCoverage*float64(shards)
+	enough := x.enough()
 	switch {
 	case answered == shards:
 		return x.merged(Gathered, "")
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -139,9 +139,30 @@
 	}
 	sent := x.gather.SentAt(shard)
 	last := x.times.partial.Sub(sent) - other - chanceSlack
+	if late > last && x.enough() && time.Now().After(sent.Add(last+2*chanceSlack)) {
+		// No answer to it could be waited for.
+		return max(late, x.times.partial.Sub(sent))
+	}
 	return min(late, max(last, x.runner.Tempo.Usual(x.route.Name, t.Region, t.Near)+chanceSlack))
 }
 
+// enough reports whether the shards that have answered make an answer.
+func (x *exchange) enough() bool {
+	answered := x.gather.Answered()
+	return answered > 0 && float64(answered) >= x.route.LeastCoverage*float64(len(x.names))
+}
+
+// tooLate reports whether an attempt for a shard could not answer before the
+// answer in part goes out.
+func (x *exchange) tooLate(now time.Time, shard int) bool {
+	for _, t := range x.group.View.Replicas[shard] {
+		if now.Add(x.runner.Tempo.Usual(x.route.Name, t.Region, t.Near)).Before(x.times.partial) {
+			return false
+		}
+	}
+	return now.Before(x.request.Arrived.Add(x.route.LatencyTarget))
+}
+
 // gathers reports whether the route merges shards.
 func (x *exchange) gathers() bool { return len(x.route.Gather) > 0 }
 
--- a/internal/request/relay/far.go
+++ b/internal/request/relay/far.go
@@ -234,9 +234,22 @@
 			step = x.gather.Skipped(now, shard, true, nil)
 		}
 	}
-	if len(missing) > 0 {
+	if len(missing) == 0 {
+		return step
+	}
+	x.carryOut(step)
+	if x.enough() && x.tooLate(now, missing[0]) {
+		return x.drop(now, missing)
+	}
+	return x.direct(now, call, missing)
+}
+
+// drop leaves out shards that can no longer answer in time.
+func (x *exchange) drop(now time.Time, shards []int) *gather.Step {
+	step := x.gather.Tick(now)
+	for _, shard := range shards {
 		x.carryOut(step)
-		step = x.direct(now, call, missing)
+		step = x.gather.Drop(now, shard)
 	}
 	return step
 }
