Count the attempts that a peer has used

A peer that answered without a shard may have tried it twice, and the asking daemon counted one. Change: a peer tells the attempts of each shard that it lacks; one that accepted and fell silent counts as having used all. Conclusion: the attempts of a shard hold over the hop.

--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -236,6 +236,9 @@
 	return s.tried[:s.attempts]
 }
 
+// Used returns the number of attempts for a shard.
+func (g *Gather) Used(shard int) int { return int(g.shards[shard].attempts) }
+
 // SentAt is when the newest attempt for a shard was sent; zero is never.
 func (g *Gather) SentAt(shard int) time.Time { return g.shards[shard].sent }
 
--- a/internal/request/gather/skip.go
+++ b/internal/request/gather/skip.go
@@ -10,21 +10,24 @@
 func (g *Gather) skipped(shard int) bool { return g.config.Skip != nil && g.config.Skip[shard] }
 
 // Skipped ends the other way of gathering a shard. With an answer the shard is
-// settled. Without one the target that was tried, if any, counts as an attempt,
-// and the shard is sent to another if the budget allows it.
-func (g *Gather) Skipped(now time.Time, shard int, answered bool, tried *fleet.Target) *Step {
+// settled. Without one the attempts used so far count, the target that was
+// probably tried is avoided, and the shard is sent to another if the budget and
+// the number of attempts allow it.
+func (g *Gather) Skipped(now time.Time, shard int, answered bool, used int, tried *fleet.Target) *Step {
 	g.reset()
 	s := &g.shards[shard]
 	switch {
 	case !g.skipped(shard) || s.phase != idle:
 	case answered:
 		g.succeed(now, shard)
-	case tried == nil:
+	case used == 0:
 		g.launch(now, shard, false)
 	default:
-		s.tried[s.attempts] = tried
-		s.ids[s.attempts] = g.record(shard)
-		s.attempts++
+		for range min(used, mostAttempts) {
+			s.tried[s.attempts] = tried
+			s.ids[s.attempts] = g.record(shard)
+			s.attempts++
+		}
 		if !g.mayAttempt(s) || !g.retries(shard).Take(now, g.config.Settings.RetryBudget) {
 			g.giveUp(now, shard)
 			break
--- a/internal/request/relay/far.go
+++ b/internal/request/relay/far.go
@@ -64,8 +64,10 @@
 type farReply struct {
 	_          struct{} `cbor:",toarray"`
 	Signatures []string
-	// Missing are the indexes of pools without an answer.
+	// Missing are the indexes of pools without an answer, and Used the attempts
+	// that each of them has had.
 	Missing []int
+	Used    []int
 	Body    []byte
 	// TookMicros is the time that the peer took.
 	TookMicros int64
@@ -80,7 +82,10 @@
 	sent   time.Time
 	// giveUp is when the shards are asked directly.
 	giveUp time.Time
-	ended  bool
+	// accepted is true once the peer has said that it has the message. It may
+	// then have used every attempt.
+	accepted bool
+	ended    bool
 }
 
 // farEnd is the end of a call to a peer.
@@ -195,6 +200,7 @@
 // acceptFar waits longer for a peer that has the message: until its reply is
 // due, with what it has by then.
 func (x *exchange) acceptFar(now time.Time, call *farCall) *gather.Step {
+	call.accepted = true
 	call.giveUp = x.times.partial.Add(farSlack)
 	if !call.giveUp.After(now) {
 		call.giveUp = now.Add(x.runner.ways.to(call.region) + farSlack)
@@ -215,7 +221,11 @@
 		x.runner.Log.Failure(x.request.ID, "a peer did not gather", "peer", call.peer, "region", call.region,
 			"shards", len(call.shards), "tookMillis", now.Sub(call.sent).Milliseconds(), "error", end.err)
 		x.runner.Far.Failed(call.peer)
-		return x.direct(now, call, call.shards)
+		used := 1
+		if call.accepted {
+			used = x.route.MaxAttempts
+		}
+		return x.direct(now, call, call.shards, func(int) int { return used })
 	}
 	missing := make([]int, 0, len(end.reply.Missing))
 	lacks := map[int]bool{}
@@ -231,7 +241,7 @@
 	for index, shard := range call.shards {
 		if !lacks[index] {
 			x.carryOut(step)
-			step = x.gather.Skipped(now, shard, true, nil)
+			step = x.gather.Skipped(now, shard, true, 0, nil)
 		}
 	}
 	if len(missing) == 0 {
@@ -241,7 +251,7 @@
 	if x.enough() && x.tooLate(now, missing[0]) {
 		return x.drop(now, missing)
 	}
-	return x.direct(now, call, missing)
+	return x.direct(now, call, missing, func(index int) int { return end.reply.Used[index] })
 }
 
 // drop leaves out shards that can no longer answer in time.
@@ -263,17 +273,17 @@
 		}
 		seen[index] = true
 	}
-	return len(r.Signatures)+len(r.Missing) == pools
+	return len(r.Signatures)+len(r.Missing) == pools && len(r.Used) == len(r.Missing)
 }
 
-// direct sends the shards of a call to targets: elsewhere than where the peer
-// has probably tried.
-func (x *exchange) direct(now time.Time, call *farCall, shards []int) *gather.Step {
+// direct sends shards of a call to targets, elsewhere than where the peer has
+// probably tried, with what is left of their attempts.
+func (x *exchange) direct(now time.Time, call *farCall, shards []int, used func(index int) int) *gather.Step {
 	x.unknown = true
 	step := x.gather.Tick(now)
-	for _, shard := range shards {
+	for index, shard := range shards {
 		x.carryOut(step)
-		step = x.gather.Skipped(now, shard, false, x.group.In(shard, call.region))
+		step = x.gather.Skipped(now, shard, false, used(index), x.group.In(shard, call.region))
 	}
 	return step
 }
@@ -328,8 +338,15 @@
 		return nil
 	}
 	x := r.assist(now, &q)
+	if ctx.Err() != nil {
+		// The asker has turned elsewhere.
+		return nil
+	}
 	x.run(ctx)
 	reply := &farReply{Signatures: x.signatures, Missing: x.gather.Missing(), TookMicros: time.Since(now).Microseconds()}
+	for _, shard := range reply.Missing {
+		reply.Used = append(reply.Used, x.gather.Used(shard))
+	}
 	if len(x.bodies) > 0 {
 		reply.Body = r.Dialect.Merge(x.route, x.bodies)
 	}
