--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -174,3 +174,9 @@
 	}
 	return nil
 }
+
+// Close ends the server at once and cuts what is under way.
+func (s *Server) Close() {
+	// Nothing depends on how it closes.
+	_ = s.server.Close()
+}
--- /dev/null
+++ b/internal/layer/layer_test.go
@@ -0,0 +1,100 @@
+package layer
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+const root = "../.."
+
+// foreign are names of the platform's protocol.
+var foreign = []string{
+	"Magnoliarelay-", "minShardFraction", "kv-txn", "kv-range", "kv-watch", "kv-lease", "kv-keep", "op/config", "allowStale",
+	"trafficSplit", "healthCheckPath", "targetLatencyMs", "coldRemainingMs", "expectedRevision", "createRevision", "morePages",
+	"currentRev", "ttlMinMs", "internalPortRange", "listenAddresses", "retryBudgetSlack", "gracePeriodS", "non_idempotent",
+}
+
+// allowed are the places where these names belong.
+var allowed = []string{"platform", "deploy", "docs", "journal", "internal/layer", "internal/fake", ".git", "target"}
+
+func TestPlatformNamesStayInTheAdapter(t *testing.T) {
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() {
+			if slices.Contains(allowed, filepath.ToSlash(relative)) || entry.Name() == "testdata" {
+				return fs.SkipDir
+			}
+			return nil
+		}
+		if !strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, ".ini") {
+			return nil
+		}
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		for _, name := range foreign {
+			if strings.Contains(string(content), name) {
+				t.Errorf("%s names %q of the platform's protocol", relative, name)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// deciding are the packages whose state and functions decide.
+var deciding = []string{
+	"internal/request/gather", "internal/request/admit", "internal/request/once", "internal/process/fleet",
+	"internal/process/budget", "internal/process/repeat", "internal/process/poison", "internal/process/member",
+	"internal/process/quota", "internal/process/roster", "internal/process/cycle", "internal/process/tempo",
+	"internal/version/epoch",
+}
+
+// doing are the packages that do I/O.
+var doing = []string{
+	"net", "net/http", "os", "os/signal", "syscall", "github.com/quic-go/quic-go", "golang.org/x/sys/unix",
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1", "github.com/magnoliarelay/magnoliarelay/internal/conn/link",
+}
+
+func TestDecidingPackagesDoNoIO(t *testing.T) {
+	for _, name := range deciding {
+		files, err := filepath.Glob(filepath.Join(root, name, "*.go"))
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %d files, %v", name, len(files), err)
+		}
+		for _, file := range files {
+			if strings.HasSuffix(file, "_test.go") {
+				continue
+			}
+			parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, parser.ImportsOnly)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, imported := range parsed.Imports {
+				path, err := strconv.Unquote(imported.Path.Value)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if slices.Contains(doing, path) {
+					t.Errorf("%s imports %s", file, path)
+				}
+			}
+		}
+	}
+}
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -175,3 +175,13 @@
 	defer n.mu.Unlock()
 	return n.Setup.Grace, n.Setup.Keep
 }
+
+// Kill ends the daemon at once, as a crash would.
+func (n *Node) Kill() {
+	n.cancel()
+	n.server.Close()
+	n.link.Close()
+}
+
+// Front returns the address for callers.
+func (n *Node) Front() string { return n.server.Address }
