Notice within two seconds that a watch has gone deaf

Change: the first of the followers asks for changes every 1.5 s; a call that ends without a change though the revision has risen, or fails, leads to reading all. Changes that come in a row are collected for 150 ms. A daemon registers once at its start, not twice.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -16,9 +16,12 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
@@ -78,9 +81,18 @@
 
 const (
 	electInterval = 250 * time.Millisecond
-	// followWait is how long one call waits for changes. It also bounds for how
-	// long a connection that went silent hides them.
+	// leadWait is how long a call of the first follower of the tier waits for
+	// changes. It bounds for how long a watch that went deaf hides them, and
+	// leaves time to read all and tell everyone within the three seconds that
+	// operators allow.
+	leadWait = 1500 * time.Millisecond
+	// followWait is that of the others.
 	followWait = 5 * time.Second
+	// waitSlack is how much longer than asked for a call may take.
+	waitSlack = 500 * time.Millisecond
+	// gatherTime collects changes that come in a row, so that each call tells of
+	// several.
+	gatherTime = 150 * time.Millisecond
 	// callTimeout bounds a call that does not wait.
 	callTimeout = 2 * time.Second
 	// leaseLife is how long the record of a daemon outlives it, and
@@ -91,9 +103,6 @@
 	retryMost     = 1500 * time.Millisecond
 	// lostAfter is the number of calls in a row after which the store is lost.
 	lostAfter = 2
-	// watchersLeast is the number of daemons of the whole tier that follow the
-	// store at least.
-	watchersLeast = 2
 )
 
 // Feed is one daemon's part. Exported fields are set before Start.
@@ -112,28 +121,39 @@
 	// Met takes members that the store told of and the table did not know.
 	Met func()
 
+	// lease holds the daemon's record. Enter sets it before Run begins, and
+	// afterwards only the goroutine that renews it.
+	lease    int64
 	failures int
 	lost     bool
 }
 
-// Chosen reports whether this daemon follows the store: it is among the first
-// of its data centre that reach the store, or of the tier if there are few.
-func (f *Feed) Chosen(now time.Time) bool {
+// followers returns the daemons that follow the store: the first of each data
+// centre that reach it. The first of all of them leads.
+func (f *Feed) followers(now time.Time) (names []string, lead string) {
 	self := f.Table.Self(now)
 	var able []member.Member
 	centres := map[string]bool{}
 	for _, m := range f.Table.All(now) {
-		if m.State <= member.Ready && !m.StoreLost || m.Name == self.Name && m.State <= member.Ready {
+		if m.State <= member.Ready && (!m.StoreLost || m.Name == self.Name) {
 			able = append(able, m)
 			centres[m.DataCentre] = true
 		}
 	}
-	for _, name := range watch.Choose(self.DataCentre, able, f.Watchers) {
-		if name == self.Name {
-			return true
-		}
+	for centre := range centres {
+		names = append(names, watch.Choose(centre, able, f.Watchers)...)
+	}
+	if len(names) == 0 {
+		return nil, ""
 	}
-	return len(centres)*f.Watchers < watchersLeast && len(able) <= watchersLeast
+	slices.Sort(names)
+	return names, rendezvous.New(names, xxhash.Sum64String).Lookup(leadKey)
+}
+
+// Chosen reports whether this daemon follows the store.
+func (f *Feed) Chosen(now time.Time) bool {
+	names, _ := f.followers(now)
+	return slices.Contains(names, f.Table.Self(now).Name)
 }
 
 // Run follows the store while this daemon is chosen, and keeps its record.
@@ -170,11 +190,16 @@
 			revision = 0
 		case err != nil:
 			f.failed(err)
+			// What was missed is read whole: a watch that failed may have been deaf.
+			revision = 0
 			pause.For(ctx, retry.NextBackOff())
 		default:
 			retry.Reset()
 			f.reached()
 			f.take(news)
+			if news.Revision > revision {
+				pause.For(ctx, gatherTime)
+			}
 			revision = news.Revision
 		}
 	}
@@ -186,11 +211,18 @@
 		defer cancel()
 		return f.Source.Load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, followWait+callTimeout)
+	wait := followWait
+	if _, lead := f.followers(time.Now()); lead == f.Table.Self(time.Now()).Name {
+		wait = leadWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
 	defer cancel()
-	return f.Source.Follow(ctx, revision, followWait)
+	return f.Source.Follow(ctx, revision, wait)
 }
 
+// leadKey is what daemons are ranked by to find the first follower.
+const leadKey = "lead"
+
 // failed counts a call without an answer. The store counts as lost after a few.
 func (f *Feed) failed(err error) {
 	f.failures++
@@ -250,49 +282,51 @@
 // Enter registers this daemon and merges the records of the others into the
 // table. The record goes first, so that of two daemons that start together at
 // least one finds the other.
-func (f *Feed) Enter(ctx context.Context) (lease int64, err error) {
+func (f *Feed) Enter(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	self := f.Table.Self(time.Now())
-	if lease, err = f.Source.Register(ctx, 0, &self, leaseLife); err != nil {
-		return 0, err
+	lease, err := f.Source.Register(ctx, 0, &self, leaseLife)
+	if err != nil {
+		return err
 	}
+	f.lease = lease
 	members, err := f.Source.Members(ctx)
 	if err != nil {
-		return lease, err
+		return err
 	}
 	f.Table.Merge(time.Now(), members)
-	return lease, nil
+	return nil
 }
 
 // register keeps this daemon's record in the store, as a seed for new daemons.
 // Nothing depends on holding it, so a lapsed lease does no harm.
 func (f *Feed) register(ctx context.Context) {
-	lease := int64(0)
 	retry := newRetry()
-	for ctx.Err() == nil {
-		var err error
-		if lease, err = f.renew(ctx, lease); err != nil {
+	for pause.For(ctx, leaseInterval+rand.N(leaseInterval/4)) {
+		for ctx.Err() == nil {
+			err := f.renew(ctx)
+			if err == nil {
+				retry.Reset()
+				break
+			}
 			var e *Error
 			if errors.As(err, &e) && e.Kind == KindLapsed {
-				lease = 0
+				f.lease = 0
 			}
 			f.Meter.Decide("LeaseNotRenewed")
 			pause.For(ctx, retry.NextBackOff())
-			continue
 		}
-		retry.Reset()
-		pause.For(ctx, leaseInterval+rand.N(leaseInterval/4))
 	}
 }
 
-func (f *Feed) renew(ctx context.Context, lease int64) (int64, error) {
-	if lease == 0 {
+func (f *Feed) renew(ctx context.Context) error {
+	if f.lease == 0 {
 		return f.Enter(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return lease, f.Source.Renew(ctx, lease)
+	return f.Source.Renew(ctx, f.lease)
 }
 
 func newRetry() *backoff.ExponentialBackOff {
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -17,7 +17,7 @@
 	for ctx.Err() == nil {
 		if !following {
 			following = true
-			if _, err := n.feed.Enter(ctx); err != nil {
+			if err := n.feed.Enter(ctx); err != nil {
 				n.Log.State("the store does not take this daemon's record yet", "error", err)
 			}
 		}
--- a/internal/request/gather/pools_test.go
+++ b/internal/request/gather/pools_test.go
@@ -147,4 +147,3 @@
 		t.Errorf("%d answered, %d failed", g.gather.Answered(), g.gather.Failed())
 	}
 }
-
