Tell at once that the store is lost

They said so after two calls, six seconds later. Change: the first call without an answer is told, and another daemon follows; the first follower asks every second; a page is waited for one second only. Removals wait only after an outage in which registrations can lapse.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -80,16 +80,16 @@
 }
 
 const (
-	electInterval = 250 * time.Millisecond
+	electInterval = 150 * time.Millisecond
 	// leadWait is how long a call of the first follower of the tier waits for
 	// changes. It bounds for how long a watch that went deaf hides them, and
 	// leaves time to read all and tell everyone within the three seconds that
 	// operators allow.
-	leadWait = 1500 * time.Millisecond
+	leadWait = time.Second
 	// followWait is that of the others.
 	followWait = 5 * time.Second
 	// waitSlack is how much longer than asked for a call may take.
-	waitSlack = 500 * time.Millisecond
+	waitSlack = 400 * time.Millisecond
 	// gatherTime collects changes that come in a row, so that each call tells of
 	// several.
 	gatherTime = 150 * time.Millisecond
@@ -101,8 +101,9 @@
 	leaseInterval = 4 * time.Second
 	retryLeast    = 150 * time.Millisecond
 	retryMost     = 1500 * time.Millisecond
-	// lostAfter is the number of calls in a row after which the store is lost.
-	lostAfter = 2
+	// lapseLeast is the shortest outage in which registrations can lapse: targets
+	// write one every second or so, and three in a row have to be missing.
+	lapseLeast = 2 * time.Second
 )
 
 // Feed is one daemon's part. Exported fields are set before Start.
@@ -123,9 +124,9 @@
 
 	// lease holds the daemon's record. Enter sets it before Run begins, and
 	// afterwards only the goroutine that renews it.
-	lease    int64
-	failures int
-	lost     bool
+	lease int64
+	// lost is since when the store has not answered; zero while it does.
+	lost time.Time
 }
 
 // followers returns the daemons that follow the store: the first of each data
@@ -223,31 +224,34 @@
 // leadKey is what daemons are ranked by to find the first follower.
 const leadKey = "lead"
 
-// failed counts a call without an answer. The store counts as lost after a few.
+// failed notes a call without an answer. Another daemon follows the store
+// until this one reaches it again.
 func (f *Feed) failed(err error) {
-	f.failures++
-	if f.failures < lostAfter || f.lost {
+	if !f.lost.IsZero() {
 		return
 	}
-	f.lost = true
+	now := time.Now()
+	f.lost = now
 	f.Meter.Decide("StoreLost")
 	f.Log.State("the store is lost", "error", err, "rosterRevision", f.Roster.Revision())
-	f.Table.SetStoreLost(time.Now(), true)
+	f.Table.SetStoreLost(now, true)
 	f.Met()
 }
 
 // reached notes an answer. After an outage, registrations that lapsed meanwhile
 // get time to come back.
 func (f *Feed) reached() {
-	f.failures = 0
-	if !f.lost {
+	if f.lost.IsZero() {
 		return
 	}
-	f.lost = false
-	f.Meter.Decide("StoreRegained")
-	f.Log.State("the store answers again", "rosterRevision", f.Roster.Revision())
 	now := time.Now()
-	f.Roster.Returned(now)
+	away := now.Sub(f.lost)
+	f.lost = time.Time{}
+	f.Meter.Decide("StoreRegained")
+	f.Log.State("the store answers again", "awayMillis", away.Milliseconds(), "rosterRevision", f.Roster.Revision())
+	if away >= lapseLeast {
+		f.Roster.Returned(now)
+	}
 	f.Table.SetStoreLost(now, false)
 	f.Met()
 }
