Cut attempts that are no longer needed

Change: an attempt that lost, or whose query is answered, is cut at once. Only one that is alone at a target which usually is fast goes on for 400 ms, since its answer tells when a pause ends.

--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -127,3 +127,12 @@
 	defer f.mu.Unlock()
 	return t.overdue(now)
 }
+
+// Alone reports whether one attempt is all that this daemon has at a target,
+// and the target usually answers within the given time.
+func (g *Group) Alone(now time.Time, shard int, t *Target, within time.Duration) bool {
+	f := g.fleets[shard]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return t.inFlight == 1 && t.pace.typical(now) <= within
+}
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -165,3 +165,29 @@
 		t.Errorf("%v %v", regions, far)
 	}
 }
+
+// Pattern: a slow target in a full deployment. What is no longer needed leaves
+// it at once; at a target that usually is fast the only attempt stays, to tell
+// when its pause ends.
+func TestOnlyAttemptWatchesAPause(t *testing.T) {
+	f, g := pool()
+	near := f.targets["near"]
+	for range paceRecent {
+		near.pace.reply(start, start.Add(-10*time.Millisecond))
+	}
+	choice := g.pickAt(start)
+	if !g.Alone(start, 0, choice.Target, 20*time.Millisecond) {
+		t.Error("the only attempt does not stay")
+	}
+	g.pickAt(start)
+	if g.Alone(start, 0, choice.Target, 20*time.Millisecond) {
+		t.Error("one of two attempts stays")
+	}
+	g.Finish(start, near, 0, Cancelled, 0)
+	for range paceRecent {
+		near.pace.reply(start, start.Add(-200*time.Millisecond))
+	}
+	if g.Alone(start, 0, choice.Target, 20*time.Millisecond) {
+		t.Error("an attempt stays at a slow target")
+	}
+}
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -58,7 +58,7 @@
 	times       schedule
 
 	mu      sync.Mutex
-	cancels map[uint64]context.CancelFunc
+	cancels map[uint64]*underway
 
 	bodies     [][]byte
 	signatures []string
@@ -84,7 +84,7 @@
 	x := &exchange{
 		runner: r, request: request, route: route, names: names, fingerprint: fingerprint,
 		group: fleet.NewGroup(fleets), inbox: inbox.New[event](), waits: map[int]func(){},
-		cancels: map[uint64]context.CancelFunc{}, times: times,
+		cancels: map[uint64]*underway{}, times: times,
 	}
 	x.group.LateAfter = x.late
 	settings := *tree.Default()
@@ -278,8 +278,7 @@
 	return step
 }
 
-// carryOut sends and waits as the gather decided. Attempts that lost go on for
-// a while, since cutting them costs their connection.
+// carryOut sends, cuts and waits as the gather decided.
 func (x *exchange) carryOut(step *gather.Step) {
 	for _, a := range step.Send {
 		x.sent = true
@@ -289,10 +288,13 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		x.mu.Lock()
-		x.cancels[a.ID] = cancel
+		x.cancels[a.ID] = &underway{shard: a.Shard, target: a.Target, cancel: cancel}
 		x.mu.Unlock()
 		go x.attempt(ctx, a)
 	}
+	for _, id := range step.Cancel {
+		x.cut(id)
+	}
 	for _, shard := range step.Wait {
 		q := fleet.Query{View: x.group.View, Shard: shard, Tried: x.gather.Tried(shard)}
 		x.waits[shard] = x.group.Wait(time.Now(), q, x.route.Priority, func(shard int) {
@@ -337,8 +339,8 @@
 			"outcome", judgement.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "error", err)
 	}
 	x.mu.Lock()
-	if cancel := x.cancels[a.ID]; cancel != nil {
-		cancel()
+	if u := x.cancels[a.ID]; u != nil {
+		u.cancel()
 		delete(x.cancels, a.ID)
 	}
 	x.mu.Unlock()
@@ -392,24 +394,56 @@
 	return fleet.Broken
 }
 
-// release lets the attempts that lost go on for a while and gives up waiting.
+// release gives up waiting and ends what is still under way.
 func (x *exchange) release() {
 	for _, giveUp := range x.waits {
 		giveUp()
 	}
 	x.endFars()
 	x.mu.Lock()
-	left := len(x.cancels)
+	left := make([]uint64, 0, len(x.cancels))
+	for id := range x.cancels {
+		left = append(left, id)
+	}
 	x.mu.Unlock()
-	if left > 0 {
-		time.AfterFunc(loserTime, x.cancelAll)
+	for _, id := range left {
+		x.cut(id)
 	}
 }
 
+// cut ends an attempt that is no longer needed, so that its target has room for
+// others. The only one at a target that usually is fast goes on for a while:
+// its answer tells when a pause has ended.
+func (x *exchange) cut(id uint64) {
+	x.mu.Lock()
+	a := x.cancels[id]
+	x.mu.Unlock()
+	switch {
+	case a == nil:
+	case x.watches(a):
+		time.AfterFunc(watchTime, a.cancel)
+	default:
+		a.cancel()
+	}
+}
+
+// watches reports whether an attempt is worth its end.
+func (x *exchange) watches(a *underway) bool {
+	usual := x.runner.Tempo.Usual(x.route.Name, a.target.Region, a.target.Near)
+	return x.group.Alone(time.Now(), a.shard, a.target, watchFactor*usual)
+}
+
 func (x *exchange) cancelAll() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for _, cancel := range x.cancels {
-		cancel()
+	for _, a := range x.cancels {
+		a.cancel()
 	}
 }
+
+// underway is an attempt that has not ended.
+type underway struct {
+	shard  int
+	target *fleet.Target
+	cancel context.CancelFunc
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -146,9 +146,12 @@
 	// patienceFactor is how many latency targets a late answer waits for more
 	// shards when it has enough but not all.
 	patienceFactor = 3
-	// loserTime is how long an attempt that is no longer needed may go on, so
-	// that its connection is kept; a pause of a target is shorter.
-	loserTime = 500 * time.Millisecond
+	// watchTime is how long an attempt that is no longer needed may go on to tell
+	// when its target answers again; pauses are shorter.
+	watchTime = 400 * time.Millisecond
+	// watchFactor is how much slower than usual a target may be for that; one
+	// that is slower is not pausing but short of room.
+	watchFactor = 2
 	// queueShare is the part of the latency target that a request may wait for
 	// room at a target before it is refused.
 	queueShare = 4
