--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -184,8 +184,9 @@
 		t.Error("one of two attempts stays")
 	}
 	g.Finish(start, near, 0, Cancelled, 0)
-	for range paceRecent {
-		near.pace.reply(start, start.Add(-200*time.Millisecond))
+	for i := range paceRecent {
+		sent := start.Add(time.Duration(i+1) * time.Second)
+		near.pace.reply(sent.Add(200*time.Millisecond), sent)
 	}
 	if g.Alone(start, 0, choice.Target, 20*time.Millisecond) {
 		t.Error("an attempt stays at a slow target")
