Spare full targets, and wait rather than use one much slower

Change: a target that turned a request away gets none for 60 ms; shards wait for room, looked for every 25 ms, and take another target only when it is less than six times slower.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -21,6 +21,12 @@
 	// connections is left alone.
 	downLeast = 250 * time.Millisecond
 	downMost  = 2 * time.Second
+	// fullTime is how long a target that turned a request away gets no other.
+	// Its queue moves by some requests meanwhile.
+	fullTime = 60 * time.Millisecond
+	// waitFactor is how many times longer than the wait for room at one target
+	// an answer of another may take to be preferred to it.
+	waitFactor = 6
 	// pauseFactor is how many times longer than usual an answer took that a
 	// pause held up.
 	pauseFactor = 2
@@ -182,7 +188,7 @@
 // to answer first, of those that are neither down, silent nor full.
 func (f *Fleet) pickRegistered(now time.Time, q Query) Choice {
 	var chosen *Target
-	var least time.Duration
+	var least, soonest time.Duration
 	busy, tried := 0, 0
 	for _, t := range q.View.Replicas[q.Shard] {
 		if !t.available(now) {
@@ -192,7 +198,10 @@
 			tried++
 			continue
 		}
-		if t.inFlight >= f.shareOf(t) {
+		if t.inFlight >= f.roomOf(now, t) {
+			if score := f.wait(now, t); busy == 0 || score < soonest {
+				soonest = score
+			}
 			busy++
 			continue
 		}
@@ -201,7 +210,7 @@
 		}
 	}
 	switch {
-	case chosen != nil:
+	case chosen != nil && (busy == 0 || len(q.Tried) > 0 || least <= waitFactor*soonest):
 		return Choice{Verdict: Picked, Target: chosen}
 	case busy > 0:
 		return Choice{Verdict: Busy}
@@ -211,6 +220,15 @@
 	return Choice{Verdict: Lost}
 }
 
+// roomOf is how many attempts this daemon may have at a target now: none just
+// after it turned one away, since it is full.
+func (f *Fleet) roomOf(now time.Time, t *Target) int {
+	if now.Before(t.full) {
+		return 0
+	}
+	return f.shareOf(t)
+}
+
 // wait is how long an attempt at the target is expected to take.
 func (f *Fleet) wait(now time.Time, t *Target) time.Duration {
 	typical := t.pace.typical(now)
@@ -250,8 +268,11 @@
 		t.down = time.Time{}
 		f.learnPause(now, t, sent)
 		t.pace.reply(now, sent)
-	case Shed, Failed:
-		// A target that turns work away or fails it has at least answered.
+	case Shed:
+		t.pace.heard()
+		t.full = now.Add(fullTime)
+	case Failed:
+		// A target that fails a request has at least answered.
 		t.pace.heard()
 		t.failures = min(t.failures+1, ejectAfter)
 	case Refused:
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -192,3 +192,35 @@
 		t.Error("an attempt stays at a slow target")
 	}
 }
+
+// Pattern: targets at the end of their queues turn requests away on a heavy
+// day. Each gets nothing for a moment; a request waits for room rather than
+// spend its attempts, unless another target is not much slower.
+func TestFullTargetsAreSpared(t *testing.T) {
+	_, g := pool()
+	for range 2 {
+		g.Finish(start, g.pickAt(start).Target, 0, Shed, 0.001)
+	}
+	if got := g.pickAt(start.Add(fullTime / 2)); got.Verdict != Busy {
+		t.Errorf("verdict %v, want Busy", got.Verdict)
+	}
+	if got := g.pickAt(start.Add(fullTime)); got.Verdict != Picked {
+		t.Errorf("afterwards: verdict %v, want Picked", got.Verdict)
+	}
+}
+
+// Pattern: one replica is many times slower and the other is full for now.
+func TestMuchSlowerTargetIsNotTaken(t *testing.T) {
+	f, g := pool()
+	far := f.targets["far"]
+	for i := range paceRecent {
+		sent := start.Add(time.Duration(i) * time.Second)
+		far.pace.reply(sent.Add(900*time.Millisecond), sent)
+	}
+	now := start.Add(paceRecent * time.Second)
+	far.pace.sent = now
+	f.targets["near"].full = now.Add(fullTime)
+	if got := g.pickAt(now); got.Verdict != Busy {
+		t.Errorf("verdict %v, want Busy", got.Verdict)
+	}
+}
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -97,6 +97,8 @@
 	// down is until when a target that refused connections is left alone.
 	down     time.Time
 	refusals int
+	// full is until when a target that turned a request away gets no other.
+	full time.Time
 }
 
 // Domain names the failure domain that a target shares with its rack.
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -163,6 +163,15 @@
 	return now.Before(x.request.Arrived.Add(x.route.LatencyTarget))
 }
 
+// retryWaiting looks for room again for the shards that wait for it.
+func (x *exchange) retryWaiting(now time.Time) {
+	for shard, giveUp := range x.waits {
+		giveUp()
+		delete(x.waits, shard)
+		x.carryOut(x.gather.Freed(now, shard))
+	}
+}
+
 // gathers reports whether the route merges shards.
 func (x *exchange) gathers() bool { return len(x.route.Gather) > 0 }
 
@@ -223,6 +232,12 @@
 			at = other
 		}
 	}
+	if len(x.waits) > 0 {
+		// Room also comes with time alone.
+		if soon := now.Add(waitInterval); soon.Before(at) {
+			at = soon
+		}
+	}
 	return x.waitFar(at)
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -155,6 +155,8 @@
 	// queueShare is the part of the latency target that a request may wait for
 	// room at a target before it is refused.
 	queueShare = 4
+	// waitInterval is the time between looks for room at full targets.
+	waitInterval = 25 * time.Millisecond
 	// retryBusy and retryDown are when a caller may come back if all targets are
 	// full, or if none is up.
 	retryBusy = 150 * time.Millisecond
