Bound a stop by its grace, and wait for a full target only if the other is far slower

Cause: TestFaultyAnswers/Shed failed once the waits came in: a near target that sheds all was waited for although an idle one stood in another region, until the budget for repeats was spent. Change: an answer up to 60 ms later is no reason to wait; a target that goes on to turn everything away is left alone for up to 500 ms. The process ends by itself before its grace does.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -21,12 +21,16 @@
 	// connections is left alone.
 	downLeast = 250 * time.Millisecond
 	downMost  = 2 * time.Second
-	// fullTime is how long a target that turned a request away gets no other.
-	// Its queue moves by some requests meanwhile.
+	// fullTime is how long a target that turned a request away gets no other:
+	// its queue moves by some requests meanwhile. It doubles up to fullMost while
+	// the target goes on to turn all away.
 	fullTime = 60 * time.Millisecond
+	fullMost = 500 * time.Millisecond
 	// waitFactor is how many times longer than the wait for room at one target
 	// an answer of another may take to be preferred to it.
 	waitFactor = 6
+	// waitSlack is added to that: a target in another region is no worse.
+	waitSlack = 60 * time.Millisecond
 	// pauseFactor is how many times longer than usual an answer took that a
 	// pause held up.
 	pauseFactor = 2
@@ -210,7 +214,7 @@
 		}
 	}
 	switch {
-	case chosen != nil && (busy == 0 || len(q.Tried) > 0 || least <= waitFactor*soonest):
+	case chosen != nil && (busy == 0 || len(q.Tried) > 0 || least <= waitFactor*soonest+waitSlack):
 		return Choice{Verdict: Picked, Target: chosen}
 	case busy > 0:
 		return Choice{Verdict: Busy}
@@ -264,13 +268,14 @@
 	switch outcome {
 	case Success:
 		t.seen = now
-		t.failures, t.refusals = 0, 0
+		t.failures, t.refusals, t.sheds = 0, 0, 0
 		t.down = time.Time{}
 		f.learnPause(now, t, sent)
 		t.pace.reply(now, sent)
 	case Shed:
 		t.pace.heard()
-		t.full = now.Add(fullTime)
+		t.full = now.Add(min(fullTime<<min(t.sheds, 4), fullMost))
+		t.sheds++
 	case Failed:
 		// A target that fails a request has at least answered.
 		t.pace.heard()
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -198,8 +198,10 @@
 // spend its attempts, unless another target is not much slower.
 func TestFullTargetsAreSpared(t *testing.T) {
 	_, g := pool()
-	for range 2 {
-		g.Finish(start, g.pickAt(start).Target, 0, Shed, 0.001)
+	first := g.pickAt(start).Target
+	second := g.pickAt(start, first).Target
+	for _, target := range []*Target{first, second} {
+		g.Finish(start, target, 0, Shed, 0.001)
 	}
 	if got := g.pickAt(start.Add(fullTime / 2)); got.Verdict != Busy {
 		t.Errorf("verdict %v, want Busy", got.Verdict)
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -99,6 +99,8 @@
 	refusals int
 	// full is until when a target that turned a request away gets no other.
 	full time.Time
+	// sheds is how often it did so since its last answer.
+	sheds int
 }
 
 // Domain names the failure domain that a target shares with its rack.
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -133,7 +133,7 @@
 	n.Log.State("leaving", "inFlight", n.server.InFlight(), "graceMillis", grace.Milliseconds())
 	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
 	defer cancel()
-	kept := min(keepFactor*keep, grace-4*stopMargin)
+	kept := min(keepFactor*keep, grace-2*stopMargin-time.Second)
 	// Callers that use a connection now learn that it is better to leave.
 	pause.For(ctx, kept/2)
 	n.server.Leave()
@@ -169,6 +169,12 @@
 	n.Pools.SetTerms(setup.Terms)
 }
 
+// Grace returns the longest time that a stop may take.
+func (n *Node) Grace() time.Duration {
+	grace, _ := n.stopTimes()
+	return grace
+}
+
 // stopTimes returns the grace of a stop and how long callers keep addresses.
 func (n *Node) stopTimes() (grace, keep time.Duration) {
 	n.mu.Lock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -86,7 +86,7 @@
 	// keepFactor is how many times longer than told some callers keep addresses.
 	keepFactor = 3
 	// stopMargin is kept of the grace for the last replies.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
 	// retryUnready is when a caller may come back to a daemon that has no routes yet.
 	retryUnready = 500 * time.Millisecond
 )
