--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -45,6 +45,9 @@
 	// KindBroken means that the connection ended before a whole reply; the
 	// request may have run.
 	KindBroken Kind = "Broken"
+	// KindReset means that a new connection ended before any byte of a reply, as
+	// when the target has more connections than it takes; the request may have run.
+	KindReset Kind = "Reset"
 	// KindExpired means that the time was up; the request may have run.
 	KindExpired Kind = "Expired"
 	// KindCorrupt means that what came was no reply of the protocol.
@@ -101,6 +104,8 @@
 	net.Conn
 	reader *bufio.Reader
 	expire time.Time
+	// used is true after the first reply.
+	used bool
 }
 
 var dialer = net.Dialer{
@@ -253,10 +258,14 @@
 	} else {
 		written <- nil
 	}
+	if _, err := c.reader.Peek(1); err != nil && !c.used && errors.Is(err, syscall.ECONNRESET) {
+		return nil, false, &Error{Op: "receive", Kind: KindReset, Err: err}
+	}
 	response, err := c.readHead(request)
 	if err != nil {
 		return nil, false, c.failure("receive", false, err)
 	}
+	c.used = true
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, replyMost+1))
 	if err != nil {
--- a/internal/conn/http1/http1_test.go
+++ b/internal/conn/http1/http1_test.go
@@ -73,7 +73,7 @@
 	}{
 		{"whole", func(conn net.Conn) { io.WriteString(conn, whole) }, ""},
 		{"closed before the reply", func(net.Conn) {}, KindBroken},
-		{"reset before the reply", func(conn net.Conn) { reset(conn) }, KindBroken},
+		{"reset before the reply", func(conn net.Conn) { reset(conn) }, KindReset},
 		{"cut in the body", func(conn net.Conn) { io.WriteString(conn, whole[:len(whole)-1]) }, KindBroken},
 		{"cut in the head", func(conn net.Conn) { io.WriteString(conn, whole[:20]) }, KindCorrupt},
 		{"no protocol", func(conn net.Conn) { io.WriteString(conn, "hello\r\n\r\n") }, KindCorrupt},
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -213,6 +213,8 @@
 	Refused Outcome = "Refused"
 	// Broken is a connection lost while the attempt ran.
 	Broken Outcome = "Broken"
+	// Crowded is a new connection that the target reset; the attempt may have run.
+	Crowded Outcome = "Crowded"
 	// Corrupt is a reply that does not match its attempt.
 	Corrupt Outcome = "Corrupt"
 	// Failed is any other error.
@@ -261,7 +263,7 @@
 		f.setState(t, StateLeaving)
 	case Refused:
 		f.setState(t, StateDown)
-	case Broken:
+	case Broken, Crowded:
 		t.fail(now)
 		// A target that lost its connections may have been restarted.
 		t.restarted = now
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -272,7 +272,7 @@
 		t.down = time.Time{}
 		f.learnPause(now, t, sent)
 		t.pace.reply(now, sent)
-	case Shed:
+	case Shed, Crowded:
 		t.pace.heard()
 		t.full = now.Add(min(fullTime<<min(t.sheds, 4), fullMost))
 		t.sheds++
--- a/internal/request/gather/pools_test.go
+++ b/internal/request/gather/pools_test.go
@@ -37,6 +37,7 @@
 		{fleet.Refused, true},
 		{fleet.Draining, true},
 		{fleet.Broken, false},
+		{fleet.Crowded, false},
 		{fleet.Failed, false},
 		{fleet.Corrupt, false},
 		{fleet.Expired, false},
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -286,7 +286,7 @@
 		if x.gather.Answered() == 0 {
 			x.failed = e.reply
 		}
-	case fleet.Broken, fleet.Corrupt, fleet.Expired, fleet.Cancelled:
+	case fleet.Broken, fleet.Crowded, fleet.Corrupt, fleet.Expired, fleet.Cancelled:
 		x.unknown = true
 	default:
 	}
@@ -369,7 +369,7 @@
 func (x *exchange) suspect(now time.Time, t *fleet.Target, outcome fleet.Outcome) {
 	r := x.runner
 	switch outcome {
-	case fleet.Broken:
+	case fleet.Broken, fleet.Crowded:
 		r.crashes.note(now, t.ID, x.fingerprint)
 	case fleet.Refused:
 		fingerprint, found := r.crashes.down(now, t.ID)
@@ -401,6 +401,8 @@
 		return fleet.Cancelled
 	case e.Kind == http1.KindNotSent:
 		return fleet.Refused
+	case e.Kind == http1.KindReset:
+		return fleet.Crowded
 	case e.Kind == http1.KindExpired:
 		return fleet.Expired
 	case e.Kind == http1.KindCorrupt:
