Know the tier before the first request after a start of all

Daemons that had lost the store went on saying so after another had taken over. Change: the count of daemons is known before the first request; the guess is 100 ms near and 140 ms far; a daemon that no longer follows is eligible again.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -204,6 +204,11 @@
 			revision = news.Revision
 		}
 	}
+	if !f.lost.IsZero() {
+		// Another daemon follows; this one may be asked again.
+		f.lost = time.Time{}
+		f.Table.SetStoreLost(time.Now(), false)
+	}
 }
 
 func (f *Feed) next(ctx context.Context, revision int64) (*News, error) {
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -37,6 +37,9 @@
 		return
 	}
 	n.known.Store(true)
+	// Before the first request, so that a start of all at once does not give each
+	// daemon the connections of all.
+	n.Pools.SetDaemons(n.Table.Live())
 	if !n.leaving.Load() {
 		n.Table.SetState(time.Now(), member.Ready)
 		n.gossip.Push()
--- a/internal/process/tempo/tempo.go
+++ b/internal/process/tempo/tempo.go
@@ -35,8 +35,8 @@
 	lateMost  = 500 * time.Millisecond
 	// nearGuess and farGuess are used until there are enough replies, in the own
 	// region and in another one.
-	nearGuess = 40 * time.Millisecond
-	farGuess  = 80 * time.Millisecond
+	nearGuess = 100 * time.Millisecond
+	farGuess  = 140 * time.Millisecond
 	// keysMost bounds the routes and regions known.
 	keysMost = 4096
 )
