--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -46,9 +47,6 @@
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
 	writeTimeout  = 90 * time.Second
-	// quietTime without a request lets a stopping server close idle connections.
-	quietTime = 300 * time.Millisecond
-	pollTime  = 20 * time.Millisecond
 )
 
 // Codec reads what callers send and writes what they get.
@@ -71,10 +69,9 @@
 	// Unwritten is told of an answer that its caller did not get whole.
 	Unwritten func(request *relay.Request, err error)
 
-	server   *http.Server
-	leaving  atomic.Bool
-	inFlight atomic.Int64
-	newest   atomic.Int64
+	server  *http.Server
+	leaving atomic.Bool
+	drain   drain.Drain
 }
 
 // Start listens and serves.
@@ -98,9 +95,7 @@
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	s.inFlight.Add(1)
-	s.newest.Store(arrived.UnixNano())
-	defer s.inFlight.Add(-1)
+	defer s.drain.Begin()()
 	request := s.Codec.Read(r)
 	request.Arrived = arrived
 	if s.leaving.Load() {
@@ -152,7 +147,7 @@
 }
 
 // InFlight returns the number of requests under way.
-func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
+func (s *Server) InFlight() int { return s.drain.InFlight() }
 
 // Leave makes every further reply close its connection.
 func (s *Server) Leave() { s.leaving.Store(true) }
@@ -160,14 +155,10 @@
 // Stop waits until no request is under way and none has come for a moment,
 // and then closes. It returns an error when the context ended first.
 func (s *Server) Stop(ctx context.Context) error {
-	for s.inFlight.Load() > 0 || time.Since(time.Unix(0, s.newest.Load())) < quietTime {
-		select {
-		case <-ctx.Done():
-			// What is cut is counted by InFlight.
-			_ = s.server.Close()
-			return &Error{Op: "stop", Kind: KindStop, Err: ctx.Err()}
-		case <-time.After(pollTime):
-		}
+	if err := s.drain.Wait(ctx); err != nil {
+		// What is cut is counted by InFlight.
+		_ = s.server.Close()
+		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
 	if err := s.server.Shutdown(ctx); err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -29,8 +29,7 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/dial"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 )
 
@@ -58,12 +57,6 @@
 type Error = fault.Error[Kind]
 
 const (
-	// dialTimeout bounds the opening of a connection; the longest way between
-	// regions takes a tenth of it.
-	dialTimeout = time.Second
-	// userTimeout is how long sent bytes may stay unacknowledged, so that a
-	// connection that went silent ends.
-	userTimeout = 3 * time.Second
 	// readBuffer fits the head and body of a usual reply.
 	readBuffer = 2 << 10
 	// replyMost bounds the body of a reply.
@@ -108,17 +101,6 @@
 	used bool
 }
 
-var dialer = net.Dialer{
-	Timeout: dialTimeout,
-	Control: func(_, _ string, raw syscall.RawConn) error {
-		var failed error
-		err := raw.Control(func(fd uintptr) {
-			failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-		})
-		return errors.Join(err, failed)
-	},
-}
-
 // Do sends the request and returns the whole reply. Connections are reused
 // only after a reply that leaves nothing behind.
 func (p *Pool) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
@@ -156,7 +138,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	raw, err := dialer.DialContext(ctx, "tcp", p.Address)
+	raw, err := dial.Dialer.DialContext(ctx, "tcp", p.Address)
 	if err != nil && ctx.Err() != nil {
 		// The time was up before the target had a chance to accept.
 		return nil, &Error{Op: "connect", Kind: KindExpired, Err: err}
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -195,4 +195,4 @@
 }
 
 // InFlight returns the number of callers' requests being answered.
-func (d *Daemon) InFlight() int64 { return d.server.InFlight() }
+func (d *Daemon) InFlight() int64 { return int64(d.server.InFlight()) }
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -15,11 +15,11 @@
 	"net/http"
 	"net/http/pprof"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/kataras/iris/v12"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/check"
@@ -44,8 +44,6 @@
 	writeTimeout  = 90 * time.Second
 	idleTimeout   = 2 * time.Minute
 	headerBytes   = 16 << 10
-	// quietTime without a request lets a stopping server close idle connections.
-	quietTime = 300 * time.Millisecond
 )
 
 // Backend answers the requests.
@@ -66,9 +64,8 @@
 	Backend Backend
 	Meter   *meter.Meter
 
-	server   *http.Server
-	inFlight atomic.Int64
-	newest   atomic.Int64
+	server *http.Server
+	drain  drain.Drain
 }
 
 // Start listens and serves.
@@ -122,11 +119,12 @@
 // waits for those in flight. The context bounds it.
 func (s *Server) Stop(ctx context.Context) error {
 	s.server.SetKeepAlivesEnabled(false)
-	for ctx.Err() == nil && !s.quiet() {
-		time.Sleep(quietTime / 4)
+	err := s.drain.Wait(ctx)
+	if err == nil {
+		err = s.server.Shutdown(ctx)
 	}
-	if err := s.server.Shutdown(ctx); err != nil {
-		cut := s.inFlight.Load()
+	if err != nil {
+		cut := s.drain.InFlight()
 		_ = s.server.Close()
 		return &Error{Op: "stop", Kind: KindStop, Err: fault.Causef("%d requests were cut at the end of the grace period", cut)}
 	}
@@ -137,18 +135,12 @@
 func (s *Server) Kill() { _ = s.server.Close() }
 
 // InFlight returns the number of requests being answered.
-func (s *Server) InFlight() int64 { return s.inFlight.Load() }
-
-func (s *Server) quiet() bool {
-	return s.inFlight.Load() == 0 && time.Since(time.Unix(0, s.newest.Load())) > quietTime
-}
+func (s *Server) InFlight() int { return s.drain.InFlight() }
 
 // begin counts a request that has arrived.
 func (s *Server) begin() (arrived time.Time, end func()) {
 	arrived = time.Now()
-	s.newest.Store(arrived.UnixNano())
-	s.inFlight.Add(1)
-	return arrived, func() { s.inFlight.Add(-1) }
+	return arrived, s.drain.Begin()
 }
 
 // answering makes a handler of a check and of what answers a checked request.
--- /dev/null
+++ b/internal/request/gather/budgets.go
@@ -0,0 +1,41 @@
+package gather
+
+import (
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+)
+
+// notRun reports whether an attempt with this outcome certainly did not run,
+// and will run nowhere.
+func notRun(outcome fleet.Outcome) bool {
+	switch outcome {
+	case fleet.Refused, fleet.Draining, fleet.Gone, fleet.Shed:
+		return true
+	default:
+		return false
+	}
+}
+
+func (g *Gather) primary(now time.Time, shard int) {
+	if g.config.Pools != nil {
+		g.config.Pools[shard].Primary(now, 1)
+		return
+	}
+	g.config.Hedges.Primary(now, 1)
+	g.config.Retries.Primary(now, 1)
+}
+
+func (g *Gather) hedges(shard int) Budget {
+	if g.config.Pools != nil {
+		return g.config.Pools[shard]
+	}
+	return g.config.Hedges
+}
+
+func (g *Gather) retries(shard int) Budget {
+	if g.config.Pools != nil {
+		return g.config.Pools[shard]
+	}
+	return g.config.Retries
+}
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -218,46 +218,6 @@
 	return g.finish(now)
 }
 
-// Answered returns the number of shards that have answered.
-func (g *Gather) Answered() int { return g.answered }
-
-// Failed returns the number of shards that will not answer.
-func (g *Gather) Failed() int { return g.settled - g.answered }
-
-// Attempts returns the number of attempts sent.
-func (g *Gather) Attempts() int { return len(g.attempts) }
-
-// Shard returns the shard that an attempt was for.
-func (g *Gather) Shard(id uint64) int { return g.attempts[id].shard }
-
-// Tried returns the targets that a shard was sent to, oldest first.
-func (g *Gather) Tried(shard int) []*fleet.Target {
-	s := &g.shards[shard]
-	return s.tried[:s.attempts]
-}
-
-// Used returns the number of attempts for a shard.
-func (g *Gather) Used(shard int) int { return int(g.shards[shard].attempts) }
-
-// SentAt is when the newest attempt for a shard was sent; zero is never.
-func (g *Gather) SentAt(shard int) time.Time { return g.shards[shard].sent }
-
-// Phase names what a shard waits for, for the log.
-func (g *Gather) Phase(shard int) string {
-	return [...]string{"unsent", "sent", "full", "pausing", "answered", "failed"}[g.shards[shard].phase]
-}
-
-// Missing lists the shards that have not answered.
-func (g *Gather) Missing() []int {
-	var missing []int
-	for shard := range g.shards {
-		if g.shards[shard].phase != answered {
-			missing = append(missing, shard)
-		}
-	}
-	return missing
-}
-
 func (g *Gather) reset() {
 	g.step.Send = g.step.Send[:0]
 	g.step.Wait = g.step.Wait[:0]
@@ -394,40 +354,6 @@
 	g.launch(now, shard, false)
 }
 
-// notRun reports whether an attempt with this outcome certainly did not run,
-// and will run nowhere.
-func notRun(outcome fleet.Outcome) bool {
-	switch outcome {
-	case fleet.Refused, fleet.Draining, fleet.Gone, fleet.Shed:
-		return true
-	default:
-		return false
-	}
-}
-
-func (g *Gather) primary(now time.Time, shard int) {
-	if g.config.Pools != nil {
-		g.config.Pools[shard].Primary(now, 1)
-		return
-	}
-	g.config.Hedges.Primary(now, 1)
-	g.config.Retries.Primary(now, 1)
-}
-
-func (g *Gather) hedges(shard int) Budget {
-	if g.config.Pools != nil {
-		return g.config.Pools[shard]
-	}
-	return g.config.Hedges
-}
-
-func (g *Gather) retries(shard int) Budget {
-	if g.config.Pools != nil {
-		return g.config.Pools[shard]
-	}
-	return g.config.Retries
-}
-
 // giveUp fails a shard. A canary that fails without breaking its target says
 // nothing against the query, so the others go ahead.
 func (g *Gather) giveUp(now time.Time, shard int) {
--- /dev/null
+++ b/internal/request/gather/state.go
@@ -0,0 +1,47 @@
+package gather
+
+import (
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+)
+
+// Answered returns the number of shards that have answered.
+func (g *Gather) Answered() int { return g.answered }
+
+// Failed returns the number of shards that will not answer.
+func (g *Gather) Failed() int { return g.settled - g.answered }
+
+// Attempts returns the number of attempts sent.
+func (g *Gather) Attempts() int { return len(g.attempts) }
+
+// Shard returns the shard that an attempt was for.
+func (g *Gather) Shard(id uint64) int { return g.attempts[id].shard }
+
+// Tried returns the targets that a shard was sent to, oldest first.
+func (g *Gather) Tried(shard int) []*fleet.Target {
+	s := &g.shards[shard]
+	return s.tried[:s.attempts]
+}
+
+// Used returns the number of attempts for a shard.
+func (g *Gather) Used(shard int) int { return int(g.shards[shard].attempts) }
+
+// SentAt is when the newest attempt for a shard was sent; zero is never.
+func (g *Gather) SentAt(shard int) time.Time { return g.shards[shard].sent }
+
+// Phase names what a shard waits for, for the log.
+func (g *Gather) Phase(shard int) string {
+	return [...]string{"unsent", "sent", "full", "pausing", "answered", "failed"}[g.shards[shard].phase]
+}
+
+// Missing lists the shards that have not answered.
+func (g *Gather) Missing() []int {
+	var missing []int
+	for shard := range g.shards {
+		if g.shards[shard].phase != answered {
+			missing = append(missing, shard)
+		}
+	}
+	return missing
+}
