Tell when the daemon changes its mind about a target

Cause: writing up the incidents, nothing in the logs said which targets a daemon took to be down or silent at a moment, only which attempts had failed.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -25,6 +25,9 @@
 	Registered bool
 	// Beat is what registered targets of all pools share of their pauses.
 	Beat *cycle.Beat
+	// Believed, if set, is told when the daemon changes its mind about whether a
+	// target serves, and why. It must not call the fleet.
+	Believed func(t *Target, state State, why Outcome)
 	// Resumed, if set, is told of a target that answers again after a pause. It
 	// must not call the fleet.
 	Resumed func(t *Target, at time.Time, held time.Duration)
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -265,6 +265,7 @@
 // learnRegistered takes the end of an attempt at a registered target.
 func (f *Fleet) learnRegistered(now time.Time, t *Target, outcome Outcome, latency float64) {
 	sent := now.Add(-time.Duration(latency * float64(time.Second)))
+	defer f.believe(now, t, outcome)
 	switch outcome {
 	case Success:
 		t.seen = now
@@ -292,6 +293,27 @@
 	}
 }
 
+// believe tells when it changes whether the target is taken to serve.
+func (f *Fleet) believe(now time.Time, t *Target, why Outcome) {
+	state := StateReady
+	switch {
+	case t.state == StateLeaving:
+		state = StateLeaving
+	case now.Before(t.down):
+		state = StateDown
+	case t.pace.dark(now):
+		state = StateSilent
+	}
+	before := t.believed
+	if before == "" {
+		before = StateReady
+	}
+	if state != before && f.config.Believed != nil {
+		f.config.Believed(t, state, why)
+	}
+	t.believed = state
+}
+
 // learnPause takes from an answer whether the target has paused: it was overdue
 // and took much longer than usual.
 func (f *Fleet) learnPause(now time.Time, t *Target, sent time.Time) {
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,6 +78,20 @@
 	}
 }
 
+// Each change of mind about a target is told once.
+func TestBeliefsAreTold(t *testing.T) {
+	f, g := pool()
+	var told []State
+	f.config.Believed = func(_ *Target, state State, _ Outcome) { told = append(told, state) }
+	near := g.pickAt(start).Target
+	for i, outcome := range []Outcome{Success, Refused, Refused, Success, Success, Gone} {
+		f.Finish(start.Add(time.Duration(i)*time.Millisecond), near, 0, outcome, 0.001, nil)
+	}
+	if want := []State{StateDown, StateReady, StateLeaving}; !slices.Equal(told, want) {
+		t.Errorf("told %v, want %v", told, want)
+	}
+}
+
 // Pattern: targets fall silent for good. They are tried now and then, less and
 // less often, and are back with the first answer.
 func TestSilentTargetsAreProbed(t *testing.T) {
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -101,6 +101,8 @@
 	full time.Time
 	// sheds is how often it did so since its last answer.
 	sheds int
+	// believed is what was last told of the target; empty is ready.
+	believed State
 }
 
 // Domain names the failure domain that a target shares with its rack.
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -36,6 +36,8 @@
 	Terms repeat.Terms
 	// Opened, if set, is called for each new connection to a target.
 	Opened func()
+	// Believed, if set, is told when a target is taken to serve or no longer to.
+	Believed func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome)
 	// Resumed, if set, is told of a target that answers again after a pause.
 	Resumed func(pool string, t *fleet.Target, at time.Time, held time.Duration)
 
@@ -70,6 +72,11 @@
 	found = &pool{
 		fleet: fleet.New(fleet.Config{
 			Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: rand.Uint64(), Beat: p.beat(),
+			Believed: func(t *fleet.Target, state fleet.State, why fleet.Outcome) {
+				if p.Believed != nil {
+					p.Believed(name, t, state, why)
+				}
+			},
 			Resumed: func(t *fleet.Target, at time.Time, held time.Duration) {
 				if p.Resumed != nil {
 					p.Resumed(name, t, at, held)
