--- /dev/null
+++ b/pkg/tree/route_test.go
@@ -0,0 +1,94 @@
+package tree
+
+import (
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const goodRoutes = `
+[Limits]
+BodyBytes = 1000
+
+[Pool 1]
+Name = a
+Connections = 26
+
+[Route 1]
+Name = search
+Host = shop.example
+Prefix = /search/
+Gather = a, b
+Merge = Greatest
+Top = 5
+LeastCoverage = 0.75
+LatencyTarget = 120ms
+Timeout = 1.2s
+
+[Route 2]
+Name = deep
+Host = shop.example
+Prefix = /search/deep/
+Split = a:3, b
+Idempotent = Off
+`
+
+func TestRoutes(t *testing.T) {
+	parsed, err := Parse(Files{RoutesFile: goodRoutes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	routes := parsed.Routes()
+	if got := routes.Match("shop.example", "/search/deep/x"); got == nil || got.Name != "deep" || got.Idempotent || len(got.Split) != 2 || got.Split[0].Weight != 3 {
+		t.Errorf("the longest prefix leads to %+v", got)
+	}
+	if got := routes.Match("shop.example:80", "/search/x"); got == nil || got.Name != "search" || len(got.Gather) != 2 || got.Top != 5 {
+		t.Errorf("/search/x leads to %+v", got)
+	}
+	if got := routes.Match("shop.example", "/"); got != nil {
+		t.Errorf("/ leads to %+v", got)
+	}
+	if routes.Limits.BodyBytes != 1000 || routes.Limits.HeaderBytes != defaultHeaderBytes || routes.Pools["a"].Connections != 26 {
+		t.Errorf("limits %+v, pools %+v", routes.Limits, routes.Pools)
+	}
+}
+
+// Every problem of a routes file is told with its line.
+func TestRouteProblems(t *testing.T) {
+	_, err := Parse(Files{RoutesFile: `
+[Elsewhere]
+X = 1
+
+[Limits]
+BodyBytes = many
+
+[Route 1]
+Host = shop.example
+Prefix = search
+Split = a
+
+[Route 2]
+Host = shop.example
+Prefix = /x/
+Split = a
+Gather = b
+Timeout = fast
+Idempotent = Maybe
+Colour = red
+
+[Route 3]
+Host = shop.example
+Prefix = /y/
+Gather = b
+LeastCoverage = 2
+
+[Route 4]
+Host = shop.example
+Prefix = /z/
+Split = a:heavy
+`})
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	goldie.New(t).Assert(t, "routeproblems", []byte(err.Error()))
+}
--- a/pkg/tree/routefile.go
+++ b/pkg/tree/routefile.go
@@ -84,8 +84,10 @@
 	return map[string]func(string) error{
 		"HeaderBytes": integer(&limits.HeaderBytes, 1),
 		"BodyBytes": func(value string) (err error) {
-			limits.BodyBytes, err = strconv.ParseInt(value, 10, 64)
-			return err
+			if limits.BodyBytes, err = strconv.ParseInt(value, 10, 64); err != nil {
+				return fmt.Errorf("%q is not a whole number", value)
+			}
+			return nil
 		},
 		"HeaderTimeout": duration(&limits.HeaderTimeout),
 		"IdleTimeout":   duration(&limits.IdleTimeout),
@@ -126,10 +128,10 @@
 		},
 		"LeastCoverage": func(value string) (err error) {
 			route.LeastCoverage, err = strconv.ParseFloat(value, 64)
-			if err == nil && (route.LeastCoverage < 0 || route.LeastCoverage > 1) {
-				return fmt.Errorf("%q is not between 0 and 1", value)
+			if err != nil || route.LeastCoverage < 0 || route.LeastCoverage > 1 {
+				return fmt.Errorf("%q is not a share between 0 and 1", value)
 			}
-			return err
+			return nil
 		},
 	}
 }
@@ -169,19 +171,19 @@
 
 func integer(at *int, least int) func(string) error {
 	return func(value string) (err error) {
-		if *at, err = strconv.Atoi(value); err == nil && *at < least {
-			return fmt.Errorf("%q is less than %d", value, least)
+		if *at, err = strconv.Atoi(value); err != nil || *at < least {
+			return fmt.Errorf("%q is not a whole number of at least %d", value, least)
 		}
-		return err
+		return nil
 	}
 }
 
 func duration(at *time.Duration) func(string) error {
 	return func(value string) (err error) {
-		if *at, err = time.ParseDuration(value); err == nil && *at < 0 {
-			return fmt.Errorf("%q is less than 0", value)
+		if *at, err = time.ParseDuration(value); err != nil || *at < 0 {
+			return fmt.Errorf("%q is not a duration such as 250ms", value)
 		}
-		return err
+		return nil
 	}
 }
 
