Keep away from a misdirected target when its pool changes elsewhere

Cause: reading the change: a target that answered 421, since its address went to another service, was taken to be ready again as soon as any registration of its pool changed, and got another request. The test fails before and passes after. Change: only a newer registration of its own makes it ready.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -109,8 +109,10 @@
 	return t
 }
 
+// register takes a registration that is newer than the last. An old one says
+// nothing against what the target itself has told since.
 func (f *Fleet) register(t *Target, e *roster.Entry) {
-	if e.Revision < t.revision {
+	if e.Revision <= t.revision {
 		return
 	}
 	t.revision = e.Revision
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -52,9 +52,14 @@
 
 // Pattern: a target answers 421, since its address went to another service.
 func TestMisdirectedTargetGetsNothing(t *testing.T) {
-	_, g := pool()
+	f, g := pool()
 	near := g.pickAt(start).Target
 	g.Finish(start, near, 0, Gone, 0.001)
+	// The pool changes elsewhere; the target's own registration is as old as before.
+	f.SetEntries(start, []roster.Entry{
+		{ID: "far", Pool: "p", Address: "b", DataCentre: "there", Slots: 2, Revision: 5},
+		{ID: "near", Pool: "p", Address: "a", DataCentre: "here", Slots: 2, Revision: 1},
+	}, func(dataCentre string) string { return dataCentre })
 	for range 3 {
 		if got := g.pickAt(start).Target.ID; got != "far" {
 			t.Errorf("picked %s", got)
--- a/internal/request/relay/conclude.go
+++ b/internal/request/relay/conclude.go
@@ -14,7 +14,7 @@
 	case x.gathers():
 		return x.concludeGather(now, done)
 	case x.gather.Answered() > 0:
-		return &Answer{Result: Passed, Reply: x.failed}
+		return &Answer{Result: Passed, Reply: x.reply}
 	case done || !now.Before(x.times.end):
 		return x.fail(now)
 	case !x.sent && now.After(x.times.queue):
@@ -67,8 +67,8 @@
 func (x *exchange) fail(now time.Time) *Answer {
 	missing := len(x.names) - x.gather.Answered()
 	switch {
-	case x.failed != nil && !x.gathers():
-		return &Answer{Result: Passed, Reply: x.failed, Why: "the target failed"}
+	case x.reply != nil && !x.gathers():
+		return &Answer{Result: Passed, Reply: x.reply, Why: "the target failed"}
 	case !x.unknown && x.unsettled == 0 && x.gather.Answered() == 0 && len(x.fars) == 0:
 		return &Answer{Result: NotRun, Why: "no target took the request", RetryAfter: retryBusy, Missing: missing}
 	case !now.Before(x.times.end):
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -67,9 +67,10 @@
 	looked time.Time
 	// unsettled is the number of attempts whose end has not been taken yet.
 	unsettled int
-	// failed is the newest reply of a target that was no success.
-	failed *http1.Reply
-	fars   []*farCall
+	// reply is what a request to one pool is answered with: a success, or else
+	// the newest failure of a target.
+	reply *http1.Reply
+	fars  []*farCall
 }
 
 func (r *Runner) exchange(request *Request, route *tree.Route, names []string, fingerprint uint64, times schedule) *exchange {
@@ -291,13 +292,13 @@
 			x.bodies = append(x.bodies, e.reply.Body)
 			x.signatures = append(x.signatures, e.mark)
 			if !x.gathers() {
-				x.failed = e.reply
+				x.reply = e.reply
 			}
 		}
 	case fleet.Failed:
 		x.unknown = true
 		if x.gather.Answered() == 0 {
-			x.failed = e.reply
+			x.reply = e.reply
 		}
 	case fleet.Broken, fleet.Crowded, fleet.Corrupt, fleet.Expired, fleet.Cancelled:
 		x.unknown = true
