--- a/internal/process/fleet/doc.go
+++ b/internal/process/fleet/doc.go
@@ -2,6 +2,10 @@
 // knows of the targets of one service: hosts, index versions, health, latency,
 // attempts in flight, and this daemon's share of each target's slots.
 //
+// Targets are known in one of two ways: by a host list and their own status
+// reports (SetHosts, Report), or by registrations (SetEntries), where a pool is
+// one shard and a Group puts pools together for a request.
+//
 // The package does no I/O and reads no clock: events come in with their time,
 // decisions go out.
 //
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -54,9 +54,6 @@
 	g.fleets[shard].Finish(now, t, 0, outcome, latency, nil)
 }
 
-// Connections is the number of connections allowed to a target of the shard.
-func (g *Group) Connections(shard int, t *Target) int { return g.fleets[shard].Connections(t) }
-
 // HedgeDelay and Slowness are not used with a group: its shards differ, so
 // that Delay is asked for each.
 
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -42,18 +42,6 @@
 	registeredShards  = 1
 )
 
-// Health is what this daemon believes of a registered target.
-type Health struct {
-	ID       string
-	Near     bool
-	State    State
-	InFlight int
-	// Typical is the latency to expect.
-	Typical       time.Duration
-	Stalled, Dark bool
-	DownFor       time.Duration
-}
-
 // SetEntries takes the registrations of the pool. Targets that are no longer
 // registered are forgotten; one that started anew begins with a clean record.
 // It returns the IDs of targets that went away.
@@ -135,13 +123,6 @@
 	}
 }
 
-// Connections is the number of connections that this daemon may hold to one target.
-func (f *Fleet) Connections(t *Target) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.shareOf(t)
-}
-
 // shareOf is this daemon's even share of a target's connections.
 func (f *Fleet) shareOf(t *Target) int {
 	if t.connections == 0 {
@@ -170,21 +151,6 @@
 	return t.pace.stalled(now) || now.Sub(t.warned) < stallPenalty && t.pace.replied.Before(t.warned)
 }
 
-// Healths returns what is believed of each registered target, by ID.
-func (f *Fleet) Healths(now time.Time) []Health {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	rows := make([]Health, 0, len(f.order))
-	for _, t := range f.order {
-		rows = append(rows, Health{
-			ID: t.ID, Near: t.Near, State: t.state, InFlight: t.inFlight,
-			Typical: t.pace.typical(now),
-			Stalled: t.overdue(now), Dark: t.pace.dark(now), DownFor: max(0, t.down.Sub(now)),
-		})
-	}
-	return rows
-}
-
 // available reports whether the target is neither leaving, down nor silent.
 func (t *Target) available(now time.Time) bool {
 	return t.state == StateReady && !now.Before(t.down) && (!t.pace.dark(now) || t.pace.probeDue(now))
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -182,16 +182,3 @@
 		c.Sweep(now)
 	}
 }
-
-// Each calls do for every pool.
-func (p *Pools) Each(do func(name string, f *fleet.Fleet, b *repeat.Budget)) {
-	p.mu.RLock()
-	all := make(map[string]*pool, len(p.pools))
-	for name, found := range p.pools {
-		all[name] = found
-	}
-	p.mu.RUnlock()
-	for name, found := range all {
-		do(name, found.fleet, found.budget)
-	}
-}
--- a/internal/process/repeat/repeat.go
+++ b/internal/process/repeat/repeat.go
@@ -95,13 +95,6 @@
 	return true
 }
 
-// Spend records an extra attempt that was sent without asking.
-func (b *Budget) Spend(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.at(now).extras++
-}
-
 // Refund gives back an extra attempt that was taken but not sent.
 func (b *Budget) Refund(now time.Time) {
 	b.mu.Lock()
@@ -111,14 +104,6 @@
 	}
 }
 
-// Usage returns the requests and extra attempts of the window.
-func (b *Budget) Usage(now time.Time) (requests, extras int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.at(now)
-	return b.sum()
-}
-
 // sum counts requests over the window and extras over the margin too.
 func (b *Budget) sum() (requests, extras int) {
 	for i := range b.ring {
