--- a/internal/cmd/root/root.go
+++ b/internal/cmd/root/root.go
@@ -19,6 +19,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/daemon"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/demo"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/fake"
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/logs/story"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/search"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/apply"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/settings/diff"
@@ -36,6 +37,7 @@
 	Search   search.Options   `cmd:"" help:"Search from the shell."`
 	Settings settingsCommands `cmd:"" help:"Check, compare and apply the tree of settings."`
 	Status   status.Options   `cmd:"" help:"Show what a daemon sees."`
+	Logs     logsCommands     `cmd:"" help:"Read the logs of daemons."`
 	Demo     demo.Options     `cmd:"" help:"Show searches through stand-ins and daemons, all in this process."`
 	Bench    bench.Options    `cmd:"" help:"Run an experiment and compare it with a baseline."`
 	Fake     fake.Options     `cmd:"" help:"Run the stand-ins as processes of their own."`
@@ -50,11 +52,16 @@
 	History  history.Options  `cmd:"" help:"List past changes."`
 }
 
+type logsCommands struct {
+	Story story.Options `cmd:"" help:"Tell what happened to one request."`
+}
+
 // connect hands the streams to every command.
 func (c *commands) connect(s *term.Streams) {
 	c.Daemon.Streams, c.Search.Streams, c.Status.Streams, c.Demo.Streams, c.Bench.Streams = s, s, s, s, s
 	c.Settings.Validate.Streams, c.Settings.Diff.Streams, c.Settings.Apply.Streams = s, s, s
 	c.Settings.Show.Streams, c.Settings.Explain.Streams, c.Settings.History.Streams = s, s, s
+	c.Logs.Story.Streams = s
 	c.Fake.Init(s)
 }
 
--- a/internal/request/relay/conclude.go
+++ b/internal/request/relay/conclude.go
@@ -78,7 +78,7 @@
 }
 
 // outstanding tells what became of the shards that have not answered, for the
-// log: the pool, its phase, and each target tried with the time since.
+// log: the pool, its phase, the targets tried, and the milliseconds since the last.
 func (x *exchange) outstanding() string {
 	var b strings.Builder
 	listed := 0
@@ -94,7 +94,9 @@
 		for _, t := range x.gather.Tried(shard) {
 			b.WriteString("," + t.ID)
 		}
-		fmt.Fprintf(&b, "@%d", time.Since(x.gather.SentAt(shard)).Milliseconds())
+		if sent := x.gather.SentAt(shard); !sent.IsZero() {
+			fmt.Fprintf(&b, "@%d", time.Since(sent).Milliseconds())
+		}
 	}
 	return b.String()
 }
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,6 +66,8 @@
 	signatures []string
 	sent       bool
 	unknown    bool
+	// looked is when shards that wait last looked for room.
+	looked time.Time
 	// unsettled is the number of attempts whose end has not been taken yet.
 	unsettled int
 	// failed is the newest reply of a target that was no success.
@@ -163,10 +167,22 @@
 	return now.Before(x.request.Arrived.Add(x.route.LatencyTarget))
 }
 
+// lookInterval is the time between looks for room.
+func (x *exchange) lookInterval(now time.Time) time.Duration {
+	if now.After(x.times.partial) {
+		return lateInterval
+	}
+	return waitInterval
+}
+
 // retryWaiting looks for room again for the shards that wait for it.
 func (x *exchange) retryWaiting(now time.Time) {
-	for shard, giveUp := range x.waits {
-		giveUp()
+	if now.Sub(x.looked) < x.lookInterval(now) {
+		return
+	}
+	x.looked = now
+	for _, shard := range slices.Sorted(maps.Keys(x.waits)) {
+		x.waits[shard]()
 		delete(x.waits, shard)
 		x.carryOut(x.gather.Freed(now, shard))
 	}
@@ -233,8 +249,8 @@
 		}
 	}
 	if len(x.waits) > 0 {
-		// Room also comes with time alone.
-		if soon := now.Add(waitInterval); soon.Before(at) {
+		// Room also comes with time alone. Those that can still be in time go first.
+		if soon := now.Add(x.lookInterval(now)); soon.Before(at) {
 			at = soon
 		}
 	}
--- a/internal/request/relay/far.go
+++ b/internal/request/relay/far.go
@@ -295,6 +295,7 @@
 			x.carryOut(x.endFar(now, &farEnd{call: call, err: errLate}))
 		}
 	}
+	x.retryWaiting(now)
 	return x.gather.Tick(now)
 }
 
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -157,6 +157,8 @@
 	queueShare = 4
 	// waitInterval is the time between looks for room at full targets.
 	waitInterval = 25 * time.Millisecond
+	// lateInterval is that of requests which are late already.
+	lateInterval = 200 * time.Millisecond
 	// retryBusy and retryDown are when a caller may come back if all targets are
 	// full, or if none is up.
 	retryBusy = 150 * time.Millisecond
