Use a crowded target over the connections that are open

Cause: after a power loss of all daemons, their old connections still fill the targets for some seconds. Change: after a reset, a daemon with other attempts at the target goes on with as many as are open and opens no further connection for a second.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -26,6 +26,10 @@
 	// the target goes on to turn all away.
 	fullTime = 60 * time.Millisecond
 	fullMost = 500 * time.Millisecond
+	// crowdTime is how long no further connection is opened to a target that
+	// reset one. Connections that a lost daemon left behind time out there within
+	// a few seconds.
+	crowdTime = time.Second
 	// waitFactor is how many times longer than the wait for room at one target
 	// an answer of another may take to be preferred to it.
 	waitFactor = 6
@@ -193,11 +197,15 @@
 }
 
 // roomOf is how many attempts this daemon may have at a target now: none just
-// after it turned one away, since it is full.
+// after it turned one away, since it is full, and no more than the connections
+// that are open after it reset a new one.
 func (f *Fleet) roomOf(now time.Time, t *Target) int {
 	if now.Before(t.full) {
 		return 0
 	}
+	if now.Before(t.crowded) {
+		return min(t.crowdRoom, f.shareOf(t))
+	}
 	return f.shareOf(t)
 }
 
@@ -241,10 +249,16 @@
 		t.down = time.Time{}
 		f.learnPause(now, t, sent)
 		t.pace.reply(now, sent)
-	case Shed, Crowded:
+	case Crowded:
+		t.pace.heard()
+		if t.inFlight == 0 {
+			t.turnedAway(now)
+			return
+		}
+		t.crowded, t.crowdRoom = now.Add(crowdTime), t.inFlight
+	case Shed:
 		t.pace.heard()
-		t.full = now.Add(min(fullTime<<min(t.sheds, 4), fullMost))
-		t.sheds++
+		t.turnedAway(now)
 	case Failed:
 		// A target that fails a request has at least answered.
 		t.pace.heard()
@@ -261,6 +275,12 @@
 	}
 }
 
+// turnedAway leaves a full target alone for a while.
+func (t *Target) turnedAway(now time.Time) {
+	t.full = now.Add(min(fullTime<<min(t.sheds, 4), fullMost))
+	t.sheds++
+}
+
 // believe tells when it changes whether the target is taken to serve.
 func (f *Fleet) believe(now time.Time, t *Target, why Outcome) {
 	state := StateReady
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -246,3 +246,25 @@
 		t.Errorf("verdict %v, want Busy", got.Verdict)
 	}
 }
+
+// Pattern: all daemons lost power and are back, and their old connections still
+// fill the target. A daemon whose second connection is reset goes on with the
+// first one, and opens no other for a while.
+func TestCrowdedTargetIsUsedOverOpenConnections(t *testing.T) {
+	f, g := pool()
+	f.SetEntries(start, []roster.Entry{{ID: "near", Pool: "p", Address: "a", DataCentre: "here", Slots: 2, Revision: 1}},
+		func(dataCentre string) string { return dataCentre })
+	g = NewGroup([]*Fleet{f})
+	first, second := g.pickAt(start).Target, g.pickAt(start).Target
+	g.Finish(start, second, 0, Crowded, 0.001)
+	if got := g.pickAt(start); got.Verdict != Busy {
+		t.Errorf("verdict %v with the only open connection in use", got.Verdict)
+	}
+	g.Finish(start, first, 0, Success, 0.005)
+	if got := g.pickAt(start); got.Verdict != Picked {
+		t.Errorf("verdict %v with an open connection free", got.Verdict)
+	}
+	if got := g.pickAt(start.Add(crowdTime)); got.Verdict != Picked {
+		t.Errorf("verdict %v after %v", got.Verdict, crowdTime)
+	}
+}
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -101,6 +101,10 @@
 	full time.Time
 	// sheds is how often it did so since its last answer.
 	sheds int
+	// crowded is until when no further connection is opened, and crowdRoom the
+	// number of attempts that the open ones carry.
+	crowded   time.Time
+	crowdRoom int
 	// believed is what was last told of the target; empty is ready.
 	believed State
 }
