Let late requests yield to those that can still be in time

Cause: after a power loss of all daemons everybody who asked meanwhile asks again at once. Change: a request whose latency target has passed, counted from its caller's first attempt, picks only targets that have no other work of this daemon and at which nothing waited a moment ago by their own word; it waits for room after all others, and no longer yields five targets before its end. Daemons of other regions are told. Targets' words on their load are read for that.

--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -3,8 +3,14 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
+// yieldRank is added to the priority of requests that yield; priorities of
+// routes are smaller.
+const yieldRank = 1 << 16
+
 // Group is the pools of one route as the shards of one request: shard i is the
 // i-th fleet. It picks as a single fleet does.
 type Group struct {
@@ -12,6 +18,8 @@
 	View *View
 	// LateAfter is how long after its send an attempt counts as late.
 	LateAfter func(t *Target) time.Duration
+	// Yields, if set, reports whether the request leaves room for others.
+	Yields func(now time.Time) bool
 
 	fleets []*Fleet
 }
@@ -36,22 +44,30 @@
 		return Choice{Verdict: Lost}
 	}
 	q.LateAfter = g.LateAfter
+	q.Yield = g.yields(now)
 	return g.fleets[q.Shard].Pick(now, q)
 }
 
-// Wait asks for a call of wake when a target of the shard has room.
+func (g *Group) yields(now time.Time) bool { return g.Yields != nil && g.Yields(now) }
+
+// Wait asks for a call of wake when a target of the shard has room. Requests
+// that yield are woken after all others.
 func (g *Group) Wait(now time.Time, q Query, priority int, wake func(shard int)) (cancel func()) {
 	f := g.fleets[q.Shard]
 	shard := q.Shard
 	// A fleet of one pool knows only its own shard.
 	q.View = &View{Version: q.View.Version, Replicas: g.View.Replicas[shard : shard+1]}
 	q.Shard = 0
+	if q.Yield = g.yields(now); q.Yield {
+		priority += yieldRank
+	}
 	return f.Wait(now, q, priority, func(int) { wake(shard) })
 }
 
 // Finish records the end of an attempt. Latency is in seconds.
-func (g *Group) Finish(now time.Time, t *Target, shard int, outcome Outcome, latency float64) {
-	g.fleets[shard].Finish(now, t, 0, outcome, latency, nil)
+// The load is nil when the target did not tell it.
+func (g *Group) Finish(now time.Time, t *Target, shard int, outcome Outcome, latency float64, load *wire.Load) {
+	g.fleets[shard].Finish(now, t, 0, outcome, latency, load)
 }
 
 // HedgeDelay and Slowness are not used with a group: its shards differ, so
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -39,6 +39,9 @@
 	Again bool
 	// Avoid is a failure domain to keep out of while another is there.
 	Avoid string
+	// Yield leaves room for requests that can still be in time: only a target
+	// without other work is picked.
+	Yield bool
 	// LateAfter, if set, is how long after its send an attempt counts as late.
 	LateAfter func(t *Target) time.Duration
 }
@@ -229,6 +232,7 @@
 	defer f.mu.Unlock()
 	t.inFlight--
 	if f.config.Registered {
+		t.report(now, load)
 		f.learnRegistered(now, t, outcome, latency)
 	} else {
 		f.learn(now, t, shard, outcome, latency, load)
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -30,6 +30,9 @@
 	// reset one. Connections that a lost daemon left behind time out there within
 	// a few seconds.
 	crowdTime = time.Second
+	// loadFresh is how long a target's word on its load is believed: its queue
+	// moves by some requests meanwhile.
+	loadFresh = 150 * time.Millisecond
 	// waitFactor is how many times longer than the wait for room at one target
 	// an answer of another may take to be preferred to it.
 	waitFactor = 6
@@ -174,7 +177,7 @@
 			tried++
 			continue
 		}
-		if t.inFlight >= f.roomOf(now, t) {
+		if t.inFlight >= f.roomOf(now, t) || q.Yield && (t.inFlight > 0 || t.busy(now)) {
 			if score := f.wait(now, t); busy == 0 || score < soonest {
 				soonest = score
 			}
@@ -238,6 +241,16 @@
 	return expected + time.Duration(f.random.IntN(int(time.Millisecond)))
 }
 
+// report takes the load that a target tells of itself.
+func (t *Target) report(now time.Time, load *wire.Load) {
+	if load != nil {
+		t.queued, t.queuedAt = load.Queued, now
+	}
+}
+
+// busy reports whether requests waited at the target a moment ago.
+func (t *Target) busy(now time.Time) bool { return t.queued > 0 && now.Sub(t.queuedAt) < loadFresh }
+
 // learnRegistered takes the end of an attempt at a registered target.
 func (f *Fleet) learnRegistered(now time.Time, t *Target, outcome Outcome, latency float64) {
 	sent := now.Add(-time.Duration(latency * float64(time.Second)))
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -54,7 +54,7 @@
 func TestMisdirectedTargetGetsNothing(t *testing.T) {
 	f, g := pool()
 	near := g.pickAt(start).Target
-	g.Finish(start, near, 0, Gone, 0.001)
+	g.Finish(start, near, 0, Gone, 0.001, nil)
 	// The pool changes elsewhere; the target's own registration is as old as before.
 	f.SetEntries(start, []roster.Entry{
 		{ID: "far", Pool: "p", Address: "b", DataCentre: "there", Slots: 2, Revision: 5},
@@ -72,7 +72,7 @@
 func TestRefusingTargetsAreLeftAlone(t *testing.T) {
 	_, g := pool()
 	for range 2 {
-		g.Finish(start, g.pickAt(start).Target, 0, Refused, 0.001)
+		g.Finish(start, g.pickAt(start).Target, 0, Refused, 0.001, nil)
 	}
 	if got := g.pickAt(start); got.Verdict != Lost || g.Up(start) != 0 {
 		t.Errorf("verdict %v, %d shards up", got.Verdict, g.Up(start))
@@ -108,7 +108,7 @@
 		if choice := g.pickAt(start.Add(at)); choice.Verdict == Picked {
 			tries++
 			newest = choice.Target
-			g.Finish(start.Add(at), newest, 0, Cancelled, 0)
+			g.Finish(start.Add(at), newest, 0, Cancelled, 0, nil)
 		}
 	}
 	dark := int(2 * watched / probeMost)
@@ -117,7 +117,7 @@
 		t.Errorf("%d tries", tries)
 	}
 	end := start.Add(watched)
-	g.Finish(end, newest, 0, Success, 0.005)
+	g.Finish(end, newest, 0, Success, 0.005, nil)
 	if got := g.pickAt(end); got.Verdict != Picked || got.Target != newest {
 		t.Errorf("after an answer: %+v", got)
 	}
@@ -203,7 +203,7 @@
 	if g.Alone(start, 0, choice.Target, 20*time.Millisecond) {
 		t.Error("one of two attempts stays")
 	}
-	g.Finish(start, near, 0, Cancelled, 0)
+	g.Finish(start, near, 0, Cancelled, 0, nil)
 	for i := range paceRecent {
 		sent := start.Add(time.Duration(i+1) * time.Second)
 		near.pace.reply(sent.Add(200*time.Millisecond), sent)
@@ -221,7 +221,7 @@
 	first := g.pickAt(start).Target
 	second := g.pickAt(start, first).Target
 	for _, target := range []*Target{first, second} {
-		g.Finish(start, target, 0, Shed, 0.001)
+		g.Finish(start, target, 0, Shed, 0.001, nil)
 	}
 	if got := g.pickAt(start.Add(fullTime / 2)); got.Verdict != Busy {
 		t.Errorf("verdict %v, want Busy", got.Verdict)
@@ -256,11 +256,11 @@
 		func(dataCentre string) string { return dataCentre })
 	g = NewGroup([]*Fleet{f})
 	first, second := g.pickAt(start).Target, g.pickAt(start).Target
-	g.Finish(start, second, 0, Crowded, 0.001)
+	g.Finish(start, second, 0, Crowded, 0.001, nil)
 	if got := g.pickAt(start); got.Verdict != Busy {
 		t.Errorf("verdict %v with the only open connection in use", got.Verdict)
 	}
-	g.Finish(start, first, 0, Success, 0.005)
+	g.Finish(start, first, 0, Success, 0.005, nil)
 	if got := g.pickAt(start); got.Verdict != Picked {
 		t.Errorf("verdict %v with an open connection free", got.Verdict)
 	}
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -105,6 +105,9 @@
 	// number of attempts that the open ones carry.
 	crowded   time.Time
 	crowdRoom int
+	// queued is the number of requests that waited at the target by its last word.
+	queued   int
+	queuedAt time.Time
 	// believed is what was last told of the target; empty is ready.
 	believed State
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -160,7 +160,7 @@
 	}
 	n.gossip.Init()
 	n.runner = &relay.Runner{
-		Pools: n.Pools, Dialect: n.Dialect, Poison: n.Poison, Tempo: tempo.New(), Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall,
+		Pools: n.Pools, Connect: func(t *fleet.Target) relay.Sender { return n.Pools.Connections(t) }, Dialect: n.Dialect, Poison: n.Poison, Tempo: tempo.New(), Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall,
 		Far: &far{node: n},
 	}
 	n.server = &edge.Server{
--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -54,9 +54,11 @@
 		MaxAttempts: q.MaxAttempts, Priority: q.Priority,
 	}
 	fingerprint := poison.Fingerprint(q.Method, q.Host, q.URI, string(q.Body))
-	return r.exchange(request, route, q.Pools, fingerprint, schedule{
-		end: now.Add(left), partial: soon, late: soon, queue: soon, assisting: true,
-	})
+	times := schedule{end: now.Add(left), partial: soon, late: soon, queue: soon, assisting: true, aim: now.Add(left)}
+	if q.YieldMillis > 0 {
+		times.aim, times.urgent = now, now.Add(time.Duration(q.YieldMillis)*time.Millisecond)
+	}
+	return r.exchange(request, route, q.Pools, fingerprint, times)
 }
 
 // borrowed is a budget whose requests are counted by another daemon.
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -53,7 +53,7 @@
 	r := x.runner
 	sent := time.Now()
 	request := r.Dialect.Encode(x.request, a.Target, x.times.end.Sub(sent))
-	reply, err := r.Pools.Connections(a.Target).Do(ctx, request, x.times.end)
+	reply, err := r.Connect(a.Target).Do(ctx, request, x.times.end)
 	now := time.Now()
 	judgement := Judgement{Outcome: outcomeOf(ctx, err)}
 	if err == nil {
@@ -66,7 +66,7 @@
 	if judgement.Outcome == fleet.Success {
 		r.Tempo.Observe(x.route.Name, a.Target.Region, now.Sub(sent))
 	}
-	x.group.Finish(now, a.Target, a.Shard, judgement.Outcome, now.Sub(sent).Seconds())
+	x.group.Finish(now, a.Target, a.Shard, judgement.Outcome, now.Sub(sent).Seconds(), judgement.Load)
 	x.suspect(now, a.Target, judgement.Outcome)
 	if judgement.Outcome != fleet.Success && judgement.Outcome != fleet.Cancelled {
 		r.Log.Failure(x.request.ID, "attempt failed", "pool", x.names[a.Shard], "target", a.Target.ID, "address", a.Target.Address,
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -37,6 +37,10 @@
 	// that is late does.
 	partial time.Time
 	late    time.Time
+	// aim is when the latency target passes, counted from the caller's first
+	// attempt. From then on, until urgent, the request yields to others.
+	aim    time.Time
+	urgent time.Time
 	// queue is until when the request may wait for room before its first attempt.
 	queue time.Time
 	// assisting is true for shards gathered for another daemon.
@@ -89,6 +93,7 @@
 		cancels: map[uint64]*underway{}, times: times,
 	}
 	x.group.LateAfter = x.late
+	x.group.Yields = x.yields
 	settings := *tree.Default()
 	settings.MaxAttempts = route.MaxAttempts
 	config := gather.Config{
@@ -107,17 +112,37 @@
 	if request.Patience > 0 {
 		patience = min(patience, max(request.Patience-answerMargin, request.Patience/2))
 	}
-	margin := callerTravel + timingSlack + r.patience.spent(request.Arrived, route.Name, request.Patience)
+	spent := r.patience.spent(request.Arrived, route.Name, request.Patience)
+	margin := callerTravel + timingSlack + min(spent, wayMost)
 	target := route.LatencyTarget
 	if target == 0 {
 		target = patience
 	}
+	queue := request.Arrived.Add(target / queueShare)
+	if len(route.Gather) > 0 && spent > target {
+		// It is late already and yields: it waits as long as that.
+		queue = request.Arrived.Add(max(patience-urgentFactor*target, target/queueShare))
+	}
 	return schedule{
+		aim:     request.Arrived.Add(target - spent),
+		urgent:  request.Arrived.Add(patience - urgentFactor*target),
 		end:     request.Arrived.Add(patience),
 		partial: request.Arrived.Add(max(target-margin, target/2)),
 		late:    request.Arrived.Add(min(patienceFactor*target, patience*3/4)),
-		queue:   request.Arrived.Add(target / queueShare),
+		queue:   queue,
+	}
+}
+
+// yields reports whether the request is late already, so that others which can
+// still be in time go first.
+func (x *exchange) yields(now time.Time) bool { return x.yieldsFor(now) > 0 }
+
+// yieldsFor is for how long it does so: not to the end of its time.
+func (x *exchange) yieldsFor(now time.Time) time.Duration {
+	if !x.gathers() || now.Before(x.times.aim) {
+		return 0
 	}
+	return max(0, x.times.urgent.Sub(now))
 }
 
 // late is how long after its send an attempt at the target counts as late.
--- a/internal/request/relay/far.go
+++ b/internal/request/relay/far.go
@@ -50,8 +50,10 @@
 	Pools  []string
 	// LeftMillis is the time in which the whole request ends, SoonMillis that in
 	// which what has come is wanted.
-	LeftMillis  int64
-	SoonMillis  int64
+	LeftMillis int64
+	SoonMillis int64
+	// YieldMillis is for how long a late request leaves room for others.
+	YieldMillis int64
 	Top         int
 	MaxAttempts int
 	Priority    int
@@ -177,7 +179,7 @@
 		ID: x.request.ID, Route: x.route.Name, Method: x.request.Method, Host: x.request.Host, URI: x.request.URI,
 		Header: x.request.Header, Body: x.request.Body, Pools: pools,
 		LeftMillis: x.times.end.Sub(call.sent).Milliseconds(), SoonMillis: max(0, x.times.partial.Sub(call.sent)-x.runner.ways.to(call.region)).Milliseconds(),
-		Top: x.route.Top, MaxAttempts: x.route.MaxAttempts, Priority: x.route.Priority,
+		YieldMillis: x.yieldsFor(call.sent).Milliseconds(), Top: x.route.Top, MaxAttempts: x.route.MaxAttempts, Priority: x.route.Priority,
 	})
 	if err == nil {
 		var reply []byte
--- /dev/null
+++ b/internal/request/relay/load_test.go
@@ -0,0 +1,60 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+const (
+	// shardsOfTown is the number of shards of the queries in the tests of load.
+	shardsOfTown = 20
+	workOfTown   = 28 * time.Millisecond
+)
+
+// historyRoute gathers over all shards, and may miss one in ten.
+func historyRoute() *tree.Route {
+	route := &tree.Route{
+		Name: "history", Idempotent: true, Timeout: 4 * time.Second, LatencyTarget: 200 * time.Millisecond,
+		MaxAttempts: 3, LeastCoverage: 0.89, Merge: tree.MergeGreatest, Top: 10, Priority: 1,
+	}
+	for shard := range shardsOfTown {
+		route.Gather = append(route.Gather, fmt.Sprintf("s%02d", shard))
+	}
+	return route
+}
+
+// Pattern: all daemons lost power for two seconds and are back. Everybody who
+// asked meanwhile asks again at once, late already, while new requests come in
+// as on any day, which alone take half of what the targets can do. The new ones
+// are answered in time, and the others with what is left over.
+func TestBacklogOfAnOutageYieldsToNewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := historyRoute()
+		w := newTown(t, 9, 2, 2, route.Gather...)
+		const fresh = 70.0
+		w.offer(route, workOfTown, 4*time.Second, fresh, 3*time.Second)
+		outage := time.Now()
+		for range int(2 * fresh) {
+			w.ask(route, workOfTown, 4*time.Second-time.Duration(w.random.IntN(int(2*time.Second)))-200*time.Millisecond, true)
+		}
+		w.offer(route, workOfTown, 4*time.Second, fresh, 3*time.Second)
+		w.settle()
+		share, count := w.shareInTime(func(e *ending) bool { return !e.late && e.arrived.After(outage) })
+		if share < 0.9 {
+			t.Errorf("%.3f of %d new requests were answered in time, want 0.9", share, count)
+		}
+		unserved := 0
+		for i := range w.ended {
+			if e := &w.ended[i]; e.late && e.answer.Result != Gathered && e.answer.Result != Partial {
+				unserved++
+			}
+		}
+		if unserved > 0 {
+			t.Errorf("%d requests that came again were not served", unserved)
+		}
+	})
+}
--- a/internal/request/relay/patience.go
+++ b/internal/request/relay/patience.go
@@ -6,8 +6,9 @@
 )
 
 // patience knows how long the callers of each route wait in all. One that has
-// a little less time left has spent the difference on its way here: looking up
-// an address and opening a connection.
+// less time left has spent the difference before: a little on its way here, or
+// more on a first attempt. Where most callers have much less than the longest
+// time left, they do not wait equally long, and nothing is known of them.
 type patience struct {
 	mu     sync.Mutex
 	routes map[string]*longest
@@ -17,14 +18,21 @@
 type longest struct {
 	now, before time.Duration
 	turned      time.Time
+	// alike is the recent share of requests that had about the longest time left.
+	alike float64
 }
 
 const (
 	// patiencePeriod is how long a caller's time is remembered at least.
 	patiencePeriod = 30 * time.Second
 	// wayMost is the longest that a caller's way here is taken to be; who has
-	// still less time has another deadline, or asks for the second time.
+	// still less time asks again after a first attempt.
 	wayMost = 60 * time.Millisecond
+	// alikeLeast is the least such share by which callers count as equally
+	// patient, and alikeWeight the weight of one request. After an outage many
+	// requests come again, so it falls slowly.
+	alikeLeast  = 0.25
+	alikeWeight = 0.01
 	// patienceRoutes bounds the routes remembered.
 	patienceRoutes = 4096
 )
@@ -41,15 +49,21 @@
 		if p.routes == nil || len(p.routes) >= patienceRoutes {
 			p.routes = map[string]*longest{}
 		}
-		l = &longest{turned: now}
+		l = &longest{turned: now, alike: 1}
 		p.routes[route] = l
 	}
 	if now.Sub(l.turned) > patiencePeriod {
 		l.before, l.now, l.turned = l.now, 0, now
 	}
 	l.now = max(l.now, left)
-	if spent := max(l.now, l.before) - left; spent <= wayMost {
-		return spent
+	spent := max(l.now, l.before) - left
+	alike := 0.0
+	if spent <= wayMost {
+		alike = 1
 	}
-	return 0
+	l.alike += alikeWeight * (alike - l.alike)
+	if alike == 0 && l.alike < alikeLeast {
+		return 0
+	}
+	return spent
 }
--- /dev/null
+++ b/internal/request/relay/patience_test.go
@@ -0,0 +1,42 @@
+package relay
+
+import (
+	"testing"
+	"time"
+)
+
+// A caller that has less time left than usual has spent it before, unless the
+// callers of the route differ in how long they wait.
+func TestTimeSpentBefore(t *testing.T) {
+	const longest = 4 * time.Second
+	tests := []struct {
+		name string
+		// others are the times left of requests before, in turns.
+		others []time.Duration
+		left   time.Duration
+		want   time.Duration
+	}{
+		{"unknown", []time.Duration{longest}, 0, 0},
+		{"fresh", []time.Duration{longest}, longest, 0},
+		{"opened a connection", []time.Duration{longest}, longest - 12*time.Millisecond, 12 * time.Millisecond},
+		{"asks again", []time.Duration{longest}, longest - 1800*time.Millisecond, 1800 * time.Millisecond},
+		{"half ask again", []time.Duration{longest, longest - time.Second}, longest - 2*time.Second, 2 * time.Second},
+		{
+			"callers differ",
+			[]time.Duration{longest, time.Second, time.Second, time.Second, time.Second, time.Second, time.Second, time.Second},
+			time.Second, 0,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var p patience
+			now := time.Unix(1000, 0)
+			for i := range 400 {
+				p.spent(now, "r", tt.others[i%len(tt.others)])
+			}
+			if got := p.spent(now, "r", tt.left); got != tt.want {
+				t.Errorf("%v, want %v", got, tt.want)
+			}
+		})
+	}
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	r := &relay.Runner{Pools: pools, Dialect: dialect, Poison: register, Tempo: tempo.New(), Log: log}
+//	r := &relay.Runner{Pools: pools, Connect: connect, Dialect: dialect, Poison: register, Tempo: tempo.New(), Log: log}
 //	answer := r.Run(ctx, &relay.Request{ID: id, Method: "GET", URI: "/a/b", Arrived: now}, route)
 //
 // A context that ends stands for a caller that has left.
@@ -24,6 +24,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/tempo"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/trace"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
 // Request is one attempt of a caller.
@@ -92,6 +93,8 @@
 	Outcome fleet.Outcome
 	// Signature is the target's signature of its reply.
 	Signature string
+	// Load is the target's word on its load; nil if it says none.
+	Load *wire.Load
 }
 
 // Dialect writes what targets read and reads what they write.
@@ -108,13 +111,19 @@
 type Pools interface {
 	Fleet(name string) *fleet.Fleet
 	Budget(name string) *repeat.Budget
-	Connections(t *fleet.Target) *http1.Pool
+}
+
+// Sender sends a request to one target and returns the whole reply.
+type Sender interface {
+	Do(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error)
 }
 
 // Runner runs requests. Exported fields are set before Run.
 type Runner struct {
 	Pools   Pools
 	Dialect Dialect
+	// Connect returns the connections to a target.
+	Connect func(t *fleet.Target) Sender
 	Poison  *poison.Register
 	// Tempo knows how long answers usually take.
 	Tempo *tempo.Tempo
@@ -157,6 +166,9 @@
 	queueShare = 4
 	// waitInterval is the time between looks for room at full targets.
 	waitInterval = 25 * time.Millisecond
+	// urgentFactor is how many latency targets before its end a late request no
+	// longer yields: it has to get through a queue too.
+	urgentFactor = 5
 	// lateInterval is that of requests which are late already.
 	lateInterval = 200 * time.Millisecond
 	// retryBusy and retryDown are when a caller may come back if all targets are
