Keep requests that run at most once away from targets that lose answers

A target's failures were forgotten with its next answer, and each daemon sees few of them. Change: for requests that must not be sent again, a target that lost an answer counts as slower by half the latency target, halving every four seconds; daemons tell each other of such losses.

--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -18,6 +18,8 @@
 	View *View
 	// LateAfter is how long after its send an attempt counts as late.
 	LateAfter func(t *Target) time.Duration
+	// LossCost is the time that a lost answer is taken to cost.
+	LossCost time.Duration
 	// Yields, if set, reports whether the request leaves room for others.
 	Yields func(now time.Time) bool
 
@@ -44,7 +46,7 @@
 		return Choice{Verdict: Lost}
 	}
 	q.LateAfter = g.LateAfter
-	q.Yield = g.yields(now)
+	q.Yield, q.LossCost = g.yields(now), g.LossCost
 	return g.fleets[q.Shard].Pick(now, q)
 }
 
@@ -58,6 +60,7 @@
 	// A fleet of one pool knows only its own shard.
 	q.View = &View{Version: q.View.Version, Replicas: g.View.Replicas[shard : shard+1]}
 	q.Shard = 0
+	q.LossCost = g.LossCost
 	if q.Yield = g.yields(now); q.Yield {
 		priority += yieldRank
 	}
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -42,6 +42,9 @@
 	// Yield leaves room for requests that can still be in time: only a target
 	// without other work is picked.
 	Yield bool
+	// LossCost is the time that a lost answer is taken to cost; zero for requests
+	// that may be sent again.
+	LossCost time.Duration
 	// LateAfter, if set, is how long after its send an attempt counts as late.
 	LateAfter func(t *Target) time.Duration
 }
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -30,6 +31,9 @@
 	// reset one. Connections that a lost daemon left behind time out there within
 	// a few seconds.
 	crowdTime = time.Second
+	// lossHalfLife is the time in which the risk that a target loses an answer,
+	// which is certain once it has lost one, is taken to halve.
+	lossHalfLife = 4 * time.Second
 	// loadFresh is how long a target's word on its load is believed: its queue
 	// moves by some requests meanwhile.
 	loadFresh = 150 * time.Millisecond
@@ -178,13 +182,13 @@
 			continue
 		}
 		if t.inFlight >= f.roomOf(now, t) || q.Yield && (t.inFlight > 0 || t.busy(now)) {
-			if score := f.wait(now, t); busy == 0 || score < soonest {
+			if score := f.wait(now, t) + t.lossRisk(now, q.LossCost); busy == 0 || score < soonest {
 				soonest = score
 			}
 			busy++
 			continue
 		}
-		if score := f.wait(now, t); chosen == nil || score < least {
+		if score := f.wait(now, t) + t.lossRisk(now, q.LossCost); chosen == nil || score < least {
 			chosen, least = t, score
 		}
 	}
@@ -263,6 +267,7 @@
 		f.learnPause(now, t, sent)
 		t.pace.reply(now, sent)
 	case Crowded:
+		t.lost = now
 		t.pace.heard()
 		if t.inFlight == 0 {
 			t.turnedAway(now)
@@ -283,11 +288,30 @@
 	case Draining, Gone:
 		f.setState(t, StateLeaving)
 	case Broken, Corrupt:
+		t.lost = now
 		t.failures = min(t.failures+1, ejectAfter)
 	case Cancelled, Expired:
 	}
 }
 
+// lossRisk is the share of a cost by which the target may lose an answer, after
+// it has lost one.
+func (t *Target) lossRisk(now time.Time, cost time.Duration) time.Duration {
+	if cost == 0 || t.lost.IsZero() {
+		return 0
+	}
+	return time.Duration(float64(cost) * math.Exp2(-now.Sub(t.lost).Seconds()/lossHalfLife.Seconds()))
+}
+
+// Lost takes another daemon's word that a target lost an answer at some time.
+func (f *Fleet) Lost(id string, at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil && at.After(t.lost) {
+		t.lost = at
+	}
+}
+
 // turnedAway leaves a full target alone for a while.
 func (t *Target) turnedAway(now time.Time) {
 	t.full = now.Add(min(fullTime<<min(t.sheds, 4), fullMost))
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -108,6 +108,8 @@
 	// queued is the number of requests that waited at the target by its last word.
 	queued   int
 	queuedAt time.Time
+	// lost is when the target last lost an answer.
+	lost time.Time
 	// believed is what was last told of the target; empty is ready.
 	believed State
 }
--- a/internal/process/gossip/stall.go
+++ b/internal/process/gossip/stall.go
@@ -8,26 +8,30 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 )
 
 const (
 	// stallRepeat is the time for which one word about a target is enough.
 	stallRepeat = 250 * time.Millisecond
-	// stallPeers bounds the daemons that are told of a late target; the others
-	// of a large region find out by themselves.
+	// stallPeers bounds the daemons that are told of a target; the others of a
+	// large region find out by themselves.
 	stallPeers = 16
 )
 
-// Notice tells the daemons of a region what one of them has seen of a target.
+// Notice tells other daemons what one of them has seen of a target.
 type Notice struct {
 	_    struct{} `cbor:",toarray"`
 	Pool string
 	ID   string
-	// AgeMillis is how long ago the target fell silent, or answered again.
+	// AgeMillis is how long ago the target fell silent, answered again, or lost
+	// an answer.
 	AgeMillis int64
 	// HeldMillis is how long it had held up an answer, if it answers again; zero
 	// is a target that is silent.
 	HeldMillis int64
+	// Lost means that the target lost an answer.
+	Lost bool
 }
 
 // warnings remembers which targets daemons were told of lately.
@@ -59,24 +63,31 @@
 // answer for some time, so that they need not find out by requests of their own.
 func (g *Gossip) Stall(pool, id string, since time.Duration) {
 	if g.warned.fresh(time.Now(), id) {
-		g.tell(&Notice{Pool: pool, ID: id, AgeMillis: since.Milliseconds()})
+		g.tell(&Notice{Pool: pool, ID: id, AgeMillis: since.Milliseconds()}, g.Table.Near(time.Now(), stallPeers))
 	}
 }
 
 // Resume tells them that a target answered again a while ago.
 func (g *Gossip) Resume(pool, id string, age, held time.Duration) {
-	g.tell(&Notice{Pool: pool, ID: id, AgeMillis: age.Milliseconds(), HeldMillis: max(held.Milliseconds(), 1)})
+	notice := &Notice{Pool: pool, ID: id, AgeMillis: age.Milliseconds(), HeldMillis: max(held.Milliseconds(), 1)}
+	g.tell(notice, g.Table.Near(time.Now(), stallPeers))
 }
 
-func (g *Gossip) tell(notice *Notice) {
+// Lost tells daemons of all regions that a target has just lost the answer to a
+// request that can not be sent again.
+func (g *Gossip) Lost(pool, id string) {
+	g.tell(&Notice{Pool: pool, ID: id, Lost: true}, g.Table.Any(time.Now(), stallPeers))
+}
+
+func (g *Gossip) tell(notice *Notice, to []member.Member) {
 	body, err := codec.Encode(notice)
 	if err != nil {
-		klog.ErrorS(err, "a late target can not be told of", "target", notice.ID)
+		klog.ErrorS(err, "a notice of a target can not be written", "target", notice.ID)
 		return
 	}
 	g.Meter.Decide("TellOfTarget")
-	for _, m := range g.Table.Near(time.Now(), stallPeers) {
-		g.Link.Send(m.Link, link.Stall, body)
+	for i := range to {
+		g.Link.Send(to[i].Link, link.Stall, body)
 	}
 }
 
@@ -86,7 +97,7 @@
 		g.Meter.Decide("DropMalformedNotice")
 		return
 	}
-	if notice.HeldMillis == 0 {
+	if notice.HeldMillis == 0 && !notice.Lost {
 		g.warned.fresh(time.Now(), notice.ID)
 	}
 	g.Noticed(&notice)
--- a/internal/process/member/ring.go
+++ b/internal/process/member/ring.go
@@ -106,9 +106,20 @@
 func (t *Table) Near(now time.Time, most int) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.some(now, most, func(e *entry) bool { return e.Region == t.self.Region })
+}
+
+// Any returns at most so many other daemons that serve, in random order.
+func (t *Table) Any(now time.Time, most int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.some(now, most, func(*entry) bool { return true })
+}
+
+func (t *Table) some(now time.Time, most int, matches func(e *entry) bool) []Member {
 	var found []Member
 	for _, e := range t.members {
-		if e != t.self && e.Region == t.self.Region && e.State <= Leaving {
+		if e != t.self && e.State <= Leaving && matches(e) {
 			found = append(found, t.export(now, e))
 		}
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -160,7 +160,7 @@
 	}
 	n.gossip.Init()
 	n.runner = &relay.Runner{
-		Pools: n.Pools, Connect: func(t *fleet.Target) relay.Sender { return n.Pools.Connections(t) }, Dialect: n.Dialect, Poison: n.Poison, Tempo: tempo.New(), Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall,
+		Pools: n.Pools, Connect: func(t *fleet.Target) relay.Sender { return n.Pools.Connections(t) }, Dialect: n.Dialect, Poison: n.Poison, Tempo: tempo.New(), Log: n.Log, Suspect: n.gossip.Push, Stalled: n.tellStall, Lost: func(pool string, t *fleet.Target) { n.gossip.Lost(pool, t.ID) },
 		Far: &far{node: n},
 	}
 	n.server = &edge.Server{
@@ -325,6 +325,10 @@
 	now := time.Now()
 	age := time.Duration(notice.AgeMillis) * time.Millisecond
 	f := n.Pools.Fleet(notice.Pool)
+	if notice.Lost {
+		f.Lost(notice.ID, now.Add(-age))
+		return
+	}
 	if notice.HeldMillis == 0 {
 		f.Stalled(now, notice.ID, age)
 		return
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -68,6 +68,7 @@
 	}
 	x.group.Finish(now, a.Target, a.Shard, judgement.Outcome, now.Sub(sent).Seconds(), judgement.Load)
 	x.suspect(now, a.Target, judgement.Outcome)
+	x.tellLoss(a, judgement.Outcome)
 	if judgement.Outcome != fleet.Success && judgement.Outcome != fleet.Cancelled {
 		r.Log.Failure(x.request.ID, "attempt failed", "pool", x.names[a.Shard], "target", a.Target.ID, "address", a.Target.Address,
 			"outcome", judgement.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "error", err)
@@ -83,6 +84,17 @@
 	})
 }
 
+// tellLoss passes on that an answer was lost that can not be asked for again.
+func (x *exchange) tellLoss(a gather.Attempt, outcome fleet.Outcome) {
+	switch outcome {
+	case fleet.Broken, fleet.Crowded, fleet.Corrupt:
+		if !x.route.Idempotent && x.runner.Lost != nil {
+			x.runner.Lost(x.names[a.Shard], a.Target)
+		}
+	default:
+	}
+}
+
 // suspect collects evidence that a request crashes the targets that run it: a
 // connection that broke, and then a target that no longer listens.
 func (x *exchange) suspect(now time.Time, t *fleet.Target, outcome fleet.Outcome) {
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -94,6 +94,9 @@
 	}
 	x.group.LateAfter = x.late
 	x.group.Yields = x.yields
+	if !route.Idempotent {
+		x.group.LossCost = max(route.LatencyTarget, lossLeast) / 2
+	}
 	settings := *tree.Default()
 	settings.MaxAttempts = route.MaxAttempts
 	config := gather.Config{
--- a/internal/request/relay/load_test.go
+++ b/internal/request/relay/load_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -58,3 +59,47 @@
 		}
 	})
 }
+
+// Pattern: two of three targets lose a quarter of their answers for some seconds.
+// Requests that must run at most once go to the third, which has room for all,
+// as long as daemons tell each other.
+func TestLostAnswersAreAvoidedWhereNothingCanBeSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := &tree.Route{
+			Name: "pull", Split: []tree.Share{{Pool: "p", Weight: 1}}, Timeout: 4 * time.Second, LatencyTarget: 400 * time.Millisecond, MaxAttempts: 2,
+		}
+		w := newTown(t, 8, 3, 6, "p")
+		for _, r := range w.daemons {
+			r.Lost = func(pool string, target *fleet.Target) {
+				for _, other := range w.daemons {
+					other.Pools.Fleet(pool).Lost(target.ID, time.Now())
+				}
+			}
+		}
+		for _, m := range w.machines["p"][:2] {
+			m.set(func(m *machine) { m.lose = 0.25 })
+		}
+		w.offer(route, 90*time.Millisecond, 4*time.Second, 22, 6*time.Second)
+		w.settle()
+		lost := 0
+		for i := range w.ended {
+			if w.ended[i].answer.Result != Passed {
+				lost++
+			}
+		}
+		// One loss tells of each target, and half of the requests that begin before
+		// the first go there.
+		if most := 6; lost > most {
+			t.Errorf("%d of %d requests lost their answer, want %d at most", lost, len(w.ended), most)
+		}
+		for _, machines := range w.machines {
+			for _, m := range machines {
+				for id, runs := range m.runs {
+					if runs > 1 {
+						t.Errorf("request %s ran %d times", id, runs)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -132,6 +132,9 @@
 	Suspect func()
 	// Stalled, if set, is told of a target that is late to answer.
 	Stalled func(pool string, target *fleet.Target, since time.Duration)
+	// Lost, if set, is told of a target that lost the answer to a request which
+	// must not be sent again.
+	Lost func(pool string, target *fleet.Target)
 	// Far, if set, gathers shards through daemons of other regions.
 	Far Far
 
@@ -169,6 +172,9 @@
 	// urgentFactor is how many latency targets before its end a late request no
 	// longer yields: it has to get through a queue too.
 	urgentFactor = 5
+	// lossLeast is the least latency target of which half is what a lost answer
+	// costs: a request that can not be sent again rather takes so much longer.
+	lossLeast = 100 * time.Millisecond
 	// lateInterval is that of requests which are late already.
 	lateInterval = 200 * time.Millisecond
 	// retryBusy and retryDown are when a caller may come back if all targets are
