Tell callers to come back later while the store is away at a start

Change: while the store does not answer a daemon that joins, Retry-After is 2 s; callers that can not wait so long come back sooner by their own rule. The refusal is logged with what it rests on.

--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -23,7 +23,9 @@
 		}
 		n.gossip.Join(ctx, n.others(), joinSeeds)
 		if !n.informed() {
-			if err := n.feed.LoadOnce(ctx); err != nil {
+			err := n.feed.LoadOnce(ctx)
+			n.storeLost.Store(err != nil)
+			if err != nil {
 				n.Log.State("the store can not be read yet", "error", err)
 				following = false
 			}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -89,6 +89,9 @@
 	stopMargin = 800 * time.Millisecond
 	// retryUnready is when a caller may come back to a daemon that has no routes yet.
 	retryUnready = 500 * time.Millisecond
+	// retryStoreLost is the same while the store does not answer either: outages
+	// last for seconds, and a caller that comes back sooner is refused again.
+	retryStoreLost = 2 * time.Second
 )
 
 // Node is one daemon. Exported fields are set before Start.
@@ -123,6 +126,8 @@
 	// linked is true once the table exists.
 	linked atomic.Bool
 	known  atomic.Bool
+	// storeLost is true while the store does not answer a daemon that joins.
+	storeLost atomic.Bool
 }
 
 // Start listens and begins to join. It becomes ready once it knows the routes
@@ -263,8 +268,12 @@
 	e := n.Keeper.Current()
 	routes := e.Tree.Routes()
 	if routes == nil {
-		n.Log.Failure(request.ID, "refused", "why", "no settings yet")
-		return &relay.Answer{Result: relay.NotRun, Why: "no settings yet", RetryAfter: retryUnready}
+		lost, after := n.storeLost.Load(), retryUnready
+		if lost {
+			after = retryStoreLost
+		}
+		n.Log.Failure(request.ID, "refused", "why", "no settings yet", "storeLost", lost, "retryAfterMillis", after.Milliseconds())
+		return &relay.Answer{Result: relay.NotRun, Why: "no settings yet", RetryAfter: after}
 	}
 	path := request.URI
 	for i := range len(path) {
