Compress settings and registrations between daemons

Change: replies with settings and registrations are compressed (compress/flate), and bounded when read.

--- a/internal/conn/codec/codec.go
+++ b/internal/conn/codec/codec.go
@@ -5,9 +5,16 @@
 //
 //	body, err := codec.Encode(&request)
 //	err = codec.Decode(body, &reply)
+//
+// Pack and Unpack are the same for large values that compress well, such as the
+// settings.
 package codec
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
@@ -28,6 +35,8 @@
 const (
 	mostElements = 1 << 20
 	mostNesting  = 8
+	// mostUnpacked bounds what a packed value may grow to, in bytes.
+	mostUnpacked = 16 << 20
 )
 
 var (
@@ -63,3 +72,35 @@
 	}
 	return nil
 }
+
+// Pack returns the value as compressed CBOR.
+func Pack(value any) ([]byte, error) {
+	data, err := Encode(value)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	writer, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, &Error{Op: "pack", Kind: KindEncode, Err: err}
+	}
+	if _, err := writer.Write(data); err != nil {
+		return nil, &Error{Op: "pack", Kind: KindEncode, Err: err}
+	}
+	if err := writer.Close(); err != nil {
+		return nil, &Error{Op: "pack", Kind: KindEncode, Err: err}
+	}
+	return out.Bytes(), nil
+}
+
+// Unpack reads a packed value. One that grows beyond a bound is refused.
+func Unpack(data []byte, value any) error {
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), mostUnpacked+1))
+	if err != nil {
+		return &Error{Op: "unpack", Kind: KindDecode, Err: err}
+	}
+	if len(plain) > mostUnpacked {
+		return &Error{Op: "unpack", Kind: KindDecode, Err: fault.Causef("more than %d bytes", mostUnpacked)}
+	}
+	return Decode(plain, value)
+}
--- a/internal/process/gossip/entries.go
+++ b/internal/process/gossip/entries.go
@@ -49,7 +49,7 @@
 		return
 	}
 	var delta roster.Delta
-	if err := codec.Decode(reply, &delta); err != nil {
+	if err := codec.Unpack(reply, &delta); err != nil {
 		g.Meter.Decide("DropMalformedRegistrations")
 		return
 	}
@@ -70,7 +70,7 @@
 	if err := codec.Decode(body, &request); err != nil || g.Roster == nil {
 		return nil
 	}
-	reply, err := codec.Encode(g.Roster.Since(time.Now(), request.Have))
+	reply, err := codec.Pack(g.Roster.Since(time.Now(), request.Have))
 	if err != nil {
 		klog.ErrorS(err, "registrations can not be told")
 		return nil
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -296,7 +296,7 @@
 		return epoch.Change{}, false
 	}
 	var delta epoch.Delta
-	if err := codec.Decode(reply, &delta); err != nil {
+	if err := codec.Unpack(reply, &delta); err != nil {
 		return epoch.Change{}, false
 	}
 	return g.Keeper.Patch(delta)
@@ -307,7 +307,7 @@
 	if err := codec.Decode(body, &request); err != nil {
 		return nil
 	}
-	reply, err := codec.Encode(g.Keeper.Since(request.Have))
+	reply, err := codec.Pack(g.Keeper.Since(request.Have))
 	if err != nil {
 		return nil
 	}
