Reuse the buffers that requests to targets are written through

Cause: the library made a buffer of 4 KB for each attempt, and a body grew by steps though its length was known: 230 KB of garbage a gather of 20 shards. Change: write buffers are pooled; a body of known length is read into a buffer of its size, up to 64 KB.

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -59,8 +59,13 @@
 const (
 	// readBuffer fits the head and body of a usual reply.
 	readBuffer = 2 << 10
+	// writeBuffer fits a usual request, so that it leaves in one packet.
+	writeBuffer = 4 << 10
 	// replyMost bounds the body of a reply.
 	replyMost = 8 << 20
+	// exactMost is the length up to which a body's buffer is made before the
+	// body has come: a reply may announce more than it has.
+	exactMost = 64 << 10
 	// inlineBody is the size up to which a body is written before the reply is
 	// read; it fits the windows of a connection.
 	inlineBody = 8 << 10
@@ -234,8 +239,8 @@
 	written := make(chan error, 1)
 	if request.ContentLength > inlineBody {
 		// A target may reply before it has read a long body.
-		go func() { written <- request.Write(out) }()
-	} else if err := request.Write(out); err != nil {
+		go func() { written <- write(out, request) }()
+	} else if err := write(out, request); err != nil {
 		return nil, false, c.failure("send", out.sent == 0, err)
 	} else {
 		written <- nil
@@ -249,7 +254,7 @@
 	}
 	c.used = true
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, replyMost+1))
+	body, err := readBody(response)
 	if err != nil {
 		return nil, false, c.failure("receive", false, err)
 	}
@@ -268,6 +273,32 @@
 	return reply, keep, nil
 }
 
+// writers are the buffers of requests that are being written.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
+
+func write(out io.Writer, request *http.Request) error {
+	w := writers.Get().(*bufio.Writer)
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
+	w.Reset(out)
+	if err := request.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// readBody reads the whole body, up to one byte more than is taken.
+func readBody(response *http.Response) ([]byte, error) {
+	if size := response.ContentLength; size >= 0 && size <= exactMost {
+		body := make([]byte, size)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(response.Body, replyMost+1))
+}
+
 // readHead skips interim responses.
 func (c *conn) readHead(request *http.Request) (*http.Response, error) {
 	for {
