Serve opaque routes from the product's own daemons

Cause: opaque routes were served only by the platform's node; joining and leaving stood twice. Change: a daemon with [Daemon] Opaque relays requests that pass through unchanged, by the tree's routes.ini, through the same gather, fleet, poison and relay; a pool is a service of one shard, whose targets keep one record of their health. The own headers are in pkg/wire, read and written by conn/plain. What both dialects share moved to conn/pass and request/merge; joining and leaving of both daemons to process/stay. The demonstration shows an opaque gather and an opaque request.

--- a/internal/cmd/demo/demo.go
+++ b/internal/cmd/demo/demo.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,6 +42,7 @@
 	What     string
 	Answer   *wire.SearchAnswer  `json:",omitempty"`
 	Executed *wire.ExecuteAnswer `json:",omitempty"`
+	Opaque   *opaqueAnswer       `json:",omitempty"`
 }
 
 // Run starts the stand-ins and daemons and runs the searches.
@@ -77,6 +79,7 @@
 	}
 	o.Streams.Sayf("store: %s", w.Store.URL())
 	o.Streams.Sayf("try: magnoliarelay search --daemon %s --deployment Erbacee --service Herbarium oregano", w.Running[0].URL())
+	o.Streams.Sayf("or: curl -H 'Host: %s' -H '%s: 1' http://%s/catalogue/oregano | xxd", opaqueHost, wire.HeaderRequest, w.Running[0].Opaque())
 	o.Streams.Sayf("interrupt to stop")
 	<-ctx.Done()
 	return nil
@@ -95,6 +98,10 @@
 		service("Erbacee", "LabelDesk", 8, 2, 25, 6*time.Millisecond),
 		service("Erbacee", "Herbarium", 32, 6, 110, time.Millisecond),
 		service("Erbacee", "LotLedger", 3, 6, 110, time.Millisecond),
+		service("Erbacee", "Shelf1", 1, 2, 25, time.Millisecond),
+		service("Erbacee", "Shelf2", 1, 2, 25, time.Millisecond),
+		service("Erbacee", "Shelf3", 1, 2, 25, time.Millisecond),
+		service("Erbacee", "Printer", 1, 6, 110, time.Millisecond),
 		service("Salish", "OrderDesk", 16, 3, 40, time.Millisecond),
 	}
 }
@@ -130,7 +137,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return append(append(results, *history), printed...), nil
+	opaque, err := opaqueRequests(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(results, []result{*history}, printed, opaque), nil
 }
 
 func checkAnswer(w *world.World, deployment string, q caller.Query, answer *wire.SearchAnswer) error {
@@ -205,6 +216,14 @@
 				strconv.FormatUint(a.Version, 10), fmt.Sprintf("%.1f ms", a.LatencyMillis), strconv.Itoa(a.Attempts), strconv.Itoa(a.ExtraAttempts))
 			continue
 		}
+		if o := r.Opaque; o != nil {
+			coverage := "-"
+			if o.Coverage != "" {
+				coverage = o.Coverage
+			}
+			table.Row(r.What, o.Text, coverage, "-", fmt.Sprintf("%.1f ms", o.LatencyMillis), "-", "-")
+			continue
+		}
 		replayed := "1"
 		if r.Executed.Replayed {
 			replayed = "0 (replayed)"
--- /dev/null
+++ b/internal/conn/plain/plain.go
@@ -0,0 +1,115 @@
+// Package plain is how the product's own callers and searchers speak of opaque
+// requests: any method and path, with the headers of pkg/wire.
+//
+// # Usage
+//
+//	s := &edge.Server{Address: "10.0.0.1:7001", Codec: plain.Codec{}, ...}
+//	r := &relay.Runner{Dialect: plain.Codec{}, ...}
+package plain
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/pass"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/merge"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
+)
+
+// Codec reads and writes both sides. It has no state.
+type Codec struct{}
+
+// Read takes the head of a caller's request. A time-out that can not be read is
+// none; the route's holds.
+func (Codec) Read(r *http.Request) *relay.Request {
+	header := r.Header
+	pass.DropConnection(header)
+	request := &relay.Request{ID: header.Get(wire.HeaderRequest), Method: r.Method, Host: r.Host, URI: r.RequestURI, Header: header}
+	if micros, err := strconv.ParseInt(header.Get(wire.HeaderTimeout), 10, 64); err == nil && micros > 0 {
+		request.Patience = time.Duration(micros) * time.Microsecond
+	}
+	return request
+}
+
+// statusOf is how each result of the daemon's own is told.
+var statusOf = map[relay.Result]int{
+	relay.NotRun:  http.StatusServiceUnavailable,
+	relay.Broken:  http.StatusBadGateway,
+	relay.Expired: http.StatusGatewayTimeout,
+	relay.NoRoute: http.StatusNotFound,
+}
+
+// Write sends an answer to the caller.
+func (Codec) Write(w http.ResponseWriter, request *relay.Request, answer *relay.Answer) error {
+	header := w.Header()
+	switch answer.Result {
+	case relay.Passed:
+		pass.DropConnection(answer.Reply.Header)
+		for name, values := range answer.Reply.Header {
+			if name != wire.HeaderLoad && name != "Content-Length" && name != "Date" {
+				header[name] = values
+			}
+		}
+		return pass.Answer(w, answer.Reply.Status, answer.Reply.Body)
+	case relay.Gathered, relay.Partial:
+		answered := len(answer.Signatures)
+		header.Set(wire.HeaderRequest, request.ID)
+		header.Set(wire.HeaderServedBy, strings.Join(answer.Signatures, ", "))
+		header.Set(wire.HeaderCoverage, fmt.Sprintf("%d/%d", answered, answered+answer.Missing))
+		header.Set("Content-Type", "application/octet-stream")
+		return pass.Answer(w, http.StatusOK, answer.Body)
+	default:
+	}
+	header.Set(wire.HeaderRequest, request.ID)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if answer.Result == relay.NotRun {
+		header.Set(wire.HeaderNotRun, "true")
+		header.Set("Retry-After", strconv.FormatFloat(answer.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	return pass.Answer(w, statusOf[answer.Result], []byte(answer.Why+"\n"))
+}
+
+// Encode makes the request to a searcher.
+func (Codec) Encode(request *relay.Request, _ *fleet.Target, left time.Duration) *http.Request {
+	header := make(http.Header, len(request.Header)+2)
+	for name, values := range request.Header {
+		header[name] = values
+	}
+	header.Set(wire.HeaderTimeout, strconv.FormatInt(max(left.Microseconds(), 1), 10))
+	return pass.Request(request.Method, request.URI, request.Host, header, request.Body)
+}
+
+// Judge reads a searcher's reply: it counts only if it bears the request's ID.
+func (Codec) Judge(request *relay.Request, reply *http1.Reply) relay.Judgement {
+	judgement := relay.Judgement{Signature: reply.Header.Get(wire.HeaderServedBy), Load: loadOf(reply.Header.Get(wire.HeaderLoad))}
+	switch {
+	case reply.Header.Get(wire.HeaderNotRun) != "":
+		judgement.Outcome = fleet.Shed
+	case reply.Header.Get(wire.HeaderRequest) != request.ID || judgement.Signature == "":
+		judgement.Outcome = fleet.Corrupt
+	case reply.Status < http.StatusOK || reply.Status >= http.StatusMultipleChoices:
+		judgement.Outcome = fleet.Failed
+	default:
+		judgement.Outcome = fleet.Success
+	}
+	return judgement
+}
+
+// Merge returns the greatest records of all parts.
+func (Codec) Merge(route *tree.Route, parts [][]byte) []byte { return merge.Greatest(parts, route.Top) }
+
+// loadOf reads "running,waiting"; nil stands for what can not be read.
+func loadOf(value string) *wire.Load {
+	var load wire.Load
+	if count, err := fmt.Sscanf(value, "%d,%d", &load.InFlight, &load.Queued); err != nil || count != 2 {
+		return nil
+	}
+	return &load
+}
--- a/internal/fake/shard/searcher.go
+++ b/internal/fake/shard/searcher.go
@@ -170,6 +170,7 @@
 	mux.HandleFunc("POST /search", s.search)
 	mux.HandleFunc("POST /execute", s.execute)
 	mux.HandleFunc("GET /status", s.status)
+	mux.HandleFunc("/", s.opaque)
 	s.server = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: 10 * time.Second,
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -179,7 +179,7 @@
 	}
 	at := place % len(w.DataCentres)
 	s := &setup.Setup{
-		Name: name, Listen: listen, Link: linkAddress, DataCentre: w.DataCentres[at], Region: w.Regions[at],
+		Name: name, Listen: listen, Link: linkAddress, Opaque: loopback, DataCentre: w.DataCentres[at], Region: w.Regions[at],
 		HostList: "http://" + w.Hosts.Address() + "/hosts",
 	}
 	if w.Store != nil {
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/server"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/stay"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/tenant"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
@@ -92,7 +93,8 @@
 	server  *server.Server
 	home    *once.Home
 	cancel  context.CancelFunc
-	leaving atomic.Bool
+	stay    *stay.Stay
+	opaque  opaque
 	// forwards counts requests of other daemons that are being answered.
 	forwards atomic.Int64
 	hostSeen atomic.Bool
@@ -148,6 +150,11 @@
 		d.link.Close()
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
+	if err := d.startOpaque(); err != nil {
+		d.server.Kill()
+		d.link.Close()
+		return &Error{Op: "start", Kind: KindStart, Err: err}
+	}
 	d.self = member.Member{
 		Name: d.Setup.Name, Link: d.link.Address, URL: "http://" + d.server.Address,
 		DataCentre: d.Setup.DataCentre, Region: d.Setup.Region,
@@ -155,6 +162,7 @@
 	}
 	d.Table = member.New(d.started, d.self, rand.Uint64())
 	d.gossip.Table = d.Table
+	d.stay = &stay.Stay{Table: d.Table, Push: d.gossip.Push, Retry: joinRetry}
 	d.home = once.New(once.Config{Daemon: d.self.Name, Incarnation: d.self.Incarnation, Life: homeLife, KeysMost: keysMost})
 	return nil
 }
@@ -182,24 +190,8 @@
 // is ready. Afterwards it meets daemons that it has not heard of.
 func (d *Daemon) join(ctx context.Context) {
 	watching := false
-	for ctx.Err() == nil {
-		d.gossip.Join(ctx, d.candidates(ctx), joinSeeds)
-		if d.watch != nil && d.Keeper.Current().Change.Revision == 0 {
-			if err := d.watch.ReadOnce(ctx); err != nil {
-				d.Meter.Decide("StoreUnavailableAtStart")
-			}
-		}
-		if d.watch != nil && !watching {
-			watching = true
-			go d.watch.Run(ctx)
-		}
-		if d.settled() && !d.leaving.Load() {
-			d.Table.SetState(time.Now(), member.Ready)
-			d.gossip.Push()
-			klog.Infof("daemon %s is ready at %s", d.self.Name, d.self.URL)
-			break
-		}
-		pause.For(ctx, joinRetry)
+	if d.stay.Join(ctx, func(ctx context.Context) bool { return d.meet(ctx, &watching) }) {
+		klog.Infof("daemon %s is ready at %s", d.self.Name, d.self.URL)
 	}
 	for ctx.Err() == nil {
 		d.gossip.Join(ctx, d.strangers(time.Now()), 1)
@@ -207,6 +199,21 @@
 	}
 }
 
+// meet is one round of joining. It reports whether the daemon can serve.
+func (d *Daemon) meet(ctx context.Context, watching *bool) bool {
+	d.gossip.Join(ctx, d.candidates(ctx), joinSeeds)
+	if d.watch != nil && d.Keeper.Current().Change.Revision == 0 {
+		if err := d.watch.ReadOnce(ctx); err != nil {
+			d.Meter.Decide("StoreUnavailableAtStart")
+		}
+	}
+	if d.watch != nil && !*watching {
+		*watching = true
+		go d.watch.Run(ctx)
+	}
+	return d.settled()
+}
+
 // strangers lists daemons of the host list and the setup that the table lacks
 // or holds for silent. Parts of a tier that never met find each other by it.
 func (d *Daemon) strangers(now time.Time) []string {
@@ -365,7 +372,7 @@
 }
 
 func (d *Daemon) unknown(deployment, service string) *wire.Refusal {
-	if ready, reason := d.Ready(); !ready && !d.leaving.Load() {
+	if ready, reason := d.Ready(); !ready && !d.stay.Leaving() {
 		return &wire.Refusal{Kind: wire.RefusalNotReady, Message: reason, Ran: wire.RanNo, RetryAfterMillis: joinRetry.Milliseconds()}
 	}
 	message := "neither the settings nor the host list name " + deployment + "/" + service
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
-	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/pause"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/stay"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/tenant"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -24,7 +25,6 @@
 	daemonRole      = "Daemon"
 	addressesMost   = 16
 	homeLife        = 2 * time.Minute
-	goodbyeTime     = 50 * time.Millisecond
 	homeKeepDivisor = 2
 )
 
@@ -67,10 +67,13 @@
 		addresses[t][h.Address] = true
 	}
 	d.seeds.Store(&seeds)
+	listed := map[string]bool{}
 	for t, hosts := range byTenant {
+		maps.Copy(listed, addresses[t])
 		t.Fleet.SetHosts(now, hosts)
 		t.Pool.Keep(addresses[t])
 	}
+	d.opaque.keep(listed)
 	d.hostSeen.Store(true)
 }
 
@@ -120,6 +123,7 @@
 			return
 		case now := <-ticker.C:
 			d.updateTenants(now)
+			d.sweepOpaque(now)
 			d.home.Sweep(d.uptime())
 			d.gauges(now)
 		}
@@ -152,25 +156,18 @@
 // until kept lists have run out, finishes what is in flight, and goes. The
 // context bounds it; an error says what was cut.
 func (d *Daemon) Stop(ctx context.Context) error {
-	if d.leaving.Swap(true) {
-		return nil
-	}
 	settings := d.Keeper.Current().Tree.Resolve("", "", "")
 	ctx, cancel := context.WithTimeout(ctx, settings.StopGrace)
 	defer cancel()
 	klog.Infof("daemon %s is leaving", d.self.Name)
-	d.Table.SetState(time.Now(), member.Leaving)
-	d.gossip.Push()
-	pause.For(ctx, settings.AddressKeep+settings.SilentAfter)
-	err := d.server.Stop(ctx)
-	for d.home.Running()+int(d.forwards.Load()) > 0 && pause.For(ctx, goodbyeTime) {
-		// A home finishes what it has begun, also for other daemons.
-		continue
+	servers := []stay.Server{d.server}
+	if d.opaque.server != nil {
+		servers = append(servers, d.opaque.server)
 	}
-	d.Table.SetState(time.Now(), member.Gone)
-	d.gossip.Push()
-	pause.For(ctx, goodbyeTime)
-	d.close()
+	_, err := d.stay.Leave(ctx, stay.Farewell{
+		Keep: settings.AddressKeep + settings.SilentAfter, Servers: servers,
+		Busy: func() int { return d.home.Running() + int(d.forwards.Load()) }, Close: d.close,
+	})
 	if err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
@@ -180,6 +177,9 @@
 // Kill ends the daemon as a crash does.
 func (d *Daemon) Kill() {
 	d.server.Kill()
+	if d.opaque.server != nil {
+		d.opaque.server.Close()
+	}
 	d.close()
 }
 
--- /dev/null
+++ b/internal/process/daemon/opaque.go
@@ -0,0 +1,142 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/edge"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/plain"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/tempo"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/tenant"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+// opaque serves requests that pass through unchanged, by the routes of the
+// settings. A pool is a service of one shard, "Deployment/Service"; its targets
+// have one record of their health, whichever way they are used.
+type opaque struct {
+	runner *relay.Runner
+	server *edge.Server
+
+	mu    sync.Mutex
+	conns map[string]*http1.Pool
+}
+
+// startOpaque listens if the setup has an address for opaque requests.
+func (d *Daemon) startOpaque() error {
+	if d.Setup.Opaque == "" {
+		return nil
+	}
+	d.opaque.runner = &relay.Runner{
+		Pools: servicePools{d}, Connect: d.opaque.connect, Dialect: plain.Codec{}, Poison: d.Poison, Tempo: tempo.New(),
+		Suspect: d.gossip.Push,
+	}
+	d.opaque.server = &edge.Server{
+		Address: d.Setup.Opaque, Codec: plain.Codec{}, Serve: d.serveOpaque, Limits: d.limits,
+		Unwritten: func(*relay.Request, error) { d.Meter.Decide("OpaqueAnswerUnwritten") },
+	}
+	return d.opaque.server.Start()
+}
+
+// Opaque returns the address for opaque requests; empty if none are served.
+func (d *Daemon) Opaque() string {
+	if d.opaque.server == nil {
+		return ""
+	}
+	return d.opaque.server.Address
+}
+
+func (d *Daemon) limits() *tree.Limits {
+	if routes := d.Keeper.Current().Tree.Routes(); routes != nil {
+		return &routes.Limits
+	}
+	return nil
+}
+
+func (d *Daemon) serveOpaque(ctx context.Context, request *relay.Request) *relay.Answer {
+	answer := d.answerOpaque(ctx, request)
+	d.Meter.Decide("Opaque" + string(answer.Result))
+	return answer
+}
+
+func (d *Daemon) answerOpaque(ctx context.Context, request *relay.Request) *relay.Answer {
+	if ready, reason := d.Ready(); !ready && !d.stay.Leaving() {
+		return &relay.Answer{Result: relay.NotRun, Why: reason, RetryAfter: joinRetry}
+	}
+	routes := d.Keeper.Current().Tree.Routes()
+	if routes == nil {
+		return &relay.Answer{Result: relay.NoRoute, Why: "the settings have no routes"}
+	}
+	path, _, _ := strings.Cut(request.URI, "?")
+	route := routes.Match(request.Host, path)
+	if route == nil {
+		return &relay.Answer{Result: relay.NoRoute, Why: "no route"}
+	}
+	answer := d.opaque.runner.Run(ctx, request, route)
+	d.Meter.Answers.WithLabelValues(string(answer.Result), "", "", route.Name).Inc()
+	d.Meter.Latency.WithLabelValues("", "", route.Name).Observe(time.Since(request.Arrived).Seconds())
+	return answer
+}
+
+// servicePools finds the pools of routes among the daemon's services.
+type servicePools struct{ daemon *Daemon }
+
+// Fleet returns the targets of a service; nil for one of several shards, of
+// which no target could answer for all.
+func (p servicePools) Fleet(name string) *fleet.Fleet {
+	f := p.tenant(name).Fleet
+	if view := f.Plan(); view != nil && view.Shards() > 1 {
+		p.daemon.Meter.Decide("RouteToManyShards")
+		return nil
+	}
+	return f
+}
+
+// Budget returns the service's budget for repeated attempts.
+func (p servicePools) Budget(name string) *repeat.Budget { return p.tenant(name).Repeats }
+
+func (p servicePools) tenant(name string) *tenant.Tenant {
+	deployment, service, _ := strings.Cut(name, "/")
+	return p.daemon.tenant(deployment, service)
+}
+
+func (o *opaque) connect(t *fleet.Target) relay.Sender {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	pool := o.conns[t.Address]
+	if pool == nil {
+		if o.conns == nil {
+			o.conns = map[string]*http1.Pool{}
+		}
+		pool = &http1.Pool{Address: t.Address}
+		o.conns[t.Address] = pool
+	}
+	return pool
+}
+
+// sweepOpaque closes connections that are over.
+func (d *Daemon) sweepOpaque(now time.Time) {
+	d.opaque.mu.Lock()
+	defer d.opaque.mu.Unlock()
+	for _, pool := range d.opaque.conns {
+		pool.Sweep(now)
+	}
+}
+
+// keep closes the connections to targets that are listed no longer.
+func (o *opaque) keep(listed map[string]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for address, pool := range o.conns {
+		if !listed[address] {
+			pool.Close()
+			delete(o.conns, address)
+		}
+	}
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -118,7 +118,7 @@
 	t := f.targets[h.Address]
 	if t == nil {
 		t = &Target{
-			Address: h.Address, Region: h.Region, DataCentre: h.DataCentre, Rack: h.Rack,
+			ID: h.Address, Address: h.Address, Region: h.Region, DataCentre: h.DataCentre, Rack: h.Rack,
 			state: StateUnknown, slots: defaultSlots, limit: 1, seen: now,
 		}
 		f.targets[h.Address] = t
--- a/internal/process/fleet/pace.go
+++ b/internal/process/fleet/pace.go
@@ -68,6 +68,20 @@
 	p.replied = now
 }
 
+// learnPace takes the end of an attempt at a target that is not registered.
+func (t *Target) learnPace(now time.Time, outcome Outcome, latency float64) {
+	switch outcome {
+	case Success:
+		t.pace.reply(now, now.Add(-time.Duration(latency*float64(time.Second))))
+	case Broken, Crowded, Corrupt:
+		t.lost = now
+	case Cancelled, Expired:
+		// Nothing has been heard.
+	default:
+		t.pace.heard()
+	}
+}
+
 // typical is the latency to expect.
 func (p *pace) typical(now time.Time) time.Duration {
 	if p.count < paceRecent {
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -244,6 +244,7 @@
 }
 
 func (f *Fleet) learn(now time.Time, t *Target, shard int, outcome Outcome, latency float64, load *wire.Load) {
+	t.learnPace(now, outcome, latency)
 	switch outcome {
 	case Success:
 		t.seen = now
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -181,7 +181,7 @@
 			tried++
 			continue
 		}
-		if t.inFlight >= f.roomOf(now, t) || q.Yield && (t.inFlight > 0 || t.busy(now)) {
+		if t.inFlight >= f.roomFor(now, t, q) {
 			if score := f.wait(now, t) + t.lossRisk(now, q.LossCost); busy == 0 || score < soonest {
 				soonest = score
 			}
@@ -245,6 +245,19 @@
 	return expected + time.Duration(f.random.IntN(int(time.Millisecond)))
 }
 
+// roomFor is how many attempts this daemon may have at a target for one more of
+// the query. One that yields needs a target with nothing else to do.
+func (f *Fleet) roomFor(now time.Time, t *Target, q Query) int {
+	room := f.roomOf(now, t)
+	switch {
+	case !q.Yield:
+		return room
+	case t.busy(now):
+		return 0
+	}
+	return min(room, 1)
+}
+
 // report takes the load that a target tells of itself.
 func (t *Target) report(now time.Time, load *wire.Load) {
 	if load != nil {
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -251,10 +251,10 @@
 // fill the target. A daemon whose second connection is reset goes on with the
 // first one, and opens no other for a while.
 func TestCrowdedTargetIsUsedOverOpenConnections(t *testing.T) {
-	f, g := pool()
+	f, _ := pool()
 	f.SetEntries(start, []roster.Entry{{ID: "near", Pool: "p", Address: "a", DataCentre: "here", Slots: 2, Revision: 1}},
 		func(dataCentre string) string { return dataCentre })
-	g = NewGroup([]*Fleet{f})
+	g := NewGroup([]*Fleet{f})
 	first, second := g.pickAt(start).Target, g.pickAt(start).Target
 	g.Finish(start, second, 0, Crowded, 0.001, nil)
 	if got := g.pickAt(start); got.Verdict != Busy {
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -54,7 +54,7 @@
 
 // Target is one searcher. Its exported fields never change.
 type Target struct {
-	// ID names a registered target; others are known by their address.
+	// ID names a registered target; that of others is their address.
 	ID         string
 	Address    string
 	Region     string
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -8,47 +8,46 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/pause"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/stay"
 )
 
-// join finds other daemons, settings and registrations, and goes on trying
-// until the daemon is ready. What others can tell is not read from the store.
+// join finds other daemons, settings and registrations, and follows the store
+// from then on. What others can tell is not read from the store.
 func (n *Node) join(ctx context.Context) {
-	following := false
-	for ctx.Err() == nil {
-		if !following {
-			following = true
-			if err := n.feed.Enter(ctx); err != nil {
-				n.Log.State("the store does not take this daemon's record yet", "error", err)
-			}
-		}
-		n.gossip.Join(ctx, n.others(), joinSeeds)
-		if !n.informed() {
-			err := n.feed.LoadOnce(ctx)
-			n.storeLost.Store(err != nil)
-			if err != nil {
-				n.Log.State("the store can not be read yet", "error", err)
-				following = false
-			}
+	entered := false
+	if !n.stay.Join(ctx, func(ctx context.Context) bool { return n.meet(ctx, &entered) }) {
+		return
+	}
+	n.Log.State("ready", "uptimeMillis", time.Since(n.started).Milliseconds(), "members", n.Table.Live(),
+		"targets", n.Roster.Len(), "revision", n.Keeper.Current().Change.Revision)
+	n.feed.Run(ctx)
+}
+
+// meet is one round of joining. It reports whether the daemon can serve.
+func (n *Node) meet(ctx context.Context, entered *bool) bool {
+	if !*entered {
+		*entered = true
+		if err := n.feed.Enter(ctx); err != nil {
+			n.Log.State("the store does not take this daemon's record yet", "error", err)
 		}
-		if n.informed() {
-			break
+	}
+	n.gossip.Join(ctx, n.others(), joinSeeds)
+	if !n.informed() {
+		err := n.feed.LoadOnce(ctx)
+		n.storeLost.Store(err != nil)
+		if err != nil {
+			n.Log.State("the store can not be read yet", "error", err)
+			*entered = false
 		}
-		pause.For(ctx, joinRetry)
 	}
-	if ctx.Err() != nil {
-		return
+	if !n.informed() || ctx.Err() != nil {
+		return false
 	}
 	n.known.Store(true)
 	// Before the first request, so that a start of all at once does not give each
 	// daemon the connections of all.
 	n.Pools.SetDaemons(n.Table.Live())
-	if !n.leaving.Load() {
-		n.Table.SetState(time.Now(), member.Ready)
-		n.gossip.Push()
-	}
-	n.Log.State("ready", "uptimeMillis", time.Since(n.started).Milliseconds(), "members", n.Table.Live(),
-		"targets", n.Roster.Len(), "revision", n.Keeper.Current().Change.Revision)
-	n.feed.Run(ctx)
+	return true
 }
 
 // others lists the links of known daemons in random order.
@@ -131,31 +130,19 @@
 // and ends once nothing is under way.
 func (n *Node) Stop(ctx context.Context) error {
 	began := time.Now()
-	n.leaving.Store(true)
-	n.Table.SetState(began, member.Leaving)
-	n.gossip.Push()
 	grace, keep := n.stopTimes()
 	n.Log.State("leaving", "inFlight", n.server.InFlight(), "graceMillis", grace.Milliseconds())
 	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
 	defer cancel()
-	kept := min(keepFactor*keep, grace-2*stopMargin-time.Second)
-	// Callers that use a connection now learn that it is better to leave.
-	pause.For(ctx, kept/2)
-	n.server.Leave()
-	pause.For(ctx, kept-kept/2)
-	err := n.server.Stop(ctx)
-	cut := 0
-	if err != nil {
-		cut = n.server.InFlight()
-	}
-	for n.assists.Load() > 0 && ctx.Err() == nil {
-		pause.For(ctx, goodbyeTime)
-	}
-	n.Table.SetState(time.Now(), member.Gone)
-	n.gossip.Push()
-	pause.For(context.Background(), goodbyeTime)
-	n.cancel()
-	n.link.Close()
+	cut, err := n.stay.Leave(ctx, stay.Farewell{
+		Keep:    min(keepFactor*keep, grace-2*stopMargin-time.Second),
+		Servers: []stay.Server{n.server},
+		Busy:    func() int { return int(n.assists.Load()) },
+		Close: func() {
+			n.cancel()
+			n.link.Close()
+		},
+	})
 	n.Log.State("stopped", "cut", cut, "tookMillis", time.Since(began).Milliseconds())
 	if err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: errors.Join(err, ctx.Err())}
@@ -163,9 +150,6 @@
 	return nil
 }
 
-// goodbyeTime lets the last heartbeat leave before the link closes.
-const goodbyeTime = 60 * time.Millisecond
-
 // Update takes the parts of a setup that may change while running.
 func (n *Node) Update(setup Setup) {
 	n.mu.Lock()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/pools"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/stay"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/tempo"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/trace"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
@@ -120,7 +121,7 @@
 	runner  *relay.Runner
 	server  *edge.Server
 	cancel  context.CancelFunc
-	leaving atomic.Bool
+	stay    *stay.Stay
 	// assists counts gathers under way for other daemons.
 	assists atomic.Int64
 	// linked is true once the table exists.
@@ -197,6 +198,7 @@
 	pinned.Trusted = n.Table.Trusts
 	n.Table.Outgrow = true
 	n.gossip.Table = n.Table
+	n.stay = &stay.Stay{Table: n.Table, Push: n.gossip.Push, Retry: joinRetry}
 	n.feed = &feed.Feed{
 		Source: n.Source, Table: n.Table, Roster: n.Roster, Meter: n.Meter, Log: n.Log, Watchers: watchers,
 		Offer: n.gossip.Offer, Registered: n.gossip.Registrations, Met: n.gossip.Push,
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -11,6 +11,7 @@
 //	Name = entry-1
 //	Listen = 10.0.0.1:7000
 //	Link = 10.0.0.1:7100
+//	Opaque = 10.0.0.1:7001
 //	DataCentre = palermo-a
 //	Region = palermo
 //	[Platform]
@@ -52,6 +53,9 @@
 	Link       string
 	DataCentre string
 	Region     string
+	// Opaque is the address for requests that pass through unchanged; empty
+	// serves none.
+	Opaque string
 	// Store holds base URLs of the platform's store; none means that the
 	// daemon learns the settings from its peers.
 	Store []string
@@ -100,7 +104,7 @@
 // fields maps "Section.Key" to the values found.
 func (s *Setup) fields() map[string]*[]string {
 	names := []string{
-		"Daemon.Name", "Daemon.Listen", "Daemon.Link", "Daemon.DataCentre", "Daemon.Region", "Daemon.Peers",
+		"Daemon.Name", "Daemon.Listen", "Daemon.Link", "Daemon.DataCentre", "Daemon.Region", "Daemon.Opaque", "Daemon.Peers",
 		"Platform.Store", "Platform.HostList", "Keys.Certificate", "Keys.Key", "Keys.Authority",
 	}
 	fields := make(map[string]*[]string, len(names))
@@ -117,6 +121,7 @@
 	s.Link = one("Daemon.Link")
 	s.DataCentre = one("Daemon.DataCentre")
 	s.Region = one("Daemon.Region")
+	s.Opaque = one("Daemon.Opaque")
 	s.Peers = *fields["Daemon.Peers"]
 	s.Store = *fields["Platform.Store"]
 	s.HostList = one("Platform.HostList")
@@ -145,7 +150,11 @@
 	if strings.ContainsAny(s.Name, "./ ") {
 		return invalid("[Daemon] Name: %q holds a dot, slash or blank", s.Name)
 	}
-	for _, address := range append([]string{s.Listen, s.Link}, s.Peers...) {
+	addresses := append([]string{s.Listen, s.Link}, s.Peers...)
+	if s.Opaque != "" {
+		addresses = append(addresses, s.Opaque)
+	}
+	for _, address := range addresses {
 		host, _, err := net.SplitHostPort(address)
 		if err != nil || net.ParseIP(host) == nil {
 			return invalid("%q is not an IP number and port", address)
--- a/internal/process/tenant/tenant.go
+++ b/internal/process/tenant/tenant.go
@@ -24,6 +24,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/repeat"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/admit"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/check"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/search"
@@ -37,6 +38,11 @@
 	limitersMost = 4096
 	// unlimitedCapacity admits everything when concurrency is not limited.
 	unlimitedCapacity = 1 << 20
+	// repeatWindow is the time over which repeated attempts are counted, and
+	// repeatSlack those that are allowed in it beyond the share, so that a service
+	// with few requests can repeat any.
+	repeatWindow = 10 * time.Second
+	repeatSlack  = 20
 )
 
 // Config is set before New.
@@ -55,10 +61,12 @@
 
 // Tenant is one service on one daemon.
 type Tenant struct {
-	config   Config
-	Fleet    *fleet.Fleet
-	Queue    *admit.Queue
-	Pool     *target.Pool
+	config Config
+	Fleet  *fleet.Fleet
+	Queue  *admit.Queue
+	Pool   *target.Pool
+	// Repeats is the budget for repeated attempts of opaque requests.
+	Repeats  *repeat.Budget
 	runner   *search.Runner
 	limiters *lru.Cache[string, *rate.Limiter]
 	serial   atomic.Uint64
@@ -78,6 +86,7 @@
 		Pool:     target.NewPool(),
 		limiters: limiters,
 	}
+	t.Repeats = repeat.New(terms(tree.Default()))
 	t.daemons.Store(1)
 	t.runner = &search.Runner{
 		Deployment: config.Deployment, Service: config.Service,
@@ -93,6 +102,8 @@
 	t.daemons.Store(int64(max(daemons, 1)))
 	t.Fleet.Configure(settings)
 	t.Fleet.SetDaemons(daemons)
+	t.Repeats.SetDaemons(daemons)
+	t.Repeats.SetTerms(terms(settings))
 	capacity := unlimitedCapacity
 	if settings.LimitConcurrency {
 		capacity = t.Fleet.Capacity(now)
@@ -100,6 +111,12 @@
 	t.Queue.SetCapacity(now, capacity)
 }
 
+// terms are the budget of all daemons together for repeated opaque attempts:
+// hedges and retries have one between them.
+func terms(settings *tree.Settings) repeat.Terms {
+	return repeat.Terms{Ratio: settings.ExtraLoad + settings.RetryBudget, Slack: repeatSlack, Window: repeatWindow}
+}
+
 // Usage is the attempts of the last second against their budgets.
 type Usage struct {
 	Primaries int
--- a/platform/talk/merge.go
+++ b/internal/request/merge/greatest.go
@@ -1,4 +1,4 @@
-package talk
+package merge
 
 import (
 	"cmp"
@@ -12,9 +12,9 @@
 // record is compared byte by byte, which is the order of two big-endian numbers.
 type record struct{ high, low uint64 }
 
-// greatest returns the greatest records of all parts, greatest first. Equal
-// records all count.
-func greatest(parts [][]byte, top int) []byte {
+// Greatest returns the greatest records of all parts, greatest first. A record
+// is 16 bytes; equal records all count.
+func Greatest(parts [][]byte, top int) []byte {
 	total := 0
 	for _, part := range parts {
 		total += len(part) / recordBytes
--- a/internal/request/merge/merge.go
+++ b/internal/request/merge/merge.go
@@ -8,7 +8,7 @@
 //
 // A ranked merge keeps the best limit hits by falling score, and by identifier
 // where scores are equal, so the result does not depend on the order in which
-// shards answer. A merge of all matches keeps the first limit by identifier.
+// shards answer. Opaque parts of fixed-size records are joined by Greatest. A merge of all matches keeps the first limit by identifier.
 package merge
 
 import (
