Drop connections to the predecessor of a restarted daemon

Change: when news tell of another certificate at an address, the connection there is dropped unless its peer has shown that certificate.

--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -270,6 +270,21 @@
 	}
 }
 
+// Renew drops the connection to an address unless the daemon there has shown the
+// certificate of a fingerprint: a process that was restarted knows nothing of
+// the connections of its predecessor, and what is sent on them is lost.
+func (l *Link) Renew(address string, fingerprint []byte) {
+	p := l.peer(address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil || keys.Shown(p.conn.ConnectionState().TLS, fingerprint) {
+		return
+	}
+	// The other end is gone; an error leaves nothing to do.
+	_ = p.conn.CloseWithError(0, "the peer was restarted")
+	p.conn = nil
+}
+
 // connect returns a live connection to an address, made if need be.
 func (l *Link) connect(ctx context.Context, address string) (*quic.Conn, error) {
 	p := l.peer(address)
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -207,6 +207,7 @@
 		g.Quota.Merge(now, h.Claims)
 	}
 	news := g.Table.Merge(now, h.Updates)
+	g.renew(news)
 	if g.Poison.Merge(now, h.Suspects) || len(news) > 0 {
 		g.Push()
 	}
@@ -223,6 +224,15 @@
 	g.compareDigests(h.Digest, &from)
 }
 
+// renew drops connections to the predecessors of daemons that news tell of.
+func (g *Gossip) renew(news []member.Member) {
+	for i := range news {
+		if m := &news[i]; m.State < member.Silent && len(m.Fingerprint) > 0 {
+			g.Link.Renew(m.Link, m.Fingerprint)
+		}
+	}
+}
+
 func (g *Gossip) compareRevisions(revision int64, from *member.Member) {
 	own := g.Keeper.Current().Change.Revision
 	switch {
@@ -354,6 +364,7 @@
 	}
 	now := time.Now()
 	if news := g.Table.Merge(now, append(message.Members, message.From)); len(news) > 0 {
+		g.renew(news)
 		g.Push()
 	}
 	g.Poison.Merge(now, message.Suspects)
--- a/internal/process/keys/keys.go
+++ b/internal/process/keys/keys.go
@@ -12,6 +12,7 @@
 package keys
 
 import (
+	"bytes"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -180,6 +181,12 @@
 	return fingerprintOf(pair.Certificate[0])
 }
 
+// Shown reports whether the daemon at the other end of a connection has shown
+// the certificate of a fingerprint.
+func Shown(state tls.ConnectionState, fingerprint []byte) bool {
+	return len(state.PeerCertificates) > 0 && bytes.Equal(fingerprintOf(state.PeerCertificates[0].Raw), fingerprint)
+}
+
 func fingerprintOf(der []byte) []byte {
 	sum := sha256.Sum256(der)
 	return sum[:fingerprintBytes]
