Know the time that the first callers of a daemon have spent

All callers had opened connections, and 20 ms were spent before the daemon saw them; how long they wait in all was not known yet, so the answer in part went out by the clock of the daemon. Change: until 50 requests of a route have come, callers are taken to wait for a multiple of 50 ms, as people choose times. Test: relay, the first requests after a start, and callers with an odd time.

--- a/internal/request/relay/patience.go
+++ b/internal/request/relay/patience.go
@@ -18,6 +18,8 @@
 type longest struct {
 	now, before time.Duration
 	turned      time.Time
+	// seen is the number of requests so far.
+	seen int
 	// alike is the recent share of requests that had about the longest time left.
 	alike float64
 }
@@ -28,6 +30,11 @@
 	// wayMost is the longest that a caller's way here is taken to be; who has
 	// still less time asks again after a first attempt.
 	wayMost = 60 * time.Millisecond
+	// roundTime is what the times that callers wait are multiples of, as people
+	// choose them. It stands in for the longest time until seenFew requests have
+	// come: the first ones have all opened a connection.
+	roundTime = 50 * time.Millisecond
+	seenFew   = 50
 	// alikeLeast is the least such share by which callers count as equally
 	// patient, and alikeWeight the weight of one request. After an outage many
 	// requests come again, so it falls slowly.
@@ -56,7 +63,11 @@
 		l.before, l.now, l.turned = l.now, 0, now
 	}
 	l.now = max(l.now, left)
-	spent := max(l.now, l.before) - left
+	whole := max(l.now, l.before)
+	if l.seen++; l.seen <= seenFew {
+		whole = (whole + roundTime - 1).Truncate(roundTime)
+	}
+	spent := whole - left
 	alike := 0.0
 	if spent <= wayMost {
 		alike = 1
--- a/internal/request/relay/patience_test.go
+++ b/internal/request/relay/patience_test.go
@@ -5,6 +5,25 @@
 	"time"
 )
 
+// Pattern: a daemon has just started, and all callers open connections to it.
+// What they have spent on that is told by how far they are from a round time.
+func TestTimeSpentBeforeTheFirstRequest(t *testing.T) {
+	var p patience
+	now := time.Unix(1000, 0)
+	for _, left := range []time.Duration{3978, 3992, 3979, 4000, 3978} {
+		left *= time.Millisecond
+		if got, want := p.spent(now, "r", left), 4*time.Second-left; got != want {
+			t.Errorf("%v left: %v, want %v", left, got, want)
+		}
+	}
+	for range seenFew {
+		p.spent(now, "odd", 1730*time.Millisecond)
+	}
+	if got := p.spent(now, "odd", 1730*time.Millisecond); got != 0 {
+		t.Errorf("%v, want none once it is known how long callers wait", got)
+	}
+}
+
 // A caller that has less time left than usual has spent it before, unless the
 // callers of the route differ in how long they wait.
 func TestTimeSpentBefore(t *testing.T) {
