--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -69,6 +69,8 @@
 	mu       sync.Mutex
 	revision int64
 	entries  map[string]Entry
+	// pools lists the IDs of each pool's entries.
+	pools map[string]map[string]struct{}
 	// buried are removals, oldest first; those before forgotten are dropped.
 	buried    []Entry
 	forgotten int64
@@ -78,7 +80,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Entry{}, held: map[string]held{}}
+	return &Roster{entries: map[string]Entry{}, pools: map[string]map[string]struct{}{}, held: map[string]held{}}
 }
 
 // Revision is the store's revision up to which the roster is complete.
@@ -169,11 +171,27 @@
 	delete(r.held, e.ID)
 	r.entries[e.ID] = *e
 	if known && old.Pool != e.Pool {
+		r.unlist(&old)
 		pools = append(pools, old.Pool)
 	}
+	ids := r.pools[e.Pool]
+	if ids == nil {
+		ids = map[string]struct{}{}
+		r.pools[e.Pool] = ids
+	}
+	ids[e.ID] = struct{}{}
 	return append(pools, e.Pool)
 }
 
+// unlist takes an entry out of its pool.
+func (r *Roster) unlist(e *Entry) {
+	ids := r.pools[e.Pool]
+	delete(ids, e.ID)
+	if len(ids) == 0 {
+		delete(r.pools, e.Pool)
+	}
+}
+
 func (r *Roster) buriedAfter(e *Entry) bool {
 	return slices.ContainsFunc(r.buried, func(b Entry) bool { return b.ID == e.ID && b.Revision > e.Revision })
 }
@@ -194,6 +212,7 @@
 	if !known {
 		return pools
 	}
+	r.unlist(&old)
 	return append(pools, old.Pool)
 }
 
@@ -245,11 +264,10 @@
 func (r *Roster) Pool(name string) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var entries []Entry
-	for _, e := range r.entries {
-		if e.Pool == name {
-			entries = append(entries, e)
-		}
+	ids := r.pools[name]
+	entries := make([]Entry, 0, len(ids))
+	for id := range ids {
+		entries = append(entries, r.entries[id])
 	}
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return entries
--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -132,3 +134,53 @@
 	}, gen.SliceOf(gen.IntRange(0, 59))))
 	properties.TestingRun(t)
 }
+
+// The entries listed by pool are those that the roster holds, whatever comes in
+// which order.
+func TestPoolsListWhatIsHeld(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	r := New()
+	for revision := int64(1); revision <= 5000; revision++ {
+		e := Entry{
+			ID: strconv.Itoa(random.IntN(40)), Pool: strconv.Itoa(random.IntN(6)), Revision: revision - int64(random.IntN(20)),
+			Gone: random.IntN(3) == 0,
+		}
+		switch random.IntN(50) {
+		case 0:
+			r.Returned(start.Add(time.Duration(revision) * time.Millisecond))
+		case 1:
+			r.Replace(start.Add(time.Duration(revision)*time.Millisecond), []Entry{e}, revision)
+		default:
+			r.Apply(start.Add(time.Duration(revision)*time.Millisecond), []Entry{e}, revision)
+		}
+		r.Expire(start.Add(time.Duration(revision) * time.Millisecond))
+	}
+	listed := 0
+	for pool := range 6 {
+		for _, e := range r.Pool(strconv.Itoa(pool)) {
+			listed++
+			if e.Pool != strconv.Itoa(pool) || r.entries[e.ID] != e {
+				t.Errorf("pool %d lists %+v, held is %+v", pool, e, r.entries[e.ID])
+			}
+		}
+	}
+	if listed != r.Len() {
+		t.Errorf("%d entries are listed, %d held", listed, r.Len())
+	}
+}
+
+// BenchmarkPool reads one pool of the tier's design size.
+func BenchmarkPool(b *testing.B) {
+	const targets, pools = 72_000, 260
+	r := New()
+	entries := make([]Entry, targets)
+	for i := range entries {
+		entries[i] = Entry{ID: strconv.Itoa(i), Pool: strconv.Itoa(i % pools), Revision: int64(i + 1)}
+	}
+	r.Apply(start, entries, targets)
+	for b.Loop() {
+		if len(r.Pool("7")) == 0 {
+			b.Fatal("the pool is empty")
+		}
+	}
+}
