Take a change from another daemon when its bearer dies

Change: one daemon is asked for 0.5 s; others that tell of a newer revision meanwhile are remembered and asked next. The same for registrations. Tests: process/gossip, the order of asking, and a bearer that never replies; without the memory the change is never taken (15 s).

--- a/internal/process/gossip/entries.go
+++ b/internal/process/gossip/entries.go
@@ -23,19 +23,25 @@
 	own := g.Roster.Revision()
 	switch {
 	case revision > own:
-		go g.fetchEntries(from.Link)
+		go g.fetchEntries(from.Link, revision)
 	case revision < own && from.State < member.Silent:
 		g.Link.Send(from.Link, link.Heartbeat, g.encode(time.Now(), nil))
 	}
 }
 
-// fetchEntries brings in the registrations that another daemon knows of.
-func (g *Gossip) fetchEntries(address string) {
-	if g.Roster == nil || !g.asking.CompareAndSwap(false, true) {
+// fetchEntries brings in the registrations that another daemon knows of, or
+// others that have told of newer ones meanwhile.
+func (g *Gossip) fetchEntries(address string, revision int64) {
+	if g.Roster == nil || !g.asks.begin(address, revision) {
 		return
 	}
-	defer g.asking.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	for found := true; found; address, found = g.asks.next(g.Roster.Revision()) {
+		g.fetchEntriesFrom(address)
+	}
+}
+
+func (g *Gossip) fetchEntriesFrom(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	body, err := codec.Encode(&entriesRequest{Have: g.Roster.Revision()})
 	if err != nil {
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,12 @@
 	// which the tables are compared whole.
 	mismatchesMost = 20
 	askTimeout     = 3 * time.Second
+	// pullTimeout bounds the time for which one daemon is asked for settings or
+	// registrations before another one is: several ways there and back between
+	// regions, and a fraction of the time in which a change has to be in force.
+	pullTimeout = 500 * time.Millisecond
+	// anyRevision stands for the revision of a daemon that is not known.
+	anyRevision = math.MaxInt64
 )
 
 // Heartbeat is the message of type link.Heartbeat.
@@ -79,8 +86,8 @@
 	Gather func(ctx context.Context, body []byte) []byte
 
 	push       chan struct{}
-	fetching   atomic.Bool
-	asking     atomic.Bool
+	fetches    pulls
+	asks       pulls
 	warned     warnings
 	mismatches atomic.Int32
 }
@@ -237,7 +244,7 @@
 	own := g.Keeper.Current().Change.Revision
 	switch {
 	case revision > own:
-		go g.fetch(from.Link)
+		go g.fetch(from.Link, revision)
 	case revision < own && from.State < member.Silent:
 		g.Link.Send(from.Link, link.Heartbeat, g.encode(time.Now(), nil))
 	}
@@ -261,21 +268,29 @@
 	}()
 }
 
-// fetch brings in the settings of a daemon with a newer revision.
-func (g *Gossip) fetch(address string) {
-	if !g.fetching.CompareAndSwap(false, true) {
+// fetch brings in the settings of a daemon with a newer revision, or of others
+// that have told of one meanwhile.
+func (g *Gossip) fetch(address string, revision int64) {
+	if !g.fetches.begin(address, revision) {
 		return
 	}
-	defer g.fetching.Store(false)
-	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	for found := true; found; address, found = g.fetches.next(g.Keeper.Current().Change.Revision) {
+		g.fetchFrom(address)
+	}
+}
+
+func (g *Gossip) fetchFrom(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	change, ok := g.askChange(ctx, address, g.Keeper.Current().Change.Revision)
 	if !ok {
 		change, ok = g.askChange(ctx, address, 0)
 	}
-	if ok {
-		g.Offer(change)
+	if !ok {
+		g.Meter.Decide("SettingsNotFetched")
+		return
 	}
+	g.Offer(change)
 }
 
 // Offer puts a change in force if it is newer, and spreads it.
@@ -389,8 +404,8 @@
 		ask, cancel := context.WithTimeout(ctx, askTimeout)
 		if g.askTable(ask, seed) {
 			joined++
-			g.fetch(seed)
-			g.fetchEntries(seed)
+			g.fetch(seed, anyRevision)
+			g.fetchEntries(seed, anyRevision)
 		}
 		cancel()
 	}
--- /dev/null
+++ b/internal/process/gossip/pull_test.go
@@ -0,0 +1,88 @@
+package gossip
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+func TestPullsAskOneAfterTheOther(t *testing.T) {
+	var p pulls
+	if !p.begin("a", 5) {
+		t.Fatal("the first is not asked")
+	}
+	for _, o := range []offer{{"b", 5}, {"c", 7}, {"b", 6}} {
+		if p.begin(o.address, o.revision) {
+			t.Errorf("%s is asked at the same time", o.address)
+		}
+	}
+	if got, found := p.next(5); !found || got != "b" {
+		t.Errorf("next is %q, %v, want b, which told of 6 as well", got, found)
+	}
+	if got, found := p.next(7); found {
+		t.Errorf("%q is asked for what is known", got)
+	}
+	if !p.begin("d", 8) {
+		t.Error("nobody is asked after the end of a pull")
+	}
+}
+
+// daemon is a gossip over a real link.
+func daemon(t *testing.T, name string) *Gossip {
+	t.Helper()
+	k, err := keys.Pinned(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k.Trusted = func([]byte) bool { return true }
+	g := &Gossip{Keeper: epoch.NewKeeper(), Poison: poison.New(), Meter: meter.New(), Roster: roster.New(), Accepted: func() {}, Registered: func([]string) {}}
+	g.Init()
+	g.Link = &link.Link{Address: "127.0.0.1:0", Keys: k, Handle: g.Handle}
+	if err := g.Link.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Link.Close)
+	g.Table = member.New(time.Now(), member.Member{Name: name, Link: g.Link.Address, State: member.Ready, Incarnation: 1}, 1)
+	return g
+}
+
+// Pattern: a change is accepted, and the daemon that was first to have it loses
+// power while the others ask it. They turn to another that has told of the change,
+// without waiting for the next word of anyone.
+func TestChangeIsTakenFromAnotherWhenItsBearerDies(t *testing.T) {
+	behind, other := daemon(t, "behind"), daemon(t, "other")
+	dead, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dead.Close() })
+	other.Offer(epoch.Change{Revision: 85, Number: 15, Files: tree.Files{"firm.ini": "[Cost]\nQueueLength = 9\n"}})
+	other.Roster.Apply(time.Now(), []roster.Entry{{ID: "t", Pool: "p", Revision: 85}}, 85)
+	address := dead.LocalAddr().String()
+	go behind.fetch(address, 85)
+	go behind.fetchEntries(address, 85)
+	buffer := make([]byte, 2048)
+	if _, _, err := dead.ReadFrom(buffer); err != nil {
+		t.Fatal(err)
+	}
+	behind.fetch(other.Link.Address, 85)
+	behind.fetchEntries(other.Link.Address, 85)
+	for end := time.Now().Add(15 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		settings, entries := behind.Keeper.Current().Change.Revision, behind.Roster.Revision()
+		if settings == 85 && entries == 85 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("settings at revision %d, registrations at %d", settings, entries)
+		}
+	}
+}
