Give daemons near a target the connections that an even share leaves over

Cause: half of the first attempts that crossed regions did so since both connections of the daemon to the near target were in use, while an even share of 26 connections over nine daemons leaves five unused. Change: daemons near a target divide the rest, up to one more than its slots, and only while nothing waits at the target by its own word. Tests: shares and their sum.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -44,6 +44,8 @@
 	random   *rand.Rand
 	settings *tree.Settings
 	daemons  int
+	// near is how many of the daemons are in the own region.
+	near int
 	// sharers is how many daemons are expected to use each target.
 	sharers int
 	routine time.Time
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -134,12 +134,33 @@
 	}
 }
 
-// shareOf is this daemon's even share of a target's connections.
-func (f *Fleet) shareOf(t *Target) int {
+// SetNear tells how many of the live daemons are in this daemon's region.
+func (f *Fleet) SetNear(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.near = count
+}
+
+// evenShare is a target's connections divided by the daemons.
+func (f *Fleet) evenShare(t *Target) int {
 	if t.connections == 0 {
 		return defaultSlots
 	}
-	return max(1, int((1-spareShare)*float64(t.connections))/max(f.sharers, 1))
+	return max(1, usable(t)/max(f.sharers, 1))
+}
+
+// usable is how many connections of a target all daemons open together.
+func usable(t *Target) int { return int((1 - spareShare) * float64(t.connections)) }
+
+// shareOf is this daemon's share of a target's connections: an even one, and for
+// daemons near the target what is left over by rounding, up to one more than its
+// slots: more would only wait there.
+func (f *Fleet) shareOf(t *Target) int {
+	even := f.evenShare(t)
+	if !t.Near || f.near < 1 || f.near >= f.sharers || t.connections == 0 {
+		return even
+	}
+	return max(even, min((usable(t)-(f.sharers-f.near)*even)/f.near, t.slots+1))
 }
 
 // Stalled takes another daemon's word that a target has not answered for some time.
@@ -213,6 +234,9 @@
 	if now.Before(t.crowded) {
 		return min(t.crowdRoom, f.shareOf(t))
 	}
+	if t.busy(now) {
+		return f.evenShare(t)
+	}
 	return f.shareOf(t)
 }
 
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/cycle"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
 // pool has two targets, "near" in the daemon's region and "far" in another.
@@ -268,3 +269,44 @@
 		t.Errorf("verdict %v after %v", got.Verdict, crowdTime)
 	}
 }
+
+// Pattern: nine daemons, three of them near a target of 26 connections and two
+// slots. What an even share leaves over goes to those near, one more than the
+// slots at most, and only while nothing waits at the target.
+func TestSharesOfConnections(t *testing.T) {
+	tests := []struct {
+		name          string
+		connections   int
+		daemons, near int
+		queued        int
+		want          map[string]int
+	}{
+		{"three of nine", 26, 9, 3, 0, map[string]int{"near": 3, "far": 2}},
+		{"requests wait", 26, 9, 3, 2, map[string]int{"near": 2, "far": 2}},
+		{"all are near", 26, 9, 9, 0, map[string]int{"near": 2, "far": 2}},
+		{"fewer connections than daemons", 6, 9, 3, 0, map[string]int{"near": 1, "far": 1}},
+		{"not known", 0, 9, 3, 0, map[string]int{"near": defaultSlots, "far": defaultSlots}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, _ := pool()
+			f.SetConnections(tt.connections)
+			f.SetDaemons(tt.daemons)
+			f.SetNear(tt.near)
+			f.Plan()
+			for id, want := range tt.want {
+				target := f.targets[id]
+				target.report(start, &wire.Load{Queued: tt.queued})
+				got := f.roomOf(start, target)
+				if got != want {
+					t.Errorf("%s: room for %d, want %d", id, got, want)
+				}
+			}
+			near := f.targets["near"]
+			total := tt.near*f.shareOf(near) + (tt.daemons-tt.near)*f.evenShare(near)
+			if tt.connections >= tt.daemons && total > tt.connections {
+				t.Errorf("all daemons together open %d of %d connections", total, tt.connections)
+			}
+		})
+	}
+}
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -335,15 +335,25 @@
 
 // Live returns the number of daemons that serve, this one included.
 func (t *Table) Live() int {
+	live, _ := t.Serving()
+	return live
+}
+
+// Serving returns the number of daemons that serve, this one included, and how
+// many of them are in its region.
+func (t *Table) Serving() (live, near int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	live := 0
 	for _, e := range t.members {
-		if e.State <= Leaving {
-			live++
+		if e.State > Leaving {
+			continue
+		}
+		live++
+		if e.Region == t.self.Region {
+			near++
 		}
 	}
-	return live
+	return live, near
 }
 
 // Digest sums up the table, so that two daemons see whether theirs differ.
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -46,7 +46,7 @@
 	n.known.Store(true)
 	// Before the first request, so that a start of all at once does not give each
 	// daemon the connections of all.
-	n.Pools.SetDaemons(n.Table.Live())
+	n.Pools.SetDaemons(n.Table.Serving())
 	return true
 }
 
@@ -108,7 +108,7 @@
 	for round := 1; pause.For(ctx, houseInterval); round++ {
 		now := time.Now()
 		n.gossip.Registrations(n.Roster.Expire(now))
-		n.Pools.SetDaemons(n.Table.Live())
+		n.Pools.SetDaemons(n.Table.Serving())
 		if round%sweepRounds == 0 {
 			n.Pools.Sweep(now)
 			n.keepLinks(now)
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -45,6 +45,7 @@
 	pools   map[string]*pool
 	conns   map[string]*http1.Pool
 	daemons int
+	near    int
 	shared  *cycle.Beat
 }
 
@@ -86,6 +87,7 @@
 		budget: repeat.New(p.Terms),
 	}
 	found.fleet.SetDaemons(max(p.daemons, 1))
+	found.fleet.SetNear(p.near)
 	found.budget.SetDaemons(max(p.daemons, 1))
 	p.pools[name] = found
 	return found
@@ -116,16 +118,18 @@
 	}
 }
 
-// SetDaemons tells how many live daemons share targets and budgets.
-func (p *Pools) SetDaemons(count int) {
+// SetDaemons tells how many live daemons share targets and budgets, and how many
+// of them are in the own region.
+func (p *Pools) SetDaemons(count, near int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if count = max(count, 1); count == p.daemons {
+	if count = max(count, 1); count == p.daemons && near == p.near {
 		return
 	}
-	p.daemons = count
+	p.daemons, p.near = count, near
 	for _, found := range p.pools {
 		found.fleet.SetDaemons(count)
+		found.fleet.SetNear(near)
 		found.budget.SetDaemons(count)
 	}
 }
--- a/internal/request/relay/world_test.go
+++ b/internal/request/relay/world_test.go
@@ -176,7 +176,7 @@
 			Daemon: strconv.Itoa(number), Region: "here", RegionOf: func(dataCentre string) string { return dataCentre },
 			Terms: repeat.Terms{Ratio: 0.2, Slack: 56, Window: 10 * time.Second},
 		}
-		known.SetDaemons(daemons)
+		known.SetDaemons(daemons, daemons)
 		for name := range entries {
 			known.Configure(&tree.Routes{Pools: map[string]tree.Pool{name: {Name: name, Connections: 26}}})
 			known.Register(time.Now(), name, entries[name])
