Keep first attempts out of queues in which no answer can be in time

Change: while a query may still be answered in part in time, a target at which requests wait by its own word, and which is not expected to answer by then, has no room for a first attempt; the shard waits for room, or is left out.

--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -20,6 +20,8 @@
 	LateAfter func(t *Target) time.Duration
 	// LossCost is the time that a lost answer is taken to cost.
 	LossCost time.Duration
+	// UsefulBy, if set, returns when an answer is of no use any more; zero is never.
+	UsefulBy func(now time.Time) time.Time
 	// Yields, if set, reports whether the request leaves room for others.
 	Yields func(now time.Time) bool
 
@@ -45,12 +47,18 @@
 	if g.fleets[q.Shard] == nil {
 		return Choice{Verdict: Lost}
 	}
-	q.LateAfter = g.LateAfter
-	q.Yield, q.LossCost = g.yields(now), g.LossCost
+	g.complete(now, &q)
 	return g.fleets[q.Shard].Pick(now, q)
 }
 
-func (g *Group) yields(now time.Time) bool { return g.Yields != nil && g.Yields(now) }
+// complete adds to a query what holds for the whole request.
+func (g *Group) complete(now time.Time, q *Query) {
+	q.LateAfter, q.LossCost = g.LateAfter, g.LossCost
+	q.Yield = g.Yields != nil && g.Yields(now)
+	if g.UsefulBy != nil {
+		q.By = g.UsefulBy(now)
+	}
+}
 
 // Wait asks for a call of wake when a target of the shard has room. Requests
 // that yield are woken after all others.
@@ -60,8 +68,7 @@
 	// A fleet of one pool knows only its own shard.
 	q.View = &View{Version: q.View.Version, Replicas: g.View.Replicas[shard : shard+1]}
 	q.Shard = 0
-	q.LossCost = g.LossCost
-	if q.Yield = g.yields(now); q.Yield {
+	if g.complete(now, &q); q.Yield {
 		priority += yieldRank
 	}
 	return f.Wait(now, q, priority, func(int) { wake(shard) })
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -42,6 +42,10 @@
 	// Yield leaves room for requests that can still be in time: only a target
 	// without other work is picked.
 	Yield bool
+	// By, if set, is when an answer is of no use any more: targets at which
+	// requests wait, and that are not expected to answer by then, have no room for
+	// a first attempt.
+	By time.Time
 	// LossCost is the time that a lost answer is taken to cost; zero for requests
 	// that may be sent again.
 	LossCost time.Duration
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -240,16 +240,27 @@
 	return f.shareOf(t)
 }
 
-// wait is how long an attempt at the target is expected to take.
+// wait is how an attempt at the target compares with others: the time that it
+// is expected to take, and what it costs besides.
 func (f *Fleet) wait(now time.Time, t *Target) time.Duration {
+	expected := f.takes(now, t)
+	if !t.Near {
+		expected += farPenalty
+	}
+	if t.failures > 0 {
+		expected += t.pace.typical(now) * time.Duration(t.failures)
+	}
+	// Equals take turns.
+	return expected + time.Duration(f.random.IntN(int(time.Millisecond)))
+}
+
+// takes is how long an attempt at the target is expected to take.
+func (f *Fleet) takes(now time.Time, t *Target) time.Duration {
 	typical := t.pace.typical(now)
 	expected := typical
 	if queued := t.inFlight + 1 - t.slots; queued > 0 {
 		expected += typical * time.Duration(queued) / time.Duration(t.slots)
 	}
-	if !t.Near {
-		expected += farPenalty
-	}
 	if until, paused := t.cycle.Paused(now, typical); paused {
 		expected += until.Sub(now)
 	} else if t.overdue(now) {
@@ -262,11 +273,7 @@
 			expected += stallPenalty
 		}
 	}
-	if t.failures > 0 {
-		expected += typical * time.Duration(t.failures)
-	}
-	// Equals take turns.
-	return expected + time.Duration(f.random.IntN(int(time.Millisecond)))
+	return expected
 }
 
 // roomFor is how many attempts this daemon may have at a target for one more of
@@ -274,6 +281,8 @@
 func (f *Fleet) roomFor(now time.Time, t *Target, q Query) int {
 	room := f.roomOf(now, t)
 	switch {
+	case f.hopeless(now, t, q):
+		return 0
 	case !q.Yield:
 		return room
 	case t.busy(now):
@@ -282,6 +291,12 @@
 	return min(room, 1)
 }
 
+// hopeless reports whether a first attempt would only wait at the target until
+// its answer is of no use, and take the place of one that is.
+func (f *Fleet) hopeless(now time.Time, t *Target, q Query) bool {
+	return !q.By.IsZero() && len(q.Tried) == 0 && t.busy(now) && now.Add(f.takes(now, t)).After(q.By)
+}
+
 // report takes the load that a target tells of itself.
 func (t *Target) report(now time.Time, load *wire.Load) {
 	if load != nil {
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -95,7 +95,7 @@
 		cancels: map[uint64]*underway{}, times: times,
 	}
 	x.group.LateAfter = x.late
-	x.group.Yields = x.yields
+	x.group.Yields, x.group.UsefulBy = x.yields, x.usefulBy
 	if !route.Idempotent {
 		x.group.LossCost = max(route.LatencyTarget, lossLeast) / 2
 	}
@@ -151,6 +151,15 @@
 	return max(0, x.times.urgent.Sub(now))
 }
 
+// usefulBy is when the answer in part goes out, if it may miss shards: what
+// comes later is not waited for. Zero means that every answer is of use.
+func (x *exchange) usefulBy(now time.Time) time.Time {
+	if !x.gathers() || !now.Before(x.times.partial) || !x.times.assisting && x.route.LeastCoverage >= 1 {
+		return time.Time{}
+	}
+	return x.times.partial
+}
+
 // late is how long after its send an attempt at the target counts as late.
 func (x *exchange) late(t *fleet.Target) time.Duration {
 	return x.runner.Tempo.Late(x.route.Name, t.Region, t.Near)
--- a/internal/request/relay/load_test.go
+++ b/internal/request/relay/load_test.go
@@ -103,3 +103,51 @@
 		}
 	})
 }
+
+// Pattern: one of the two targets of six shards in twenty goes dark on a heavy
+// day, and the other can serve no more than seven in eight queries. A query that
+// may miss two shards does not queue where it can not be answered in time, so
+// that what those targets serve comes in time.
+func TestScarceShardsAnswerInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := historyRoute()
+		w := newTown(t, 9, 2, 2, route.Gather...)
+		const perSecond = 80.0
+		w.offer(route, workOfTown, 4*time.Second, perSecond, 2*time.Second)
+		for _, name := range route.Gather[:6] {
+			w.machines[name][0].set(func(m *machine) { m.dark = true })
+		}
+		// The daemons find out within a second.
+		w.offer(route, workOfTown, 4*time.Second, perSecond, time.Second)
+		heavy := time.Now()
+		w.offer(route, workOfTown, 4*time.Second, perSecond, 4*time.Second)
+		w.settle()
+		share, count := w.shareInTime(func(e *ending) bool { return e.arrived.After(heavy) })
+		if share < 0.75 {
+			t.Errorf("%.3f of %d queries were answered in time, want 0.75", share, count)
+		}
+	})
+}
+
+// Pattern: for five seconds two and a half times as many callers ask as on any
+// day, half more than the targets can serve. Hardly anybody goes without an
+// answer, since queues stay short where they help nobody.
+func TestBurstLeavesFewWithoutAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := historyRoute()
+		w := newTown(t, 9, 2, 2, route.Gather...)
+		w.offer(route, workOfTown, 4*time.Second, 80, 2*time.Second)
+		w.offer(route, workOfTown, 4*time.Second, 200, 5*time.Second)
+		w.offer(route, workOfTown, 4*time.Second, 80, 4*time.Second)
+		w.settle()
+		served := 0
+		for i := range w.ended {
+			if r := w.ended[i].answer.Result; r == Gathered || r == Partial {
+				served++
+			}
+		}
+		if share := float64(served) / float64(len(w.ended)); share < 0.95 {
+			t.Errorf("%.3f of %d queries were served, want 0.95", share, len(w.ended))
+		}
+	})
+}
