--- a/internal/conn/pass/pass.go
+++ b/internal/conn/pass/pass.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// Header copies a target's header for the caller, without what concerns one
+// connection and a field that is meant for the daemon.
+func Header(to, from http.Header, private string) {
+	DropConnection(from)
+	for name, values := range from {
+		if name != private && name != "Content-Length" && name != "Date" {
+			to[name] = values
+		}
+	}
+}
+
 // Request makes a request that is written exactly as the caller wrote its own.
 // The header is used as it is and may gain a field.
 func Request(method, uri, host string, header http.Header, body []byte) *http.Request {
--- a/internal/conn/plain/plain.go
+++ b/internal/conn/plain/plain.go
@@ -51,12 +51,7 @@
 	header := w.Header()
 	switch answer.Result {
 	case relay.Passed:
-		pass.DropConnection(answer.Reply.Header)
-		for name, values := range answer.Reply.Header {
-			if name != wire.HeaderLoad && name != "Content-Length" && name != "Date" {
-				header[name] = values
-			}
-		}
+		pass.Header(header, answer.Reply.Header, wire.HeaderLoad)
 		return pass.Answer(w, answer.Reply.Status, answer.Reply.Body)
 	case relay.Gathered, relay.Partial:
 		answered := len(answer.Signatures)
--- a/internal/request/relay/load_test.go
+++ b/internal/request/relay/load_test.go
@@ -37,12 +37,12 @@
 		route := historyRoute()
 		w := newTown(t, 9, 2, 2, route.Gather...)
 		const fresh = 70.0
-		w.offer(route, workOfTown, 4*time.Second, fresh, 3*time.Second)
+		w.offer(route, workOfTown, fresh, 3*time.Second)
 		outage := time.Now()
 		for range int(2 * fresh) {
-			w.ask(route, workOfTown, 4*time.Second-time.Duration(w.random.IntN(int(2*time.Second)))-200*time.Millisecond, true)
+			w.ask(route, workOfTown, patienceOfTown-time.Duration(w.random.IntN(int(2*time.Second)))-200*time.Millisecond, true)
 		}
-		w.offer(route, workOfTown, 4*time.Second, fresh, 3*time.Second)
+		w.offer(route, workOfTown, fresh, 3*time.Second)
 		w.settle()
 		share, count := w.shareInTime(func(e *ending) bool { return !e.late && e.arrived.After(outage) })
 		if share < 0.9 {
@@ -79,7 +79,7 @@
 		for _, m := range w.machines["p"][:2] {
 			m.set(func(m *machine) { m.lose = 0.25 })
 		}
-		w.offer(route, 90*time.Millisecond, 4*time.Second, 22, 6*time.Second)
+		w.offer(route, 90*time.Millisecond, 22, 6*time.Second)
 		w.settle()
 		lost := 0
 		for i := range w.ended {
@@ -113,14 +113,14 @@
 		route := historyRoute()
 		w := newTown(t, 9, 2, 2, route.Gather...)
 		const perSecond = 80.0
-		w.offer(route, workOfTown, 4*time.Second, perSecond, 2*time.Second)
+		w.offer(route, workOfTown, perSecond, 2*time.Second)
 		for _, name := range route.Gather[:6] {
 			w.machines[name][0].set(func(m *machine) { m.dark = true })
 		}
 		// The daemons find out within a second.
-		w.offer(route, workOfTown, 4*time.Second, perSecond, time.Second)
+		w.offer(route, workOfTown, perSecond, time.Second)
 		heavy := time.Now()
-		w.offer(route, workOfTown, 4*time.Second, perSecond, 4*time.Second)
+		w.offer(route, workOfTown, perSecond, 4*time.Second)
 		w.settle()
 		share, count := w.shareInTime(func(e *ending) bool { return e.arrived.After(heavy) })
 		if share < 0.75 {
@@ -136,9 +136,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		route := historyRoute()
 		w := newTown(t, 9, 2, 2, route.Gather...)
-		w.offer(route, workOfTown, 4*time.Second, 80, 2*time.Second)
-		w.offer(route, workOfTown, 4*time.Second, 200, 5*time.Second)
-		w.offer(route, workOfTown, 4*time.Second, 80, 4*time.Second)
+		w.offer(route, workOfTown, 80, 2*time.Second)
+		w.offer(route, workOfTown, 200, 5*time.Second)
+		w.offer(route, workOfTown, 80, 4*time.Second)
 		w.settle()
 		served := 0
 		for i := range w.ended {
--- a/internal/request/relay/world_test.go
+++ b/internal/request/relay/world_test.go
@@ -43,6 +43,9 @@
 	random *rand.Rand
 }
 
+// patienceOfTown is how long callers wait.
+const patienceOfTown = 4 * time.Second
+
 const (
 	headerID     = "Id"
 	headerQueued = "Queued"
@@ -210,9 +213,9 @@
 }
 
 // offer sends requests at a steady rate with exponential gaps for some time.
-func (w *town) offer(route *tree.Route, work, left time.Duration, perSecond float64, lasts time.Duration) {
+func (w *town) offer(route *tree.Route, work time.Duration, perSecond float64, lasts time.Duration) {
 	for end := time.Now().Add(lasts); time.Now().Before(end); {
-		w.ask(route, work, left, false)
+		w.ask(route, work, patienceOfTown, false)
 		time.Sleep(time.Duration(w.random.ExpFloat64() / perSecond * float64(time.Second)))
 	}
 }
