--- a/pkg/tree/routeexplain.go
+++ b/pkg/tree/routeexplain.go
@@ -76,6 +76,15 @@
 	},
 }
 
+// RouteFields describes every field of a route, without values.
+func RouteFields() []Explanation {
+	rows := make([]Explanation, 0, len(routeFields))
+	for i := range routeFields {
+		rows = append(rows, routeFields[i].Explanation)
+	}
+	return rows
+}
+
 // has reports whether a field applies to the route: some are for gathers only.
 func (r *Route) has(field string) bool {
 	gathers := len(r.Gather) > 0
--- a/pkg/tree/tree_test.go
+++ b/pkg/tree/tree_test.go
@@ -133,6 +133,12 @@
 		}
 		fmt.Fprintf(&out, "| %s | %s | %s | %s | %s | %s | %s |\n", f.Section, f.Name, value, f.Unit, f.Range, f.Deepest, f.Doc)
 	}
+	out.WriteString("\n## Routes\n\n`routes.ini` at the root lists routes of requests that pass through unchanged, each in a section\n" +
+		"`[Route LABEL]`. `settings explain --host HOST --path PATH` tells which one serves a request.\n\n" +
+		"| Field | Unit | Range | Meaning |\n|---|---|---|---|\n")
+	for _, f := range tree.RouteFields() {
+		fmt.Fprintf(&out, "| %s | %s | %s | %s |\n", f.Field, f.Unit, f.Range, f.Doc)
+	}
 	return out.String()
 }
 
