Listen for opaque requests once the daemon has its table

Read as a newcomer: a request that came in between the listener and the table would have met a daemon without one. Found by reading; the window is some microseconds.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -150,11 +150,6 @@
 		d.link.Close()
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
-	if err := d.startOpaque(); err != nil {
-		d.server.Kill()
-		d.link.Close()
-		return &Error{Op: "start", Kind: KindStart, Err: err}
-	}
 	d.self = member.Member{
 		Name: d.Setup.Name, Link: d.link.Address, URL: "http://" + d.server.Address,
 		DataCentre: d.Setup.DataCentre, Region: d.Setup.Region,
@@ -164,6 +159,12 @@
 	d.gossip.Table = d.Table
 	d.stay = &stay.Stay{Table: d.Table, Push: d.gossip.Push, Retry: joinRetry}
 	d.home = once.New(once.Config{Daemon: d.self.Name, Incarnation: d.self.Incarnation, Life: homeLife, KeysMost: keysMost})
+	// Last, since requests may come in at once.
+	if err := d.startOpaque(); err != nil {
+		d.server.Kill()
+		d.link.Close()
+		return &Error{Op: "start", Kind: KindStart, Err: err}
+	}
 	return nil
 }
 
