Trust peers and answer callers only once the daemon has its table

By reading, the product's own daemon could answer a caller before its table existed, too. Change: the node's function is set before and asks for the table behind the flag that publishes it; the own server listens first and serves at the end of the start. Ruled out: the tests themselves, whose daemons restart at fresh addresses.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -146,7 +146,7 @@
 	if err := d.link.Start(); err != nil {
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
-	if err := d.server.Start(); err != nil {
+	if err := d.server.Listen(); err != nil {
 		d.link.Close()
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
@@ -160,6 +160,7 @@
 	d.stay = &stay.Stay{Table: d.Table, Push: d.gossip.Push, Retry: joinRetry}
 	d.home = once.New(once.Config{Daemon: d.self.Name, Incarnation: d.self.Incarnation, Life: homeLife, KeysMost: keysMost})
 	// Last, since requests may come in at once.
+	d.server.Serve()
 	if err := d.startOpaque(); err != nil {
 		d.server.Kill()
 		d.link.Close()
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -180,6 +180,9 @@
 	if err != nil {
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
+	// Peers may call as soon as the link listens; none is trusted before the table
+	// exists.
+	pinned.Trusted = func(fingerprint []byte) bool { return n.linked.Load() && n.Table.Trusts(fingerprint) }
 	n.keys = pinned
 	n.link.Keys = pinned
 	if err := n.link.Start(); err != nil {
@@ -195,7 +198,6 @@
 		Incarnation: uint64(n.started.UnixMilli())<<incarnationRandom | uint64(rand.Uint32N(1<<incarnationRandom)),
 		State:       member.Joining, Fingerprint: pinned.Fingerprint(),
 	}, rand.Uint64())
-	pinned.Trusted = n.Table.Trusts
 	n.Table.Outgrow = true
 	n.gossip.Table = n.Table
 	n.stay = &stay.Stay{Table: n.Table, Push: n.gossip.Push, Retry: joinRetry}
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -64,12 +64,22 @@
 	Backend Backend
 	Meter   *meter.Meter
 
-	server *http.Server
-	drain  drain.Drain
+	server   *http.Server
+	listener net.Listener
+	drain    drain.Drain
 }
 
 // Start listens and serves.
 func (s *Server) Start() error {
+	if err := s.Listen(); err != nil {
+		return err
+	}
+	s.Serve()
+	return nil
+}
+
+// Listen fixes the address. Callers may connect, and are answered after Serve.
+func (s *Server) Listen() error {
 	listener, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
@@ -87,11 +97,16 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerBytes,
 	}
-	// Serve ends with an error when the server is stopped, as it is meant to.
-	go func() { _ = s.server.Serve(listener) }()
+	s.listener = listener
 	return nil
 }
 
+// Serve answers callers.
+func (s *Server) Serve() {
+	// It ends with an error when the server is stopped, as it is meant to.
+	go func() { _ = s.server.Serve(s.listener) }()
+}
+
 func (s *Server) handler() (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
