--- a/internal/cmd/settings/explain/explain.go
+++ b/internal/cmd/settings/explain/explain.go
@@ -1,9 +1,10 @@
-// Package explain is the command that prints every field in force for a caller
-// and where it came from.
+// Package explain is the command that prints every field in force for a caller,
+// or for the route of a request, and where it came from.
 //
 // # Usage
 //
 //	magnoliarelay settings explain ./settings --deployment Erbacee --service LabelDesk --caller stall-7
+//	magnoliarelay settings explain ./settings --host herbarium.example --path /catalogue/oregano
 package explain
 
 import (
@@ -24,13 +25,16 @@
 	Deployment string   `help:"Deployment of the caller."`
 	Service    string   `help:"Service of the caller."`
 	Caller     string   `help:"Name of the caller."`
+	Host       string   `help:"Host of a request; explains the route that serves it, with --path."`
+	Path       string   `help:"Path of the request." default:"/"`
 	Long       bool     `help:"Add unit, range and meaning."`
 	JSON       bool     `help:"Print the fields as JSON." name:"json"`
 }
 
 // Help adds examples to the command's help.
 func (o *Options) Help() string {
-	return "Example:\n  magnoliarelay settings explain ./settings --deployment Erbacee --service LabelDesk --long"
+	return "Example:\n  magnoliarelay settings explain ./settings --deployment Erbacee --service LabelDesk --long\n" +
+		"  magnoliarelay settings explain ./settings --host herbarium.example --path /catalogue/oregano"
 }
 
 // Run prints the fields.
@@ -39,7 +43,10 @@
 	if err != nil {
 		return err
 	}
-	rows := parsed.Explain(o.Deployment, o.Service, o.Caller)
+	rows, err := o.rows(parsed)
+	if err != nil {
+		return err
+	}
 	if o.JSON {
 		return o.Streams.JSON(rows)
 	}
@@ -57,6 +64,19 @@
 	return table.Flush()
 }
 
+// rows explains the caller's settings, or the route of a request.
+func (o *Options) rows(parsed *tree.Tree) ([]tree.Explanation, error) {
+	if o.Host == "" {
+		return parsed.Explain(o.Deployment, o.Service, o.Caller), nil
+	}
+	if routes := parsed.Routes(); routes != nil {
+		if route := routes.Match(o.Host, o.Path); route != nil {
+			return route.Explain(), nil
+		}
+	}
+	return nil, &term.Error{Op: "explain", Kind: term.KindFailed, Err: fault.Causef("no route serves %s%s", o.Host, o.Path)}
+}
+
 func (o *Options) tree(ctx context.Context) (*tree.Tree, error) {
 	if o.Directory != "" {
 		_, parsed, err := source.Directory(o.Directory)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -302,6 +302,7 @@
 	pairs := []any{
 		"result", answer.Result, "why", answer.Why, "route", route.Name, "pool", answer.Pool, "revision", e.Change.Revision,
 		"tookMillis", took.Milliseconds(), "patienceMillis", request.Patience.Milliseconds(),
+		"spentMillis", answer.Spent.Milliseconds(),
 		"missing", answer.Missing, "extras", answer.Extras,
 	}
 	switch answer.Result {
@@ -337,6 +338,7 @@
 	age := time.Duration(notice.AgeMillis) * time.Millisecond
 	f := n.Pools.Fleet(notice.Pool)
 	if notice.Lost {
+		n.Log.State("a target lost an answer of another daemon", "pool", notice.Pool, "target", notice.ID, "ageMillis", notice.AgeMillis)
 		f.Lost(notice.ID, now.Add(-age))
 		return
 	}
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -37,6 +37,8 @@
 	// that is late does.
 	partial time.Time
 	late    time.Time
+	// spent is how long the caller had waited before.
+	spent time.Duration
 	// aim is when the latency target passes, counted from the caller's first
 	// attempt. From then on, until urgent, the request yields to others.
 	aim    time.Time
@@ -127,6 +129,7 @@
 		queue = request.Arrived.Add(max(patience-urgentFactor*target, target/queueShare))
 	}
 	return schedule{
+		spent:   spent,
 		aim:     request.Arrived.Add(target - spent),
 		urgent:  request.Arrived.Add(patience - urgentFactor*target),
 		end:     request.Arrived.Add(patience),
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -86,6 +86,8 @@
 	Extras int
 	// Pool is the pool that was chosen for a request to one pool.
 	Pool string
+	// Spent is how long the caller had waited before its request came here.
+	Spent time.Duration
 }
 
 // Judgement is what a dialect makes of a target's reply.
@@ -197,7 +199,7 @@
 	}
 	x := r.exchange(request, route, names, fingerprint, r.schedule(request, route))
 	answer := x.run(ctx)
-	answer.Pool = pool
+	answer.Pool, answer.Spent = pool, x.times.spent
 	answer.Extras = x.gather.Attempts() - x.gather.Sent()
 	return answer
 }
--- a/pkg/tree/route.go
+++ b/pkg/tree/route.go
@@ -51,6 +51,9 @@
 	Top int
 	// LeastCoverage is the least share of shards that makes an answer.
 	LeastCoverage float64
+
+	// lines are where the file sets each field.
+	lines map[string]int
 }
 
 // Pool is a group of targets that serve the same requests.
--- a/pkg/tree/routefile.go
+++ b/pkg/tree/routefile.go
@@ -74,6 +74,12 @@
 	case sectionRoute:
 		route := &Route{Idempotent: true, Timeout: defaultTimeout, MaxAttempts: 1, Merge: MergeNone}
 		f.each(section, routeSetters(route))
+		route.lines = map[string]int{}
+		for _, key := range section.Keys() {
+			if at := f.lines[section.Name()+"\x00"+key.Name()]; len(at) > 0 {
+				route.lines[key.Name()] = at[0]
+			}
+		}
 		f.routes.All = append(f.routes.All, route)
 	default:
 		f.report(section.Name(), "", "is not [Limits], [Pool ...] or [Route ...]")
