Log what tells apart the ways to repeat too often

Cause: a complaint about too many repeats could not be traced. 'sent again' did not say which attempt it was, and beyond 100 lines a second it was left out; a peer wrote nothing about what it gathers for others; no line told how far a budget was spent, nor that the wall clock had jumped. Change: attempt and most in 'sent again', always written beyond the route's attempts; 'gathered for a peer' with its attempts, confirmed or abandoned; 'a peer did not gather' says how many attempts it is taken to have made; 'repeats are nearly spent' and a gauge; 'the wall clock jumped'.

--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -100,17 +100,50 @@
 
 // upkeep does what has come due with time alone.
 func (n *Node) upkeep(ctx context.Context) {
+	ahead := time.Duration(0)
 	for round := 1; pause.For(ctx, houseInterval); round++ {
 		now := time.Now()
+		ahead = n.watchClock(now, ahead)
 		n.gossip.Registrations(n.Roster.Expire(now))
 		n.shareTargets(now)
 		if round%sweepRounds == 0 {
 			n.Pools.Sweep(now)
+			n.watchRepeats(now)
 			n.keepLinks(now)
 		}
 	}
 }
 
+// clockJump is how far the wall clock moves at once to be logged.
+const clockJump = time.Second
+
+// watchClock tells when the wall clock jumps. It returns how far it has gone ahead of
+// the monotonic clock since the start.
+func (n *Node) watchClock(now time.Time, before time.Duration) time.Duration {
+	ahead := now.Round(0).Sub(n.started.Round(0)) - now.Sub(n.started)
+	if jump := ahead - before; jump.Abs() >= clockJump {
+		n.Log.State("the wall clock jumped", "byMillis", jump.Milliseconds())
+		return ahead
+	}
+	return before
+}
+
+// nearlySpent is the share of a budget for repeated attempts from which it is
+// logged.
+const nearlySpent = 0.8
+
+// watchRepeats tells how much of the budget for repeated attempts is spent where
+// least is left.
+func (n *Node) watchRepeats(now time.Time) {
+	spent := n.Pools.MostSpent(now)
+	share := float64(spent.Extras) / max(spent.Allowed, 1)
+	n.Meter.Gauges.WithLabelValues("RepeatsSpentShare").Set(share)
+	if share >= nearlySpent {
+		n.Log.State("repeats are nearly spent", "pool", spent.Pool, "requests", spent.Requests, "extras", spent.Extras,
+			"allowed", int(spent.Allowed), "uptimeMillis", time.Since(n.started).Milliseconds())
+	}
+}
+
 func (n *Node) keepLinks(now time.Time) {
 	addresses := map[string]bool{}
 	for _, m := range n.Table.All(now) {
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -201,3 +201,26 @@
 		c.Sweep(now)
 	}
 }
+
+// Spent is how far one pool's budget for repeated attempts is spent.
+type Spent struct {
+	Pool     string
+	Requests int
+	Extras   int
+	Allowed  float64
+}
+
+// MostSpent returns the pool that has the least left of its budget for repeated
+// attempts, as a share of it; Pool is empty while none has made any.
+func (p *Pools) MostSpent(now time.Time) Spent {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	var most Spent
+	for name, found := range p.pools {
+		requests, extras, allowed := found.budget.Usage(now)
+		if float64(extras)*most.Allowed > float64(most.Extras)*allowed || most.Pool == "" && extras > 0 {
+			most = Spent{Pool: name, Requests: requests, Extras: extras, Allowed: allowed}
+		}
+	}
+	return most
+}
--- a/internal/process/repeat/repeat.go
+++ b/internal/process/repeat/repeat.go
@@ -89,14 +89,28 @@
 	defer b.mu.Unlock()
 	current := b.at(now)
 	requests, extras := b.sum()
-	allowed := keptShare*b.terms.Ratio*float64(requests) + b.terms.Slack*b.part
-	if float64(extras+1) > allowed {
+	if float64(extras+1) > b.allowed(requests) {
 		return false
 	}
 	current.extras++
 	return true
 }
 
+// Usage returns what was counted in the window that ends now, and how many extra
+// attempts that allows.
+func (b *Budget) Usage(now time.Time) (requests, extras int, allowed float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.at(now)
+	requests, extras = b.sum()
+	return requests, extras, b.allowed(requests)
+}
+
+// allowed is the extra attempts in a window of so many requests.
+func (b *Budget) allowed(requests int) float64 {
+	return keptShare*b.terms.Ratio*float64(requests) + b.terms.Slack*b.part
+}
+
 // Refund gives back an extra attempt that was taken but not sent.
 func (b *Budget) Refund(now time.Time) {
 	b.mu.Lock()
--- a/internal/process/repeat/repeat_test.go
+++ b/internal/process/repeat/repeat_test.go
@@ -67,6 +67,9 @@
 			t.Fatalf("extra %d: %v, want %v", i+1, got, want)
 		}
 	}
+	if requests, extras, allowed := b.Usage(start); requests != 0 || extras != 2 || allowed < 2 {
+		t.Errorf("%d requests, %d extras, %.2f allowed", requests, extras, allowed)
+	}
 	b.Refund(start)
 	if !b.Take(start, 0) {
 		t.Error("a refunded extra may be taken again")
--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -37,6 +37,7 @@
 		}
 	}()
 	x.run(ctx)
+	x.logAssist(ctx, confirmed)
 	reply := &farReply{Signatures: x.signatures, Missing: x.gather.Missing(), TookMicros: time.Since(now).Microseconds()}
 	for _, shard := range reply.Missing {
 		reply.Used = append(reply.Used, x.gather.Used(shard))
@@ -52,6 +53,23 @@
 	return data
 }
 
+// logAssist tells how many attempts a shard has had here. Those of an asker that
+// has turned elsewhere come on top.
+func (x *exchange) logAssist(ctx context.Context, confirmed <-chan struct{}) {
+	most, known := 0, false
+	for shard := range x.names {
+		most = max(most, x.gather.Used(shard))
+	}
+	select {
+	case <-confirmed:
+		known = true
+	default:
+	}
+	x.runner.Log.Request(x.request.ID, "gathered for a peer", "shards", len(x.names), "answered", x.gather.Answered(), "confirmed", known,
+		"abandoned", ctx.Err() != nil, "attempts", x.gather.Attempts(), "mostForOne", most, "most", x.route.MaxAttempts,
+		"tookMillis", time.Since(x.request.Arrived).Milliseconds())
+}
+
 // assist makes the exchange for a peer's request. Its first attempts were
 // counted by the daemon that the request came to.
 func (r *Runner) assist(now time.Time, q *farRequest) *exchange {
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -38,11 +38,18 @@
 }
 
 // again logs a further attempt for a shard and passes on that the last target
-// is late.
+// is late. An attempt beyond those of the route, after one that has not run, is
+// always logged.
 func (x *exchange) again(a gather.Attempt, last *fleet.Target) {
 	waited := time.Since(x.request.Arrived)
-	x.runner.Log.Request(x.request.ID, "sent again", "pool", x.names[a.Shard], "target", a.Target.ID,
-		"after", last.ID, "waitedMillis", waited.Milliseconds(), "lateMillis", x.late(last).Milliseconds())
+	used := x.gather.Used(a.Shard)
+	write := x.runner.Log.Request
+	if used > x.route.MaxAttempts {
+		write = x.runner.Log.Failure
+	}
+	write(x.request.ID, "sent again", "pool", x.names[a.Shard], "target", a.Target.ID,
+		"after", last.ID, "attempt", used, "most", x.route.MaxAttempts,
+		"waitedMillis", waited.Milliseconds(), "lateMillis", x.late(last).Milliseconds())
 	if x.runner.Stalled != nil && x.group.Overdue(time.Now(), a.Shard, last) {
 		x.runner.Stalled(x.names[a.Shard], last, x.late(last))
 	}
--- a/internal/request/relay/far.go
+++ b/internal/request/relay/far.go
@@ -264,13 +264,14 @@
 	call.ended = true
 	call.cancel()
 	if end.err != nil || !end.reply.valid(len(call.shards)) {
-		x.runner.Log.Failure(x.request.ID, "a peer did not gather", "peer", call.peer, "region", call.region,
-			"shards", len(call.shards), "tookMillis", now.Sub(call.sent).Milliseconds(), "error", end.err)
-		x.runner.Far.Failed(call.peer)
 		used := 1
 		if !call.state.CompareAndSwap(farPending, farAbandoned) {
 			used = x.route.MaxAttempts
 		}
+		x.runner.Log.Failure(x.request.ID, "a peer did not gather", "peer", call.peer, "region", call.region,
+			"shards", len(call.shards), "used", used, "most", x.route.MaxAttempts,
+			"tookMillis", now.Sub(call.sent).Milliseconds(), "error", end.err)
+		x.runner.Far.Failed(call.peer)
 		return x.direct(now, call, call.shards, func(int) int { return used })
 	}
 	missing := make([]int, 0, len(end.reply.Missing))
