Count the windows of the repeat budgets on the monotonic clock

After a step back a daemon sent no second attempt at all until its clock had caught up. Cause: repeat.Budget and budget.Budget numbered the parts of their windows by UnixNano, the wall clock. A step ahead by a window cleared all that was spent, a shorter one a part of it. Change: package ticks numbers intervals by the monotonic clock; both budgets use it. Elsewhere: no other window counts by the wall clock; incarnations and certificates use it on purpose.

--- a/internal/layer/layer_test.go
+++ b/internal/layer/layer_test.go
@@ -61,7 +61,7 @@
 // deciding are the packages whose state and functions decide.
 var deciding = []string{
 	"internal/request/gather", "internal/request/admit", "internal/request/once", "internal/process/fleet",
-	"internal/process/budget", "internal/process/repeat", "internal/process/poison", "internal/process/member",
+	"internal/process/budget", "internal/process/repeat", "internal/process/share", "internal/process/ticks", "internal/process/poison", "internal/process/member",
 	"internal/process/quota", "internal/process/roster", "internal/process/cycle", "internal/process/tempo",
 	"internal/version/epoch",
 }
--- a/internal/process/budget/budget.go
+++ b/internal/process/budget/budget.go
@@ -19,6 +19,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/ticks"
 )
 
 const (
@@ -36,6 +38,7 @@
 type Budget struct {
 	mu        sync.Mutex
 	ring      [buckets]bucket
+	ticks     ticks.Ticks
 	slot      int64
 	primaries int
 	extras    int
@@ -44,7 +47,7 @@
 }
 
 // New returns an empty budget.
-func New() *Budget { return &Budget{} }
+func New() *Budget { return &Budget{ticks: ticks.Ticks{Width: bucketWidth}} }
 
 // Primary records primary attempts, each of which earns credit.
 func (b *Budget) Primary(now time.Time, count int) {
@@ -102,7 +105,7 @@
 
 // advance drops buckets older than a second.
 func (b *Budget) advance(now time.Time) {
-	slot := now.UnixNano() / int64(bucketWidth)
+	slot := b.ticks.At(now)
 	if b.slot == 0 || slot-b.slot >= buckets {
 		b.ring = [buckets]bucket{}
 		b.primaries, b.extras = 0, 0
--- a/internal/process/budget/budget_test.go
+++ b/internal/process/budget/budget_test.go
@@ -7,6 +7,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/wall"
 )
 
 var start = time.Unix(1000, 0)
@@ -110,3 +112,26 @@
 		}
 	}
 }
+
+// Guards against extra attempts beyond the share after a jump of the wall clock,
+// either way.
+func TestWallClockThatJumpsLeavesTheBudgetAlone(t *testing.T) {
+	for _, by := range []time.Duration{2 * time.Second, time.Hour, -time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			b := New()
+			now := time.Now()
+			b.Primary(now, 100)
+			if _, extras := b.Usage(now); extras != 0 || !b.Take(now, 0.05) {
+				t.Fatalf("%d extras", extras)
+			}
+			soon := wall.Step(t, now.Add(500*time.Millisecond), by)
+			if primaries, extras := b.Usage(soon); primaries != 100 || extras != 1 {
+				t.Errorf("%d primaries, %d extras half a second after the jump, want 100 and 1", primaries, extras)
+			}
+			late := wall.Step(t, now.Add(1500*time.Millisecond), by)
+			if primaries, extras := b.Usage(late); primaries != 0 || extras != 0 {
+				t.Errorf("%d primaries, %d extras after a second, want none", primaries, extras)
+			}
+		})
+	}
+}
--- a/internal/process/repeat/repeat.go
+++ b/internal/process/repeat/repeat.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/share"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/ticks"
 )
 
 const (
@@ -51,11 +52,16 @@
 	terms Terms
 	part  float64
 	ring  [buckets + marginBuckets]bucket
+	ticks ticks.Ticks
 	slot  int64
 }
 
 // New returns a budget of which nothing is spent.
-func New(terms Terms) *Budget { return &Budget{terms: terms, part: share.Kept} }
+func New(terms Terms) *Budget {
+	return &Budget{terms: terms, part: share.Kept, ticks: ticksOf(terms)}
+}
+
+func ticksOf(terms Terms) ticks.Ticks { return ticks.Ticks{Width: terms.Window / buckets} }
 
 // SetTerms changes what the operator allows. A window of another length starts
 // its counts anew.
@@ -63,7 +69,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if terms.Window != b.terms.Window {
-		b.slot = 0
+		b.slot, b.ticks = 0, ticksOf(terms)
 	}
 	b.terms = terms
 }
@@ -134,7 +140,7 @@
 
 // at returns the bucket of now and clears those that fell out of the window.
 func (b *Budget) at(now time.Time) *bucket {
-	slot := now.UnixNano() / int64(b.terms.Window/buckets)
+	slot := b.ticks.At(now)
 	size := int64(len(b.ring))
 	if slot-b.slot >= size || b.slot == 0 {
 		b.ring = [buckets + marginBuckets]bucket{}
--- a/internal/process/repeat/repeat_test.go
+++ b/internal/process/repeat/repeat_test.go
@@ -9,6 +9,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/wall"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/share"
 )
 
@@ -83,3 +84,33 @@
 		t.Error("nothing is allowed any more")
 	}
 }
+
+// Guards against repeats beyond the budget after a jump of the wall clock, either
+// way: what was spent in the window stays spent, and no longer than the window.
+func TestWallClockThatJumpsLeavesTheBudgetAlone(t *testing.T) {
+	for _, by := range []time.Duration{2 * time.Second, 30 * time.Second, time.Hour, -2 * time.Second, -time.Hour} {
+		t.Run(by.String(), func(t *testing.T) {
+			b := New(Terms{Ratio: 0, Slack: 10 / share.Kept, Window: 10 * time.Second})
+			b.SetPart(share.Kept)
+			now := time.Now()
+			if got := takeAll(b, now); got != 10 {
+				t.Fatalf("%d extras, want 10", got)
+			}
+			if got := takeAll(b, wall.Step(t, now.Add(9*time.Second), by)); got != 0 {
+				t.Errorf("%d extras after the jump, in the same window", got)
+			}
+			if got := takeAll(b, wall.Step(t, now.Add(11*time.Second), by)); got != 10 {
+				t.Errorf("%d extras a window later, want 10", got)
+			}
+		})
+	}
+}
+
+// takeAll returns how many extras the budget has left.
+func takeAll(b *Budget, now time.Time) int {
+	count := 0
+	for b.Take(now, 0) {
+		count++
+	}
+	return count
+}
