Give a restarted daemon its part of the slack only as it grows older

Cause: a daemon that has started knew nothing of what its predecessor had spent and took a whole part of the slack at once. This was known and stood in the design note as an exception. Change: until a window has passed a daemon that begins to take work, or starts, has the share of its own requests and a part of the slack that grows from nothing; all such parts in a window add up to 0.15 of the slack, however often daemons are replaced (before: 0.075 at once, enough for two replacements, and everything after a start). At the first start of all, as the platform's settings tell, nothing has been spent, and each has its whole part. TestPart's figures for a daemon that shares again change with that: nothing at once where it had 0.075, half of 0.15 after half a window.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -36,6 +36,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/share"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/stay"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/steady"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/tempo"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/trace"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
@@ -67,6 +68,8 @@
 	Link  string
 	// Terms are the budget for repeated attempts.
 	Terms repeat.Terms
+	// First is true when the whole tier starts for the first time.
+	First bool
 	// Keep is how long callers may keep addresses; Grace bounds a stop.
 	Keep  time.Duration
 	Grace time.Duration
@@ -168,7 +171,7 @@
 	n.Keeper = epoch.NewKeeper()
 	n.Roster = roster.New()
 	n.effort = &effort.Effort{Cores: n.Setup.Cores, BytesPerSecond: n.Setup.LinkBytes}
-	n.share = &share.Share{Window: n.Setup.Terms.Window}
+	n.share = &share.Share{Window: n.Setup.Terms.Window, First: n.Setup.First}
 	n.Poison = poison.New()
 	n.Pools = &pools.Pools{
 		Daemon: n.Setup.Name, Region: n.Setup.Region, RegionOf: func(dc string) string { return n.Setup.Regions[dc] },
@@ -177,7 +180,7 @@
 			n.Log.State("target believed", "pool", pool, "target", t.ID, "address", t.Address, "state", state, "why", why)
 		},
 	}
-	n.Pools.SetSharers(1, 1, share.Kept)
+	n.Pools.SetSharers(1, 1, n.share.Part(steady.Now(), 1, true))
 	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, Consulted: n.assist, Sent: n.countSent, Wrap: n.WrapLink, IdleTimeout: linkIdle}
 	n.gossip = &gossip.Gossip{
 		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster,
--- a/internal/process/node/takers.go
+++ b/internal/process/node/takers.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
-	"github.com/magnoliarelay/magnoliarelay/internal/process/share"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/steady"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/subset"
 )
@@ -51,7 +50,7 @@
 	if n.Table.Self(now).State == member.Joining {
 		// The first request may come as soon as the others hear that it is ready.
 		live, near := n.Table.Serving()
-		n.Pools.SetSharers(live, near, share.Kept/float64(live))
+		n.Pools.SetSharers(live, near, n.share.Part(steady.Now(), live, true))
 		return
 	}
 	all, taking := 0, false
--- a/internal/process/share/share.go
+++ b/internal/process/share/share.go
@@ -2,14 +2,15 @@
 // those that share it change and do not agree at every moment on who they are.
 // What a daemon that no longer shares has spent still counts for a window, so one
 // that begins to share gets its part only after that time, and the parts of the
-// others do not grow sooner. The exception is a daemon that has just started: it
-// takes the part of its predecessor, which may have spent some of it.
+// others do not grow sooner. Until then it has a small part that grows from
+// nothing, so that however often daemons are replaced or restarted, all that they
+// have spent meanwhile adds up to one such part.
 //
 // The package does no I/O and reads no clock.
 //
 // # Usage
 //
-//	s := &share.Share{Window: 10 * time.Second}
+//	s := &share.Share{Window: 10 * time.Second, First: true}
 //	part := s.Part(now, 6, true) // of the slack
 package share
 
@@ -19,9 +20,9 @@
 	// Kept is the part of the slack that is spent in all, since daemons may differ
 	// about how many they are, and attempts arrive later than they are sent.
 	Kept = 0.85
-	// fresh is what daemons that have just begun to share spend in all: all may be
-	// replaced twice in a window.
-	fresh = 0.075
+	// fresh is what daemons that have begun to share within the last window spend in
+	// all.
+	fresh = 1 - Kept
 	// marginShare is how much longer than the window a count holds.
 	marginShare = 0.05
 	// gapMost is the longest time between two calls of a daemon that runs. One that
@@ -33,13 +34,16 @@
 type Share struct {
 	// Window is the time in which the slack may be spent once.
 	Window time.Duration
+	// First is true if no daemon has run in this one's place before, which could
+	// have spent a part.
+	First bool
 
 	sharing bool
 	// started is the first call, since the begin of sharing, and asked the last call.
 	started time.Time
 	since   time.Time
 	asked   time.Time
-	// whole is true if the daemon began to share just after its start.
+	// whole is true if the daemon began to share just after the first start.
 	whole  bool
 	counts []count
 }
@@ -75,13 +79,14 @@
 	s.asked = now
 	if sharing != s.sharing || away {
 		s.sharing, s.since = sharing, now
-		s.whole = !away && now.Sub(s.started) < lasts
+		s.whole = s.First && !away && now.Sub(s.started) < lasts
 	}
+	since := now.Sub(s.since)
 	switch {
 	case !sharing:
 		return 0
-	case !s.whole && now.Sub(s.since) < lasts:
-		return fresh / float64(daemons)
+	case !s.whole && since < lasts:
+		return fresh / float64(daemons) * float64(since) / float64(lasts)
 	}
 	return Kept / float64(daemons)
 }
--- a/internal/process/share/share_test.go
+++ b/internal/process/share/share_test.go
@@ -15,7 +15,7 @@
 
 func TestPart(t *testing.T) {
 	start := time.Unix(1000, 0)
-	s := &Share{Window: window}
+	s := &Share{Window: window, First: true}
 	at, before := time.Duration(0), belief{}
 	for _, step := range []struct {
 		at      time.Duration
@@ -31,7 +31,9 @@
 		{23 * time.Second, 2, true, Kept / 2},
 		{24 * time.Second, 6, true, Kept / 6},
 		{25 * time.Second, 6, false, 0},
-		{26 * time.Second, 6, true, fresh / 6},
+		{26 * time.Second, 6, true, 0},
+		{26*time.Second + window/2, 6, true, fresh / 6 / (1 + marginShare) / 2},
+		{26*time.Second + 2*window, 6, true, Kept / 6},
 	} {
 		for at < step.at {
 			// The daemon asks all the time.
@@ -57,6 +59,8 @@
 	shares   []*Share
 	// asleep daemons hear and spend nothing.
 	asleep []bool
+	// born is the step of each daemon's last start.
+	born []int
 }
 
 type belief struct {
@@ -72,8 +76,9 @@
 		w.sharing = append(w.sharing, i < sharers)
 		w.heard = append(w.heard, time.Time{})
 		w.believed = append(w.believed, belief{})
-		w.shares = append(w.shares, &Share{Window: window})
+		w.shares = append(w.shares, &Share{Window: window, First: true})
 		w.asleep = append(w.asleep, false)
+		w.born = append(w.born, 0)
 	}
 	return w
 }
@@ -98,6 +103,15 @@
 	}
 }
 
+// restart replaces the processes of some daemons. They remember nothing.
+func (w *tier) restart(step, oneIn int) {
+	for i := range w.shares {
+		if w.random.IntN(oneIn) == 0 {
+			w.shares[i], w.born[i] = &Share{Window: window}, step
+		}
+	}
+}
+
 func (w *tier) sharers() int {
 	count := 0
 	for _, s := range w.sharing {
@@ -120,6 +134,37 @@
 // All daemons together never spend more than the slack in a window, although some
 // are lost, fall asleep and wake, and no two hear of that at the same time.
 func TestTierStaysWithinItsSlack(t *testing.T) {
+	checkSlack(t, func(*tier, int) {})
+}
+
+// Guards against repeats beyond the budget when daemons are restarted, all at once
+// or one after the other, once or as often as they come up.
+func TestRestartedDaemonsStayWithinTheSlack(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// every is the number of steps between restarts, and oneIn which part of the
+		// daemons they take.
+		every, oneIn int
+	}{
+		{"all at once", 80, 1},
+		{"all, again and again", 15, 1},
+		{"half, again and again", 12, 2},
+		{"one after the other", 1, 40},
+		{"as soon as they are up", 3, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			checkSlack(t, func(w *tier, step int) {
+				if step > 70 && step%tt.every == 0 {
+					w.restart(step, tt.oneIn)
+				}
+			})
+		})
+	}
+}
+
+// checkSlack lets daemons spend all that they may in virtual time.
+func checkSlack(t *testing.T, trouble func(w *tier, step int)) {
+	t.Helper()
 	parameters := gopter.DefaultTestParametersWithSeed(7)
 	parameters.MinSuccessfulTests = 20
 	properties := gopter.NewProperties(parameters)
@@ -138,6 +183,7 @@
 			if s > 60 && s%57 == 0 {
 				w.replace(now, w.random.IntN(sharers+1))
 			}
+			trouble(w, s)
 			for i := range daemonsOfTier {
 				if !now.Before(w.heard[i]) && !w.asleep[i] {
 					w.believed[i] = belief{sharers: w.sharers(), sharing: w.sharing[i]}
@@ -146,7 +192,7 @@
 					continue
 				}
 				part := w.shares[i].Part(now, w.believed[i].sharers, w.believed[i].sharing)
-				if more := part - inWindow(spent[i], s-length+1, s); more > 0 && w.random.IntN(2) == 0 {
+				if more := part - inWindow(spent[i], max(s-length+1, w.born[i]), s); more > 0 && w.random.IntN(2) == 0 {
 					spent[i][s] = more
 					total[s] += more
 				}
