Mend a race in the stand-in of targets and speed two tests up

The stand-in read its queue's bound outside its lock when it told it (found by go test -race on the test of troubled tiers, seed 0).

--- a/internal/process/share/share_test.go
+++ b/internal/process/share/share_test.go
@@ -153,6 +153,7 @@
 		{"as soon as they are up", 3, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			checkSlack(t, func(w *tier, step int) {
 				if step > 70 && step%tt.every == 0 {
 					w.restart(step, tt.oneIn)
@@ -184,14 +185,18 @@
 				w.replace(now, w.random.IntN(sharers+1))
 			}
 			trouble(w, s)
+			sharers := w.sharers()
 			for i := range daemonsOfTier {
 				if !now.Before(w.heard[i]) && !w.asleep[i] {
-					w.believed[i] = belief{sharers: w.sharers(), sharing: w.sharing[i]}
+					w.believed[i] = belief{sharers: sharers, sharing: w.sharing[i]}
 				}
 				if w.asleep[i] {
 					continue
 				}
 				part := w.shares[i].Part(now, w.believed[i].sharers, w.believed[i].sharing)
+				if part == 0 {
+					continue
+				}
 				if more := part - inWindow(spent[i], max(s-length+1, w.born[i]), s); more > 0 && w.random.IntN(2) == 0 {
 					spent[i][s] = more
 					total[s] += more
--- a/internal/request/relay/attempts_test.go
+++ b/internal/request/relay/attempts_test.go
@@ -198,6 +198,7 @@
 func TestTroubledTierKeepsToItsAttempts(t *testing.T) {
 	for seed := range uint64(seedsOfAttempts) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				route := historyRoute()
 				route.MaxAttempts = 1 + int(seed)%3
--- a/internal/request/relay/world_test.go
+++ b/internal/request/relay/world_test.go
@@ -64,9 +64,9 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	m.mu.Lock()
-	if !m.dark && m.waiting >= m.queue {
+	if queue := m.queue; !m.dark && m.waiting >= queue {
 		m.mu.Unlock()
-		return &http1.Reply{Status: http.StatusServiceUnavailable, Header: http.Header{headerQueued: {strconv.Itoa(m.queue)}}}, nil
+		return &http1.Reply{Status: http.StatusServiceUnavailable, Header: http.Header{headerQueued: {strconv.Itoa(queue)}}}, nil
 	}
 	m.waiting++
 	m.mu.Unlock()
