Skip replies to other requests on a kept connection

What callers saw: where a target replies to a request a second time, late, the next request on that connection got that reply. The connection was kept besides. Change: http1 skips up to three replies that bear another request's mark and reads on for the own one; such a connection is not used again, nor is one for the same request twice, whose late reply could not be told apart.

--- a/internal/conn/http1/endless_test.go
+++ b/internal/conn/http1/endless_test.go
@@ -71,7 +71,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			source := &stream{reader: io.MultiReader(strings.NewReader(tt.first), &forever{text: tt.rest})}
 			c := newConn(source, nil)
-			reply, keep, err := c.exchange(request(""), time.Time{}, &bulk.Bulk{Most: bulkMost})
+			reply, keep, err := c.exchange(request(""), time.Time{}, &Pool{Bulk: &bulk.Bulk{Most: bulkMost}})
 			var e *Error
 			if !errors.As(err, &e) || e.Kind != KindCorrupt || reply != nil || keep {
 				t.Errorf("reply %v, keep %t, error %v", reply, keep, err)
@@ -148,7 +148,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		source := &stream{reader: bytes.NewReader(data)}
 		c := newConn(source, nil)
-		reply, keep, err := c.exchange(request(""), time.Time{}, &bulk.Bulk{Most: bulkMost})
+		reply, keep, err := c.exchange(request(""), time.Time{}, &Pool{Bulk: &bulk.Bulk{Most: bulkMost}})
 		if (reply == nil) == (err == nil) || keep && c.reader.Buffered() > 0 {
 			t.Errorf("reply %v, keep %t, error %v", reply, keep, err)
 		}
--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -23,6 +23,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -79,6 +80,8 @@
 	// resetSlack is how much later than the way there and back the reset of a new
 	// connection may come that a target has no room for.
 	resetSlack = 3 * time.Millisecond
+	// straysMost is how many replies to other requests are skipped before one.
+	straysMost = 3
 	// idleSoonest is the idle time of a target that closes within a second.
 	idleSoonest = 300 * time.Millisecond
 )
@@ -90,6 +93,15 @@
 	Body   []byte
 }
 
+// Marks tell which request a reply belongs to. Targets may reply to a request twice,
+// and the second reply comes where that to the next request is due.
+type Marks interface {
+	// OfRequest returns what sets a request apart from those before it, and OfReply
+	// what a reply says of its request; empty if it says nothing.
+	OfRequest(request *http.Request) string
+	OfReply(reply *Reply) string
+}
+
 // Pool is the connections to one target. Exported fields are set before Do.
 type Pool struct {
 	// Address is "ip:port".
@@ -100,6 +112,8 @@
 	Bulk *bulk.Bulk
 	// Moved, if set, counts the bytes sent and received.
 	Moved *atomic.Int64
+	// Marks, if set, are used to skip replies to other requests.
+	Marks Marks
 
 	own    *bulk.Bulk
 	mu     sync.Mutex
@@ -116,6 +130,8 @@
 	expire    time.Time
 	// used is true after the first reply.
 	used bool
+	// mark is that of the last request.
+	mark string
 	// opening is how long it took to open.
 	opening time.Duration
 }
@@ -129,12 +145,17 @@
 // Do sends the request and returns the whole reply. Connections are reused
 // only after a reply that leaves nothing behind.
 func (p *Pool) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
-	c, err := p.get(ctx, deadline)
+	mark := ""
+	if p.Marks != nil {
+		mark = p.Marks.OfRequest(request)
+	}
+	c, err := p.get(ctx, deadline, mark)
 	if err != nil {
 		return nil, err
 	}
+	c.mark = mark
 	stop := context.AfterFunc(ctx, func() { c.close() })
-	reply, keep, err := c.exchange(request, deadline, p.bulk())
+	reply, keep, err := c.exchange(request, deadline, p)
 	if !stop() || err != nil || !keep {
 		c.close()
 		return reply, err
@@ -144,23 +165,32 @@
 }
 
 // get returns an idle connection that is still whole, or a new one.
-func (p *Pool) get(ctx context.Context, deadline time.Time) (*conn, error) {
+func (p *Pool) get(ctx context.Context, deadline time.Time, mark string) (*conn, error) {
 	now := time.Now()
-	for {
-		p.mu.Lock()
-		last := len(p.idle) - 1
-		if last < 0 {
-			p.mu.Unlock()
-			break
-		}
-		c := p.idle[last]
-		p.idle = p.idle[:last]
-		p.mu.Unlock()
+	for c := p.take(mark); c != nil; c = p.take(mark) {
 		if now.Before(c.expire) && c.quiet() {
 			return c, nil
 		}
 		c.close()
 	}
+	return p.open(ctx, deadline)
+}
+
+// take returns the idle connection that was used last, but for one that has carried
+// the same request: a late reply to that could not be told from the next.
+func (p *Pool) take(mark string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if mark == "" || c.mark != mark {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+func (p *Pool) open(ctx context.Context, deadline time.Time) (*conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	began := time.Now()
@@ -277,12 +307,13 @@
 
 // exchange sends one request and reads its reply. Keep reports whether the
 // connection may be used again.
-func (c *conn) exchange(request *http.Request, deadline time.Time, shared *bulk.Bulk) (reply *Reply, keep bool, err error) {
+func (c *conn) exchange(request *http.Request, deadline time.Time, p *Pool) (reply *Reply, keep bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return nil, false, &Error{Op: "send", Kind: KindNotSent, Err: err}
 	}
 	out := &counter{Conn: c.Conn, moved: c.allowance.moved}
 	written := make(chan error, 1)
+	strays := 0
 	if request.ContentLength > inlineBody {
 		// A target may reply before it has read a long body.
 		go func() { written <- write(out, request) }()
@@ -296,9 +327,33 @@
 	if _, err := c.reader.Peek(1); err != nil && c.crowded(time.Since(sent)) && errors.Is(err, syscall.ECONNRESET) {
 		return nil, false, &Error{Op: "receive", Kind: KindReset, Err: err}
 	}
+	for range straysMost + 1 {
+		if reply, keep, err = c.receive(request, p.bulk()); err != nil {
+			return nil, false, c.failure("receive", false, err)
+		}
+		if !p.stray(c, reply) {
+			break
+		}
+		strays++
+		c.allowance.left = headMost
+	}
+	if strays > straysMost {
+		return nil, false, &Error{Op: "receive", Kind: KindCorrupt, Err: errStrays}
+	}
+	select {
+	case err := <-written:
+		keep = keep && err == nil && strays == 0
+	default:
+		keep = false
+	}
+	return reply, keep, nil
+}
+
+// receive reads one reply. Keep reports whether another may follow on the connection.
+func (c *conn) receive(request *http.Request, shared *bulk.Bulk) (reply *Reply, keep bool, err error) {
 	response, err := c.readHead(request)
 	if err != nil {
-		return nil, false, c.failure("receive", false, err)
+		return nil, false, err
 	}
 	defer func() {
 		// What is left of a body is not read; closing has nothing to report then.
@@ -308,20 +363,24 @@
 	c.used = true
 	body, err := c.readBody(response, shared)
 	if err != nil {
-		return nil, false, c.failure("receive", false, err)
+		return nil, false, err
 	}
 	reply = &Reply{Status: response.StatusCode, Header: response.Header, Body: body}
-	select {
-	case err := <-written:
-		keep = err == nil
-	default:
-	}
 	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	keep = keep && framed && !response.Close && c.reader.Buffered() == 0
+	keep = framed && !response.Close && c.reader.Buffered() == 0
 	c.expire = time.Now().Add(idleTime(response.Header.Get("Keep-Alive")))
 	return reply, keep, nil
 }
 
+// stray reports whether a reply is to another request than the one on its way.
+func (p *Pool) stray(c *conn, reply *Reply) bool {
+	if p.Marks == nil || c.mark == "" {
+		return false
+	}
+	mark := p.Marks.OfReply(reply)
+	return mark != "" && mark != c.mark
+}
+
 // writers are the buffers of requests that are being written.
 var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBuffer) }}
 
--- a/internal/conn/http1/read.go
+++ b/internal/conn/http1/read.go
@@ -26,6 +26,9 @@
 	bulkMost = 2 * replyMost
 )
 
+// errStrays means that too many replies to other requests came first.
+var errStrays = errors.New("the replies are to other requests")
+
 // errExcess means that more came than is read of one reply.
 var errExcess = errors.New("the reply is longer than is read")
 
--- a/internal/conn/plain/plain.go
+++ b/internal/conn/plain/plain.go
@@ -81,13 +81,22 @@
 	return pass.Request(request.Method, request.URI, request.Host, header, request.Body)
 }
 
+// OfRequest returns the request's ID.
+func (Codec) OfRequest(request *http.Request) string { return request.Header.Get(wire.HeaderRequest) }
+
+// OfReply returns the ID of the request that a reply is to; empty if it says none.
+func (Codec) OfReply(reply *http1.Reply) string { return reply.Header.Get(wire.HeaderRequest) }
+
 // Judge reads a searcher's reply: it counts only if it bears the request's ID.
 func (Codec) Judge(request *relay.Request, reply *http1.Reply) relay.Judgement {
 	judgement := relay.Judgement{Signature: reply.Header.Get(wire.HeaderServedBy), Load: loadOf(reply.Header.Get(wire.HeaderLoad))}
+	id := reply.Header.Get(wire.HeaderRequest)
 	switch {
+	case id != "" && id != request.ID:
+		judgement.Outcome = fleet.Corrupt
 	case reply.Header.Get(wire.HeaderNotRun) != "":
 		judgement.Outcome = fleet.Shed
-	case reply.Header.Get(wire.HeaderRequest) != request.ID || judgement.Signature == "":
+	case id == "" || judgement.Signature == "":
 		judgement.Outcome = fleet.Corrupt
 	case reply.Status < http.StatusOK || reply.Status >= http.StatusMultipleChoices:
 		judgement.Outcome = fleet.Failed
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -38,6 +38,8 @@
 	Terms repeat.Terms
 	// Opened, if set, is called for each new connection to a target.
 	Opened func()
+	// Marks, if set, tell which request a target's reply belongs to.
+	Marks http1.Marks
 	// Believed, if set, is told when a target is taken to serve or no longer to.
 	Believed func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome)
 	// Resumed, if set, is told of a target that answers again after a pause.
@@ -183,7 +185,7 @@
 		if p.bulk == nil {
 			p.bulk = &bulk.Bulk{Most: bulkMost}
 		}
-		conns = &http1.Pool{Address: t.Address, Opened: p.Opened, Bulk: p.bulk, Moved: &p.moved}
+		conns = &http1.Pool{Address: t.Address, Opened: p.Opened, Bulk: p.bulk, Moved: &p.moved, Marks: p.Marks}
 		p.conns[t.ID] = conns
 	}
 	return conns
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -101,6 +101,7 @@
 
 // Dialect writes what targets read and reads what they write.
 type Dialect interface {
+	http1.Marks
 	// Encode makes the request to a target. Left is the time that remains.
 	Encode(request *Request, target *fleet.Target, left time.Duration) *http.Request
 	// Judge reads a reply.
--- a/internal/request/relay/world_test.go
+++ b/internal/request/relay/world_test.go
@@ -120,6 +120,10 @@
 	return &http.Request{Header: request.Header}
 }
 
+func (plain) OfRequest(request *http.Request) string { return request.Header.Get(headerID) }
+
+func (plain) OfReply(*http1.Reply) string { return "" }
+
 func (plain) Judge(_ *Request, reply *http1.Reply) Judgement {
 	queued, err := strconv.Atoi(reply.Header.Get(headerQueued))
 	load := &wire.Load{Queued: queued}
