Count the first attempt of a shard once when its peer has not tried it

Cause: a daemon that asks a peer to gather counts the first attempts of those shards. Evidence: TestShardsThatComeBackAreCountedOnce/untried counted 2 before, 1 now.

--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -77,7 +77,7 @@
 	// one that certainly has not run.
 	Held bool
 	// Skip, if set, lists shards that the caller gathers in another way. Each is
-	// settled by Skipped.
+	// settled by Skipped. The caller counts their first attempts.
 	Skip []bool
 }
 
@@ -316,7 +316,7 @@
 	})
 	switch choice.Verdict {
 	case fleet.Picked:
-		if s.attempts == 0 {
+		if s.attempts == 0 && !g.skipped(shard) {
 			g.primary(now, shard)
 		}
 		g.send(now, shard, choice.Target)
--- a/internal/request/gather/pools_test.go
+++ b/internal/request/gather/pools_test.go
@@ -148,3 +148,41 @@
 		t.Errorf("%d answered, %d failed", g.gather.Answered(), g.gather.Failed())
 	}
 }
+
+// ledger is a budget that counts first attempts.
+type ledger struct {
+	purse
+	primaries int
+}
+
+func (l *ledger) Primary(_ time.Time, count int) { l.primaries += count }
+
+// Guards against repeats beyond the budget: the first attempts for shards that
+// another daemon gathers are counted by the caller, and not again when they come back.
+func TestShardsThatComeBackAreCountedOnce(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		used int
+	}{
+		{"untried", 0},
+		{"tried", 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			counted := &ledger{purse: purse{left: 10}}
+			g := poolRig(2, 10, func(c *Config) {
+				c.Pools = []Budget{counted, counted}
+				c.Skip = []bool{true, false}
+			})
+			g.gather.Begin(start)
+			if counted.primaries != 1 {
+				t.Errorf("%d first attempts at the beginning, want that of the shard gathered here", counted.primaries)
+			}
+			if step := g.gather.Skipped(start, 0, false, tt.used, nil); len(step.Send) != 1 {
+				t.Fatalf("sent %d", len(step.Send))
+			}
+			if counted.primaries != 1 {
+				t.Errorf("%d first attempts after the shard came back, want 1", counted.primaries)
+			}
+		})
+	}
+}
