Keep what was spent of the repeat budget when its window changes its length

Cause: SetTerms began the counts anew when the settings file brought another window, so that what was spent could be spent again. Change: it counts in the new window as if spent just after the change. Evidence: TestAnotherWindowForgetsNothing: 10 extras again before, none now, and all of them a new window later.

--- a/internal/process/repeat/repeat.go
+++ b/internal/process/repeat/repeat.go
@@ -54,6 +54,8 @@
 	ring  [buckets + marginBuckets]bucket
 	ticks ticks.Ticks
 	slot  int64
+	// carried is the extras counted in a window of another length.
+	carried int32
 }
 
 // New returns a budget of which nothing is spent.
@@ -63,12 +65,15 @@
 
 func ticksOf(terms Terms) ticks.Ticks { return ticks.Ticks{Width: terms.Window / buckets} }
 
-// SetTerms changes what the operator allows. A window of another length starts
-// its counts anew.
+// SetTerms changes what the operator allows. With a window of another length, what
+// was spent counts as if it had been spent just after the change.
 func (b *Budget) SetTerms(terms Terms) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if terms.Window != b.terms.Window {
+		_, extras := b.sum()
+		b.carried += int32(extras)
+		b.ring = [buckets + marginBuckets]bucket{}
 		b.slot, b.ticks = 0, ticksOf(terms)
 	}
 	b.terms = terms
@@ -150,5 +155,8 @@
 		b.slot++
 		b.ring[b.slot%size] = bucket{}
 	}
-	return &b.ring[b.slot%size]
+	current := &b.ring[b.slot%size]
+	current.extras += b.carried
+	b.carried = 0
+	return current
 }
--- a/internal/process/repeat/repeat_test.go
+++ b/internal/process/repeat/repeat_test.go
@@ -114,3 +114,24 @@
 	}
 	return count
 }
+
+// Guards against repeats beyond the budget when the operator changes the length of
+// the window: what was spent stays spent until the new window has passed.
+func TestAnotherWindowForgetsNothing(t *testing.T) {
+	for _, length := range []time.Duration{5 * time.Second, 20 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			b := New(Terms{Ratio: 0, Slack: 10 / share.Kept, Window: 10 * time.Second})
+			if got := takeAll(b, start); got != 10 {
+				t.Fatalf("%d extras, want 10", got)
+			}
+			b.SetTerms(Terms{Ratio: 0, Slack: 10 / share.Kept, Window: length})
+			b.SetTerms(Terms{Ratio: 0, Slack: 10 / share.Kept, Window: length})
+			if got := takeAll(b, start.Add(time.Second)); got != 0 {
+				t.Errorf("%d extras after the change", got)
+			}
+			if got := takeAll(b, start.Add(time.Second+length*11/10)); got != 10 {
+				t.Errorf("%d extras a window later, want 10", got)
+			}
+		})
+	}
+}
