--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -62,12 +63,16 @@
 	KindBroken ErrorKind = "Broken"
 	// KindGivenUp means that the asker no longer wanted the reply.
 	KindGivenUp ErrorKind = "GivenUp"
+	// KindCrowded means that too many messages wait for the peer.
+	KindCrowded ErrorKind = "Crowded"
 	KindListen  ErrorKind = "Listen"
 )
 
 // Error is the error of this package.
 type Error = fault.Error[ErrorKind]
 
+var errCrowded = &Error{Op: "send", Kind: KindCrowded}
+
 const (
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes  = 2 << 20
@@ -99,6 +104,8 @@
 	Wrap func(net.PacketConn) net.PacketConn
 	// Sent, if set, is told of the bytes of each message and reply that is sent.
 	Sent func(kind Type, bytes int)
+	// Unsent, if set, is told why a message of Send was given up.
+	Unsent func(address string, kind Type, err error)
 	// IdleTimeout, if set, ends a connection on which nothing is heard; a third
 	// of it is the time between signs of life.
 	IdleTimeout time.Duration
@@ -113,13 +120,6 @@
 	received  atomic.Int64
 }
 
-// peer is the connection to one address.
-type peer struct {
-	mu      sync.Mutex
-	conn    *quic.Conn
-	sending atomic.Int32
-}
-
 // sendsMost bounds the messages waiting for one peer; more are dropped, since
 // heartbeats replace each other.
 const sendsMost = 8
@@ -275,101 +275,46 @@
 	return Type(first[0]), data, nil
 }
 
-func (l *Link) peer(address string) *peer {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	p := l.peers[address]
-	if p == nil {
-		p = &peer{}
-		l.peers[address] = p
-	}
-	return p
-}
-
-// Keep drops what is held for all other addresses.
-func (l *Link) Keep(addresses map[string]bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for address := range l.peers {
-		if !addresses[address] {
-			delete(l.peers, address)
-		}
-	}
-}
-
-// Renew drops the connection to an address unless the daemon there has shown the
-// certificate of a fingerprint: a process that was restarted knows nothing of
-// the connections of its predecessor, and what is sent on them is lost.
-func (l *Link) Renew(address string, fingerprint []byte) {
+// Send sends a message without waiting for it to arrive.
+func (l *Link) Send(address string, kind Type, body []byte) {
 	p := l.peer(address)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn == nil || keys.Shown(p.conn.ConnectionState().TLS, fingerprint) {
+	if p.sending.Add(1) > sendsMost {
+		p.sending.Add(-1)
+		l.unsent(address, kind, errCrowded)
 		return
 	}
-	// The other end is gone; an error leaves nothing to do.
-	_ = p.conn.CloseWithError(0, "the peer was restarted")
-	p.conn = nil
+	go func() {
+		defer p.sending.Add(-1)
+		if err := l.deliver(address, kind, body); err != nil {
+			l.unsent(address, kind, err)
+		}
+	}()
 }
 
-// connect returns a live connection to an address, made if need be.
-func (l *Link) connect(ctx context.Context, address string) (*quic.Conn, error) {
-	p := l.peer(address)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != nil && p.conn.Context().Err() == nil {
-		return p.conn, nil
-	}
-	remote, err := net.ResolveUDPAddr("udp", address)
+// deliver sends a message on a stream of its own.
+func (l *Link) deliver(address string, kind Type, body []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
+	defer cancel()
+	conn, err := l.connect(ctx, address)
 	if err != nil {
-		return nil, err
+		return &Error{Op: "send", Kind: KindUnreachable, Err: err}
 	}
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
-	conn, err := l.transport.Dial(ctx, remote, l.Keys.TLS(), l.config())
+	stream, err := conn.OpenUniStreamSync(ctx)
 	if err != nil {
-		return nil, err
+		return &Error{Op: "send", Kind: KindUnreachable, Err: err}
 	}
-	p.conn = conn
-	l.serve(conn)
-	return conn, nil
-}
-
-// Warm opens a connection to an address in the background, unless there is one: a
-// first message would wait for it.
-func (l *Link) Warm(address string) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
-		defer cancel()
-		// Whoever sends a message there tries again, and sees the error.
-		_, _ = l.connect(ctx, address)
-	}()
+	l.count(kind, len(body)+1)
+	_, err = stream.Write(append([]byte{byte(kind)}, body...))
+	if err = errors.Join(err, stream.Close()); err != nil {
+		return &Error{Op: "send", Kind: KindBroken, Err: err}
+	}
+	return nil
 }
 
-// Send sends a message without waiting for it to arrive.
-func (l *Link) Send(address string, kind Type, body []byte) {
-	p := l.peer(address)
-	if p.sending.Add(1) > sendsMost {
-		p.sending.Add(-1)
-		return
+func (l *Link) unsent(address string, kind Type, err error) {
+	if l.Unsent != nil {
+		l.Unsent(address, kind, err)
 	}
-	go func() {
-		defer p.sending.Add(-1)
-		ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
-		defer cancel()
-		conn, err := l.connect(ctx, address)
-		if err != nil {
-			return
-		}
-		stream, err := conn.OpenUniStreamSync(ctx)
-		if err != nil {
-			return
-		}
-		l.count(kind, len(body)+1)
-		// A heartbeat that can not be written is lost; the next one follows.
-		_, _ = stream.Write(append([]byte{byte(kind)}, body...))
-		_ = stream.Close()
-	}()
 }
 
 // Ask sends a message and waits for the reply.
--- a/internal/conn/link/link_test.go
+++ b/internal/conn/link/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -50,7 +51,9 @@
 // A daemon was killed and is back at its address. What is sent to it does not go
 // the way of the connection that its predecessor had.
 func TestRestartedPeerIsReached(t *testing.T) {
-	a, _ := end(t, "127.0.0.1:0")
+	a, _ := end(t, "127.0.0.1:0", func(l *Link) {
+		l.Unsent = func(address string, _ Type, err error) { t.Logf("nothing was sent to %s: %v", address, err) }
+	})
 	b, heard := end(t, "127.0.0.1:0")
 	a.Send(b.Address, Heartbeat, []byte("first"))
 	if !hears(heard, "first", 10*time.Second) {
@@ -78,3 +81,30 @@
 		t.Error("a connection to the daemon itself was dropped")
 	}
 }
+
+// A message that can not be sent is told of, with the reason.
+func TestUnsentMessagesAreToldOf(t *testing.T) {
+	told := make(chan error, 2*sendsMost)
+	a, _ := end(t, "127.0.0.1:0", func(l *Link) {
+		l.Unsent = func(_ string, _ Type, err error) { told <- err }
+	})
+	b, _ := end(t, "127.0.0.1:0")
+	gone := b.Address
+	if err := b.socket.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range sendsMost + 1 {
+		a.Send(gone, Heartbeat, []byte("to nobody"))
+	}
+	kinds := map[ErrorKind]int{}
+	for range sendsMost + 1 {
+		var e *Error
+		if err := <-told; !errors.As(err, &e) {
+			t.Fatalf("error %v", err)
+		}
+		kinds[e.Kind]++
+	}
+	if kinds[KindCrowded] != 1 || kinds[KindUnreachable] != sendsMost {
+		t.Errorf("%v, want one that did not wait and %d that were not answered", kinds, sendsMost)
+	}
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -181,7 +181,7 @@
 		},
 	}
 	n.Pools.SetSharers(1, 1, n.share.Part(steady.Now(), 1, true))
-	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, Consulted: n.assist, Sent: n.countSent, Wrap: n.WrapLink, IdleTimeout: linkIdle}
+	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, Consulted: n.assist, Sent: n.countSent, Unsent: n.countUnsent, Wrap: n.WrapLink, IdleTimeout: linkIdle}
 	n.gossip = &gossip.Gossip{
 		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster,
 		Accepted: n.configure, Registered: n.register, Noticed: n.hearNotice, Users: n.users,
@@ -257,6 +257,12 @@
 	n.Meter.LinkSent.WithLabelValues(kind.String()).Add(float64(bytes))
 }
 
+// countUnsent counts messages that were given up. Heartbeats to a daemon that is down
+// are among them, so that they get no line each.
+func (n *Node) countUnsent(_ string, kind link.Type, _ error) {
+	n.Meter.Decide("Unsent" + kind.String())
+}
+
 // configure brings a new revision to the pools.
 func (n *Node) configure() {
 	e := n.Keeper.Current()
