Do not take a late refusal of another attempt for one of this search

Cause: the own search path checks the echo of a reply's body, but a refusal has none: one that came late, to an earlier attempt on the same connection, said of the next attempt that it had not run, and the shard was sent elsewhere beyond its attempts. Change: refusals repeat the echo as a header, and one with another echo is corrupt; its connection is closed. Searchers that say none are believed as before.

--- a/internal/conn/target/target.go
+++ b/internal/conn/target/target.go
@@ -176,6 +176,9 @@
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
+		if echo := response.Header.Get(wire.HeaderEcho); echo != "" && echo != request.Header.Get(wire.HeaderEcho) {
+			return fleet.Corrupt
+		}
 		return refusal(response)
 	}
 	buffer := buffers.Get().(*bytes.Buffer)
--- a/internal/fake/shard/handler.go
+++ b/internal/fake/shard/handler.go
@@ -23,6 +23,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	w.Header().Set(wire.HeaderEcho, r.Header.Get(wire.HeaderEcho))
 	var request wire.ShardRequest
 	if err := decodeBody(r, &request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/pkg/wire/target.go
+++ b/pkg/wire/target.go
@@ -76,7 +76,8 @@
 
 // Headers of the searcher protocol.
 const (
-	// HeaderEcho carries "request/attempt/shard/version".
+	// HeaderEcho carries "request/attempt/shard/version". A refusal repeats it, so that
+	// one of an earlier attempt is not taken for one of the next.
 	HeaderEcho = "Relay-Echo"
 	// HeaderTimeout carries the time that remains, in microseconds.
 	HeaderTimeout = "Relay-Timeout"
