Send what must not be sent again over connections in use a moment ago

Cause: targets may forget a resting connection without notice. What is sent on it next is lost, and a request that must run at most once can not be sent again after that: its caller gets 502 though it has not run. Change: such requests use a connection that was in use within 0.1 s, or replace it by a new one; others use any, as before. Evidence: TestRestedConnectionsCarryNothingThatMustNotBeSentAgain fails without it (once, rested).

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -21,6 +21,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -77,6 +78,9 @@
 	idleMargin = time.Second
 	// idleMost is how long an idle connection is kept when the target does not say.
 	idleMost = 30 * time.Second
+	// restMost is how long a connection may have rested that carries a request which
+	// must not be sent again.
+	restMost = 100 * time.Millisecond
 	// resetSlack is how much later than the way there and back the reset of a new
 	// connection may come that a target has no room for.
 	resetSlack = 3 * time.Millisecond
@@ -128,6 +132,8 @@
 	allowance *allowance
 	reader    *bufio.Reader
 	expire    time.Time
+	// rests is since when the connection is idle.
+	rests time.Time
 	// used is true after the first reply.
 	used bool
 	// mark is that of the last request.
@@ -145,11 +151,23 @@
 // Do sends the request and returns the whole reply. Connections are reused
 // only after a reply that leaves nothing behind.
 func (p *Pool) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
+	return p.do(ctx, request, deadline, math.MaxInt64)
+}
+
+// DoOnce is Do for a request that must not be sent again. A target may have
+// forgotten a connection that rested, which shows only by the loss of what is sent on
+// it, so one that rested for longer than a moment is replaced by a new one.
+func (p *Pool) DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
+	return p.do(ctx, request, deadline, restMost)
+}
+
+// do uses connections that have rested for at most the given time.
+func (p *Pool) do(ctx context.Context, request *http.Request, deadline time.Time, rest time.Duration) (*Reply, error) {
 	mark := ""
 	if p.Marks != nil {
 		mark = p.Marks.OfRequest(request)
 	}
-	c, err := p.get(ctx, deadline, mark)
+	c, err := p.get(ctx, deadline, mark, rest)
 	if err != nil {
 		return nil, err
 	}
@@ -165,10 +183,10 @@
 }
 
 // get returns an idle connection that is still whole, or a new one.
-func (p *Pool) get(ctx context.Context, deadline time.Time, mark string) (*conn, error) {
+func (p *Pool) get(ctx context.Context, deadline time.Time, mark string, rest time.Duration) (*conn, error) {
 	now := time.Now()
 	for c := p.take(mark); c != nil; c = p.take(mark) {
-		if now.Before(c.expire) && c.quiet() {
+		if now.Sub(c.rests) <= rest && now.Before(c.expire) && c.quiet() {
 			return c, nil
 		}
 		c.close()
@@ -238,6 +256,7 @@
 		c.close()
 		return
 	}
+	c.rests = time.Now()
 	p.idle = append(p.idle, c)
 }
 
--- a/internal/conn/http1/stray_test.go
+++ b/internal/conn/http1/reuse_test.go
@@ -107,3 +107,37 @@
 		})
 	}
 }
+
+// A request that must not be sent again is not risked on a connection that its target
+// may have forgotten meanwhile; others may use it.
+func TestRestedConnectionsCarryNothingThatMustNotBeSentAgain(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		rested time.Duration
+		send   func(p *Pool, ctx context.Context, r *http.Request, deadline time.Time) (*Reply, error)
+		reused bool
+	}{
+		{"once, just used", -time.Hour, (*Pool).DoOnce, true},
+		{"once, rested", 2 * restMost, (*Pool).DoOnce, false},
+		{"any, rested", 2 * restMost, (*Pool).Do, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			pool := server(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+				for readOne(reader) == nil {
+					say(conn, marked(200, "", fmt.Sprint(number)))
+				}
+			})
+			if _, err := do(pool); err != nil {
+				t.Fatal(err)
+			}
+			pool.idle[0].rests = time.Now().Add(-tt.rested)
+			reply, err := tt.send(pool, context.Background(), request(""), time.Now().Add(10*time.Second))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if reused := string(reply.Body) == "0"; reused != tt.reused || len(pool.idle) != 1 {
+				t.Errorf("reused %v, want %v; %d connections, want 1", reused, tt.reused, len(pool.idle))
+			}
+		})
+	}
+}
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -60,7 +60,12 @@
 	r := x.runner
 	sent := time.Now()
 	request := r.Dialect.Encode(x.request, a.Target, x.times.end.Sub(sent))
-	reply, err := r.Connect(a.Target).Do(ctx, request, x.times.end)
+	sender := r.Connect(a.Target)
+	send := sender.Do
+	if !x.route.Idempotent {
+		send = sender.DoOnce
+	}
+	reply, err := send(ctx, request, x.times.end)
 	now := time.Now()
 	judgement := Judgement{Outcome: outcomeOf(ctx, err)}
 	if err == nil {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -119,6 +119,8 @@
 // Sender sends a request to one target and returns the whole reply.
 type Sender interface {
 	Do(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error)
+	// DoOnce is Do for a request that must not be sent again.
+	DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error)
 }
 
 // Runner runs requests. Exported fields are set before Run.
--- a/internal/request/relay/world_test.go
+++ b/internal/request/relay/world_test.go
@@ -83,6 +83,11 @@
 	return &http1.Reply{Status: http.StatusOK, Header: header, Body: []byte(m.id)}, nil
 }
 
+// DoOnce is Do: machines have no connections.
+func (m *machine) DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error) {
+	return m.Do(ctx, request, deadline)
+}
+
 func (m *machine) run(ctx context.Context, request *http.Request) error {
 	select {
 	case m.slots <- struct{}{}:
