Take rejections by a target that has room as a rate, not as "full"

Cause: any rejection barred its target for 60 to 500 ms, whatever load came with it.

Change: a target is full only if its queue is as long as any it has accepted.

--- a/internal/process/fleet/expect.go
+++ b/internal/process/fleet/expect.go
@@ -69,6 +69,20 @@
 	return expected + time.Duration(f.random.IntN(int(time.Millisecond)))
 }
 
+// queryScore is the score of a target for a query, which includes what a lost
+// answer or a rejection would cost the query.
+func (f *Fleet) queryScore(now time.Time, t *Target, q Query) time.Duration {
+	score := f.score(now, t) + t.expectedLossCost(now, q.LostAnswerCost)
+	if t.rejections.rate > 0 {
+		retryCost := time.Duration(0)
+		if q.RetryCost != nil {
+			retryCost = q.RetryCost()
+		}
+		score += t.rejections.expectedCost(retryCost)
+	}
+	return score
+}
+
 // expectedLatency returns how long an attempt at the target is expected to
 // take, including time in its queue and the rest of a pause.
 func (f *Fleet) expectedLatency(now time.Time, t *Target) time.Duration {
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -21,6 +21,9 @@
 	LateAfter func(t *Target) time.Duration
 	// LostAnswerCost is the time that a lost answer is assumed to cost.
 	LostAnswerCost time.Duration
+	// RetryCost, if set, returns the time that a retry for a shard is assumed to cost
+	// beyond the time until it is sent.
+	RetryCost func(now time.Time, shard int) time.Duration
 	// UsefulUntil, if set, returns the time after which an answer is useless;
 	// zero means that it stays useful.
 	UsefulUntil func(now time.Time) time.Time
@@ -59,6 +62,9 @@
 // request.
 func (g *Group) addGroupOptions(now time.Time, q *Query) {
 	q.LateAfter, q.LostAnswerCost = g.LateAfter, g.LostAnswerCost
+	if shard := q.Shard; g.RetryCost != nil {
+		q.RetryCost = func() time.Duration { return g.RetryCost(now, shard) }
+	}
 	q.LowPriority = g.LowPriority != nil && g.LowPriority(now)
 	if g.UsefulUntil != nil {
 		q.UsefulUntil = g.UsefulUntil(now)
@@ -70,12 +76,12 @@
 func (g *Group) Wait(now time.Time, q Query, priority int, wake func(shard int)) (cancel func()) {
 	f := g.fleets[q.Shard]
 	shard := q.Shard
-	// The fleet of a pool has a single shard.
-	q.View = &View{Version: q.View.Version, Replicas: g.View.Replicas[shard : shard+1]}
-	q.Shard = 0
 	if g.addGroupOptions(now, &q); q.LowPriority {
 		priority += lowPriorityOffset
 	}
+	// The fleet of a pool has a single shard.
+	q.View = &View{Version: q.View.Version, Replicas: g.View.Replicas[shard : shard+1]}
+	q.Shard = 0
 	return f.Wait(now, q, priority, func(int) { wake(shard) })
 }
 
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -50,6 +50,9 @@
 	// LostAnswerCost is the time that a lost answer is assumed to cost; it is zero
 	// for requests that may be sent again.
 	LostAnswerCost time.Duration
+	// RetryCost, if set, returns the time that a retry is assumed to cost beyond the
+	// time until it is sent.
+	RetryCost func() time.Duration
 	// LateAfter, if set, returns how long after its send an attempt counts as
 	// late.
 	LateAfter func(t *Target) time.Duration
@@ -249,7 +252,7 @@
 	t.inFlight--
 	if f.config.Registered {
 		t.recordLoad(now, load)
-		f.recordRegistered(now, t, outcome, latency)
+		f.recordRegistered(now, t, outcome, latency, load)
 	} else {
 		f.recordPolled(now, t, shard, outcome, latency, load)
 	}
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -188,13 +188,13 @@
 			continue
 		}
 		if t.inFlight >= f.queryLimit(now, t, q) {
-			if score := f.score(now, t) + t.expectedLossCost(now, q.LostAnswerCost); busy == 0 || score < minBusyScore {
+			if score := f.queryScore(now, t, q); busy == 0 || score < minBusyScore {
 				minBusyScore = score
 			}
 			busy++
 			continue
 		}
-		if score := f.score(now, t) + t.expectedLossCost(now, q.LostAnswerCost); chosen == nil || score < minScore {
+		if score := f.queryScore(now, t, q); chosen == nil || score < minScore {
 			chosen, minScore = t, score
 		}
 	}
@@ -210,13 +210,14 @@
 }
 
 // recordRegistered records the end of an attempt at a registered target.
-func (f *Fleet) recordRegistered(now time.Time, t *Target, outcome Outcome, latency float64) {
+func (f *Fleet) recordRegistered(now time.Time, t *Target, outcome Outcome, latency float64, load *wire.Load) {
 	sent := now.Add(-time.Duration(latency * float64(time.Second)))
 	defer f.updateReportedState(now, t, outcome)
 	switch outcome {
 	case Success:
 		t.lastSeen = now
 		t.failures, t.refusals, t.sheds = 0, 0, 0
+		t.rejections.recordAnswer(load)
 		t.downUntil = time.Time{}
 		f.detectPause(now, t, sent)
 		t.responses.recordReply(now, sent)
@@ -230,7 +231,11 @@
 		t.crowdedUntil, t.crowdedLimit = now.Add(crowdedTime), t.inFlight
 	case Shed:
 		t.responses.recordSignOfLife()
-		t.markFull(now)
+		if t.rejections.full(load) {
+			t.markFull(now)
+			return
+		}
+		t.rejections.recordRejection(now.Sub(sent))
 	case Failed:
 		// A target that fails a request has at least answered.
 		t.responses.recordSignOfLife()
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -105,6 +105,8 @@
 	fullUntil time.Time
 	// sheds is the number of such rejections since the target's last answer.
 	sheds int
+	// rejections are the target's rejections while it had room.
+	rejections rejections
 	// Before crowdedUntil no further connection is opened; crowdedLimit is the
 	// number of attempts that the open ones carry.
 	crowdedUntil time.Time
--- a/internal/process/retry/retry.go
+++ b/internal/process/retry/retry.go
@@ -119,6 +119,16 @@
 	return requests, extras, b.allowed(requests)
 }
 
+// SpentShare returns the share of the extra attempts allowed in the window that ends
+// now that are spent.
+func (b *Budget) SpentShare(now time.Time) float64 {
+	_, extras, allowed := b.Usage(now)
+	if float64(extras) >= allowed {
+		return 1
+	}
+	return float64(extras) / allowed
+}
+
 // allowed returns the number of extra attempts allowed in a window with that many
 // requests.
 func (b *Budget) allowed(requests int) float64 {
--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -41,7 +41,11 @@
 	slowdown     float64
 	unresponsive bool
 	lossRate     float64
-	random       *rand.Rand
+	// rejectRate is the share of requests that are rejected whatever the queue.
+	rejectRate float64
+	// pause delays the work.
+	pause  pauseSchedule
+	random *rand.Rand
 }
 
 // testCallerTimeout is how long callers wait.
@@ -64,9 +68,10 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	f.mu.Lock()
-	if maxQueue := f.maxQueue; !f.unresponsive && f.waiting >= maxQueue {
+	if !f.unresponsive && (f.waiting >= f.maxQueue || f.rejectRate > 0 && f.random.Float64() < f.rejectRate) {
+		queued := f.waiting
 		f.mu.Unlock()
-		return &http1.Reply{Status: http.StatusServiceUnavailable, Header: http.Header{headerQueued: {strconv.Itoa(maxQueue)}}}, nil
+		return &http1.Reply{Status: http.StatusServiceUnavailable, Header: http.Header{headerQueued: {strconv.Itoa(queued)}}}, nil
 	}
 	f.waiting++
 	f.mu.Unlock()
@@ -105,7 +110,8 @@
 	if err != nil {
 		return err
 	}
-	timer := time.NewTimer(time.Duration(slowdown * float64(work)))
+	now := time.Now()
+	timer := time.NewTimer(f.pause.end(now, time.Duration(slowdown*float64(work))).Sub(now))
 	defer timer.Stop()
 	if unresponsive {
 		timer.Stop()
@@ -118,6 +124,60 @@
 	}
 }
 
+// distantTarget is a fakeTarget of another region.
+type distantTarget struct {
+	*fakeTarget
+	travel time.Duration
+}
+
+// Do sends the request and its answer over the distance; a cancelled request is
+// still on its way for as long.
+func (d distantTarget) Do(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error) {
+	time.Sleep(d.travel)
+	reply, err := d.fakeTarget.Do(ctx, request, deadline)
+	if ctx.Err() == nil {
+		time.Sleep(d.travel)
+	}
+	return reply, err
+}
+
+// DoOnce is Do.
+func (d distantTarget) DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error) {
+	return d.Do(ctx, request, deadline)
+}
+
+// pauseSchedule is when a target pauses: for the given length once in a period.
+type pauseSchedule struct {
+	length, period time.Duration
+	// first is when the first pause begins.
+	first time.Time
+}
+
+// end returns when work that starts at the given time is done.
+func (p pauseSchedule) end(start time.Time, work time.Duration) time.Time {
+	if p.period == 0 {
+		return start.Add(work)
+	}
+	for {
+		pauseStart := p.first
+		if since := start.Sub(p.first); since >= 0 {
+			pauseStart = p.first.Add(since / p.period * p.period)
+			if start.Sub(pauseStart) >= p.length {
+				pauseStart = pauseStart.Add(p.period)
+			}
+		}
+		switch {
+		case !start.Before(pauseStart):
+			start = pauseStart.Add(p.length)
+		case start.Add(work).After(pauseStart):
+			work -= pauseStart.Sub(start)
+			start = pauseStart.Add(p.length)
+		default:
+			return start.Add(work)
+		}
+	}
+}
+
 // fakeDialect is the dialect of fake targets.
 type fakeDialect struct{}
 
@@ -152,6 +212,8 @@
 	byID    map[string]*fakeTarget
 	entries map[string][]roster.Entry
 	random  *rand.Rand
+	// travel is the time that a message takes between regions.
+	travel time.Duration
 
 	mu      sync.Mutex
 	results []requestResult
@@ -171,11 +233,21 @@
 // newCluster makes pools of targets that all daemons use alike.
 func newCluster(t *testing.T, daemons, replicas, slots int, names ...string) *cluster {
 	t.Helper()
+	c := newPools(replicas, slots, func(int, int) string { return "here" }, names...)
+	for range daemons {
+		c.addDaemon("here", daemons)
+	}
+	return c
+}
+
+// newPools makes pools of targets, with regionOf as the region of each replica of a
+// pool, and no daemons.
+func newPools(replicas, slots int, regionOf func(pool, replica int) string, names ...string) *cluster {
 	c := &cluster{
 		targets: map[string][]*fakeTarget{}, byID: map[string]*fakeTarget{}, entries: map[string][]roster.Entry{},
 		random: rand.New(rand.NewPCG(1, 2)),
 	}
-	for _, name := range names {
+	for pool, name := range names {
 		for replica := range replicas {
 			id := fmt.Sprintf("%s-%d", name, replica)
 			f := &fakeTarget{
@@ -184,12 +256,9 @@
 			}
 			c.byID[id] = f
 			c.targets[name] = append(c.targets[name], f)
-			c.entries[name] = append(c.entries[name], roster.Entry{ID: id, Pool: name, Address: id, DataCentre: "here", Slots: slots, Revision: 1})
+			c.entries[name] = append(c.entries[name], roster.Entry{ID: id, Pool: name, Address: id, DataCentre: regionOf(pool, replica), Slots: slots, Revision: 1})
 		}
 	}
-	for range daemons {
-		c.addDaemon("here", daemons)
-	}
 	return c
 }
 
@@ -206,7 +275,12 @@
 	}
 	r := &Runner{
 		Pools: targetPools, Dialect: fakeDialect{}, Poison: poison.New(), ResponseTimes: timing.New(),
-		Connect: func(target *fleet.Target) Sender { return c.byID[target.ID] },
+		Connect: func(target *fleet.Target) Sender {
+			if target.Local {
+				return c.byID[target.ID]
+			}
+			return distantTarget{fakeTarget: c.byID[target.ID], travel: c.travel}
+		},
 	}
 	c.daemons = append(c.daemons, r)
 	return r
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -100,7 +100,7 @@
 		inFlight: map[uint64]*inFlightAttempt{}, schedule: times,
 	}
 	x.group.LateAfter = x.lateAfter
-	x.group.LowPriority, x.group.UsefulUntil = x.yields, x.usefulUntil
+	x.group.LowPriority, x.group.UsefulUntil, x.group.RetryCost = x.yields, x.usefulUntil, x.retryCost
 	if !route.Idempotent {
 		x.group.LostAnswerCost = max(route.LatencyTarget, minLossLatencyTarget) / 2
 	}
@@ -166,6 +166,14 @@
 	return x.schedule.partialAt
 }
 
+// retryCost returns the time that a retry for the shard is assumed to cost. A query
+// whose retry the budget doesn't allow may miss its latency target, so the cost rises
+// to that as the budget is spent.
+func (x *exchange) retryCost(now time.Time, shard int) time.Duration {
+	spent := x.runner.Pools.Budget(x.poolNames[shard]).SpentShare(now)
+	return time.Duration(spent * float64(x.schedule.partialAt.Sub(x.request.Arrived)))
+}
+
 // lateAfter returns how long an attempt at the target may take before it is
 // late.
 func (x *exchange) lateAfter(t *fleet.Target) time.Duration {
