Let late requests of hurried callers yield too

Cause: a late request yields to those that can still be in time until five latency targets before its deadline.

Change: a late request stops yielding five latency targets before its deadline, or after half of the time that it is late, whichever is later.

--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -136,7 +136,7 @@
 	return schedule{
 		spent:      spent,
 		yieldFrom:  request.Arrived.Add(latencyTarget - spent),
-		urgentAt:   request.Arrived.Add(timeout - urgentFactor*latencyTarget),
+		urgentAt:   request.Arrived.Add(timeout - urgentTime(latencyTarget, timeout-max(0, latencyTarget-spent))),
 		deadline:   request.Arrived.Add(timeout),
 		partialAt:  request.Arrived.Add(max(latencyTarget-margin, latencyTarget/2)),
 		lateAt:     request.Arrived.Add(min(lateAnswerFactor*latencyTarget, timeout*3/4)),
@@ -144,6 +144,13 @@
 	}
 }
 
+// urgentTime returns how long before its deadline a request that is late for the
+// given time stops yielding. Callers that wait only a few latency targets yield for
+// half of the time that they are late.
+func urgentTime(latencyTarget, late time.Duration) time.Duration {
+	return min(urgentFactor*latencyTarget, late/2)
+}
+
 // yields reports whether the request is already late and lets others that can
 // still be in time go first.
 func (x *exchange) yields(now time.Time) bool { return x.yieldTime(now) > 0 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -182,7 +182,8 @@
 	// defaultPollInterval is the time between checks for room at full targets.
 	defaultPollInterval = 25 * time.Millisecond
 	// urgentFactor times the latency target is how long before its deadline a
-	// late request stops yielding, since it still has to get through a queue.
+	// late request stops yielding at the earliest, since it still has to get
+	// through a queue.
 	urgentFactor = 5
 	// minLossLatencyTarget replaces a shorter latency target in the cost of a
 	// lost answer. The cost is half the latency target: a request that must not
