Requests that run once avoid targets by how long the last attempt waited

Cause: for a request that must not be sent again, a target that answers eleven times slower counted as good until two of its last three answers were slow, a silent one was tried again every 0.3 to 2 s, and other daemons heard nothing, since notices were sent with a second attempt only.

Change: for such a request a target is expected to take at least as long as its last attempt waited, until its reply or still without one, of this daemon or of a peer; the expectation halves every 2 s. A daemon tells its peers when such an attempt is late and each time that its wait has doubled. Pools take the seed of their fleets from outside, so that tests repeat.

--- a/internal/process/fleet/expect.go
+++ b/internal/process/fleet/expect.go
@@ -72,7 +72,11 @@
 // queryScore is the score of a target for a query, which includes what a lost
 // answer or a rejection would cost the query.
 func (f *Fleet) queryScore(now time.Time, t *Target, q Query) time.Duration {
-	score := f.score(now, t) + t.expectedLossCost(now, q.LostAnswerCost)
+	score := f.score(now, t)
+	if q.LostAnswerCost > 0 {
+		// No second attempt can make up for a target that does not answer.
+		score = max(score, t.responses.wait(now, t.inFlight)) + t.expectedLossCost(now, q.LostAnswerCost)
+	}
 	if t.rejections.rate > 0 {
 		retryCost := time.Duration(0)
 		if q.RetryCost != nil {
--- a/internal/process/fleet/pace.go
+++ b/internal/process/fleet/pace.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -23,6 +24,9 @@
 	// the target is assumed to pause; below that, the request itself may just
 	// be slow.
 	overdueFactor = 2
+	// waitHalfLife is the time in which the last wait at a target loses half of its
+	// weight.
+	waitHalfLife = 2 * time.Second
 	// silentAfter is the time without any reply after which a target counts as
 	// silent. It is longer than the usual pauses of targets.
 	silentAfter = 700 * time.Millisecond
@@ -45,6 +49,10 @@
 	overdueAt     time.Time
 	lastSend      time.Time
 	probeInterval time.Duration
+	// waited is how long the last attempt, of this daemon or of a peer, had waited
+	// at waitedAt.
+	waited   time.Duration
+	waitedAt time.Time
 }
 
 // recordSend records an attempt that counts as late after the given time.
@@ -59,12 +67,31 @@
 }
 
 // recordSignOfLife records any sign of life of the target, including an error reply.
-func (p *responseTimes) recordSignOfLife() { p.unanswered, p.probeInterval = time.Time{}, 0 }
+func (p *responseTimes) recordSignOfLife() {
+	p.unanswered, p.probeInterval, p.waited = time.Time{}, 0, 0
+}
+
+// recordWait records that an attempt has waited for the given time, until its reply
+// or still without one.
+func (p *responseTimes) recordWait(now time.Time, waited time.Duration) {
+	p.waited, p.waitedAt = waited, now
+}
+
+// wait returns how long the last attempts have waited. The next one is expected to
+// wait as long; the expectation fades while the target is unused.
+func (p *responseTimes) wait(now time.Time, inFlight int) time.Duration {
+	waited := time.Duration(float64(p.waited) * math.Exp2(-now.Sub(p.waitedAt).Seconds()/waitHalfLife.Seconds()))
+	if inFlight > 0 && !p.unanswered.IsZero() {
+		waited = max(waited, now.Sub(p.unanswered))
+	}
+	return waited
+}
 
 // recordReply records the answer to an attempt that was sent at the given time.
 // Answers to attempts that waited together, as during a pause, count once.
 func (p *responseTimes) recordReply(now, sent time.Time) {
 	p.recordSignOfLife()
+	p.recordWait(now, now.Sub(sent))
 	together := sent.Before(p.lastReply) && p.count > 0 && now.Sub(sent) > 2*p.recent[(p.count-1)%recentReplies]
 	if together {
 		return
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -159,6 +159,7 @@
 	// Replies that this daemon got since then take precedence over the notice.
 	if t.responses.lastReply.Before(at) {
 		t.peerUnansweredSince = at
+		t.responses.recordWait(now, since)
 	}
 }
 
@@ -250,6 +251,9 @@
 		t.lostAnswerAt = now
 		t.failures = min(t.failures+1, ejectAfter)
 	case Cancelled, Expired:
+		if t.inFlight == 0 && !t.responses.unanswered.IsZero() {
+			t.responses.recordWait(now, now.Sub(t.responses.unanswered))
+		}
 	}
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -179,7 +179,7 @@
 	n.Poison = poison.New()
 	n.Pools = &pools.Pools{
 		Daemon: n.Setup.Name, Region: n.Setup.Region, RegionOf: func(dc string) string { return n.Setup.Regions[dc] },
-		Terms: n.Setup.RetryBudget, Opened: func() { n.Meter.CountDecision("OpenTargetConnection") }, Correlator: n.Dialect, OnPauseEnd: n.announcePauseEnd,
+		Terms: n.Setup.RetryBudget, Seed: rand.Uint64(), Opened: func() { n.Meter.CountDecision("OpenTargetConnection") }, Correlator: n.Dialect, OnPauseEnd: n.announcePauseEnd,
 		OnStateChange: func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome) {
 			n.Log.State("target state changed", "pool", pool, "target", t.ID, "address", t.Address, "state", state, "why", why)
 		},
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -12,11 +12,12 @@
 package pools
 
 import (
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
@@ -37,6 +38,8 @@
 	RegionOf func(dataCentre string) string
 	// Terms configures the retry budget of each pool.
 	Terms retry.Terms
+	// Seed makes the selection of targets repeatable.
+	Seed uint64
 	// Opened, if set, is called for each new connection to a target.
 	Opened func()
 	// Correlator, if set, identifies the request that a target's reply belongs to.
@@ -86,7 +89,7 @@
 	}
 	found = &pool{
 		fleet: fleet.New(fleet.Config{
-			Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: rand.Uint64(), PauseEstimator: p.sharedEstimator(),
+			Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: p.Seed ^ xxhash.Sum64String(name), PauseEstimator: p.sharedEstimator(),
 			OnStateChange: func(t *fleet.Target, state fleet.State, why fleet.Outcome) {
 				if p.OnStateChange != nil {
 					p.OnStateChange(name, t, state, why)
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -23,8 +23,11 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		x.mu.Lock()
-		x.inFlight[a.ID] = &inFlightAttempt{shard: a.Shard, target: a.Target, cancel: cancel}
+		x.inFlight[a.ID] = &inFlightAttempt{shard: a.Shard, target: a.Target, sent: time.Now(), cancel: cancel}
 		x.mu.Unlock()
+		if !x.route.Idempotent {
+			x.noticeAt = time.Now().Add(x.lateAfter(a.Target))
+		}
 		go x.runAttempt(ctx, a)
 	}
 	for _, id := range step.Cancel {
@@ -56,6 +59,24 @@
 	}
 }
 
+// reportWait reports the target of an attempt that can't be made again once it is
+// late, and again each time that its wait has doubled.
+func (x *exchange) reportWait(now time.Time) {
+	if x.noticeAt.IsZero() || now.Before(x.noticeAt) {
+		return
+	}
+	x.noticeAt = time.Time{}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, a := range x.inFlight {
+		waited := now.Sub(a.sent)
+		x.noticeAt = now.Add(waited)
+		if x.runner.OnStalledTarget != nil {
+			x.runner.OnStalledTarget(x.poolNames[a.shard], a.target, waited)
+		}
+	}
+}
+
 // runAttempt sends the request to one target and reports the outcome.
 func (x *exchange) runAttempt(ctx context.Context, a gather.Attempt) {
 	r := x.runner
@@ -208,5 +229,6 @@
 type inFlightAttempt struct {
 	shard  int
 	target *fleet.Target
+	sent   time.Time
 	cancel context.CancelFunc
 }
--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -266,7 +266,7 @@
 func (c *cluster) addDaemon(region string, sharers int) *Runner {
 	targetPools := &pools.Pools{
 		Daemon: strconv.Itoa(len(c.daemons)), Region: region, RegionOf: func(dataCentre string) string { return dataCentre },
-		Terms: retry.Terms{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second},
+		Terms: retry.Terms{Ratio: 0.2, Allowance: 56, Window: 10 * time.Second}, Seed: uint64(len(c.daemons)),
 	}
 	targetPools.SetSharers(sharers, sharers, alloc.UsableFraction/float64(sharers))
 	for name := range c.entries {
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -74,6 +74,9 @@
 	signatures     []string
 	sent           bool
 	outcomeUnknown bool
+	// noticeAt is when peers are told that an attempt that can't be made again waits
+	// for its reply; zero means never.
+	noticeAt time.Time
 	// lastPoll is when waiting shards last checked for room.
 	lastPoll time.Time
 	// unsettled is the number of attempts whose end has not been processed yet.
@@ -304,7 +307,7 @@
 	if at.IsZero() {
 		at = x.schedule.deadline
 	}
-	for _, other := range [...]time.Time{x.schedule.partialAt, x.schedule.lateAt, x.schedule.queueUntil} {
+	for _, other := range [...]time.Time{x.schedule.partialAt, x.schedule.lateAt, x.schedule.queueUntil, x.noticeAt} {
 		if other.After(now) && other.Before(at) {
 			at = other
 		}
--- a/internal/request/relay/hindsight_test.go
+++ b/internal/request/relay/hindsight_test.go
@@ -6,7 +6,7 @@
 )
 
 // hindsight is the best dispatcher that a load test compares with: one for all
-// callers, which knows when each target is free, pauses, is slow or rejects. It
+// callers, which knows when each target is free, pauses, is slow, rejects or loses an answer. It
 // serves requests in the order of their offered, each shard where its answer comes
 // first, leaves out shards that would be late, and refuses a request that would
 // miss too many.
@@ -57,8 +57,8 @@
 	for shard, name := range shards {
 		best, found := booking{}, false
 		for replica, f := range c.targets[name] {
-			slowdown, rejectRate := h.pattern.effect(a.at.Sub(h.began), shard, replica)
-			if rejectRate > 0 && c.random.Float64() < rejectRate {
+			e := h.pattern.effect(a.at.Sub(h.began), shard, replica)
+			if c.random.Float64() < e.rejectRate || c.random.Float64() < e.lossRate {
 				continue
 			}
 			free := h.free[f.id]
@@ -71,7 +71,7 @@
 			if free[slot].After(start) {
 				start = free[slot]
 			}
-			until := f.pause.end(start, time.Duration(slowdown*float64(a.work)))
+			until := f.pause.end(start, time.Duration(e.slowdown*float64(a.work)))
 			if until.Add(h.travel).Sub(a.at) > a.kind.route.LatencyTarget {
 				continue
 			}
--- a/internal/request/relay/load_test.go
+++ b/internal/request/relay/load_test.go
@@ -128,6 +128,49 @@
 	})
 }
 
+// Three of fifteen targets turn eleven times slower, so that a request there takes
+// longer than its caller waits once another waits before it. Requests that must run
+// at most once can't be sent again, so few may go to the slow targets: those sent
+// before the first of them is late, and some that find out whether they are still
+// slow.
+func TestNonIdempotentRequestsAvoidSlowTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := &tree.Route{
+			Name: "pull", Split: []tree.Share{{Pool: "p", Weight: 1}}, Timeout: 4 * time.Second, LatencyTarget: 800 * time.Millisecond, MaxAttempts: 2,
+		}
+		c := newCluster(t, 7, 15, 2, "p")
+		for _, r := range c.daemons {
+			r.OnStalledTarget = func(pool string, target *fleet.Target, since time.Duration) {
+				for _, other := range c.daemons {
+					other.Pools.Fleet(pool).RecordPeerStall(time.Now(), target.ID, since)
+				}
+			}
+		}
+		const perSecond = 25.0
+		c.offer(route, 160*time.Millisecond, perSecond, 2*time.Second)
+		for _, f := range c.targets["p"][:3] {
+			f.set(func(f *fakeTarget) { f.slowdown = 11 })
+		}
+		slowFrom := time.Now()
+		c.offer(route, 160*time.Millisecond, perSecond, 16*time.Second)
+		c.settle()
+		late, count := 0, 0
+		for i := range c.results {
+			e := &c.results[i]
+			if e.arrived.Before(slowFrom) {
+				continue
+			}
+			count++
+			if e.answer.Result != Passed || e.took > route.LatencyTarget {
+				late++
+			}
+		}
+		if maxLate := count / 20; late > maxLate {
+			t.Errorf("%d of %d requests were late or lost, want at most %d", late, count, maxLate)
+		}
+	})
+}
+
 // One of the two targets of six shards in twenty stops answering under heavy
 // load, and the other can serve no more than seven in eight queries. A query
 // that may miss two shards must not queue where it cannot be answered in time,
--- a/internal/request/relay/pattern_test.go
+++ b/internal/request/relay/pattern_test.go
@@ -52,10 +52,13 @@
 	from, to time.Duration
 	// affects reports whether a replica of a shard is affected.
 	affects func(shard, replica int) bool
-	// slowdown and rejectRate replace those of a fakeTarget.
-	slowdown, rejectRate float64
+	// slowdown, rejectRate and lossRate replace those of a fakeTarget.
+	slowdown, rejectRate, lossRate float64
 }
 
+// effect is what a target does at a moment.
+type effect struct{ slowdown, rejectRate, lossRate float64 }
+
 // pattern is a load that callers and targets have been seen to produce, with what
 // the product has to reach on it.
 type pattern struct {
@@ -70,19 +73,17 @@
 	least float64
 }
 
-// effect returns the slowdown and the rejection rate of a replica.
-func (p *pattern) effect(since time.Duration, shard, replica int) (slowdown, rejectRate float64) {
-	slowdown = 1
+// effect returns what the disruptions do to a replica.
+func (p *pattern) effect(since time.Duration, shard, replica int) effect {
+	e := effect{slowdown: 1}
 	for i := range p.disruptions {
 		d := &p.disruptions[i]
 		if since >= d.from && since < d.to && d.affects(shard, replica) {
-			if d.slowdown > 0 {
-				slowdown = d.slowdown
-			}
-			rejectRate = max(rejectRate, d.rejectRate)
+			e.slowdown = max(e.slowdown, d.slowdown)
+			e.rejectRate, e.lossRate = max(e.rejectRate, d.rejectRate), max(e.lossRate, d.lossRate)
 		}
 	}
-	return slowdown, rejectRate
+	return e
 }
 
 const (
@@ -190,7 +191,8 @@
 		d := &p.disruptions[i]
 		for _, at := range []time.Duration{d.from, d.to} {
 			time.AfterFunc(at, func() {
-				f.set(func(f *fakeTarget) { f.slowdown, f.rejectRate = p.effect(at, shard, replica) })
+				e := p.effect(at, shard, replica)
+				f.set(func(f *fakeTarget) { f.slowdown, f.rejectRate, f.lossRate = e.slowdown, e.rejectRate, e.lossRate })
 			})
 		}
 	}
--- a/internal/request/relay/remote.go
+++ b/internal/request/relay/remote.go
@@ -353,6 +353,7 @@
 		}
 	}
 	x.pollWaiting(now)
+	x.reportWait(now)
 	return x.gather.Tick(now)
 }
 
