Requests yield from the moment at which their answer in part is due

Cause: between that moment (16 ms before the latency target) and the latency target a request that had too few shards sent all that waited for room, at full priority and whatever the queue, though nothing sent then can be in time; a gather for another daemon never yielded unless it had come late. A late request could also wait for room for a quarter of the target only if its callers were hurried, since that rule had its own copy of when yielding ends.

Change: a request yields from when the answer in part is due, here and at a peer (there for half of the time that is left then); how long a late request may wait for room is taken from the same figure.

Test first: TestRequestYieldsOnceItsAnswerInPartIsDue (fails before for "when it is due" and at a peer).

--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -74,7 +74,6 @@
 // received the caller's request counts its primary attempts.
 func (r *Runner) newAssistExchange(now time.Time, remote *remoteRequest) *exchange {
 	remaining := time.Duration(remote.LeftMillis) * time.Millisecond
-	partialAt := now.Add(min(time.Duration(remote.SoonMillis)*time.Millisecond, remaining))
 	request := &Request{
 		ID: remote.ID, Method: remote.Method, Host: remote.Host, URI: remote.URI, Header: remote.Header, Body: remote.Body, Arrived: now, Timeout: remaining,
 	}
@@ -83,12 +82,7 @@
 		MaxAttempts: remote.MaxAttempts, Priority: remote.Priority, LeastCoverage: remote.Least,
 	}
 	fingerprint := poison.Fingerprint(remote.Method, remote.Host, remote.URI, string(remote.Body))
-	lateAt := now.Add(min(time.Duration(remote.LateMillis)*time.Millisecond, remaining))
-	times := schedule{deadline: now.Add(remaining), partialAt: partialAt, lateAt: lateAt, queueUntil: partialAt, assisting: true, yieldFrom: now.Add(remaining)}
-	if remote.YieldMillis > 0 {
-		times.yieldFrom, times.urgentAt = now, now.Add(time.Duration(remote.YieldMillis)*time.Millisecond)
-	}
-	return r.newExchange(request, route, remote.Pools, fingerprint, times)
+	return r.newExchange(request, route, remote.Pools, fingerprint, assistSchedule(now, remote))
 }
 
 // uncountedBudget is a budget whose primary attempts another daemon counts.
@@ -97,6 +91,23 @@
 // Primary counts nothing.
 func (uncountedBudget) Primary(time.Time, int) {}
 
+// assistSchedule computes the times at which a gather for another daemon ends. It
+// yields from the time at which it replies if it has enough shards, or at once if the
+// request is late already.
+func assistSchedule(now time.Time, remote *remoteRequest) schedule {
+	remaining := time.Duration(remote.LeftMillis) * time.Millisecond
+	after := func(millis int64) time.Time { return now.Add(min(time.Duration(millis)*time.Millisecond, remaining)) }
+	partialAt := after(remote.SoonMillis)
+	times := schedule{
+		deadline: now.Add(remaining), partialAt: partialAt, lateAt: after(remote.LateMillis), queueUntil: partialAt, assisting: true,
+		yieldFrom: partialAt, urgentAt: partialAt.Add(now.Add(remaining).Sub(partialAt) / 2),
+	}
+	if remote.YieldMillis > 0 {
+		times.yieldFrom, times.urgentAt = now, after(remote.YieldMillis)
+	}
+	return times
+}
+
 // roundTrips estimates the round trip between this daemon and each region.
 type roundTrips struct {
 	mu      sync.Mutex
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -44,8 +44,9 @@
 	lateAt    time.Time
 	// spent is how long the caller had waited before this request arrived.
 	spent time.Duration
-	// yieldFrom is when the latency target passes, counted from the caller's
-	// first attempt. From then until urgentAt the request yields to others.
+	// yieldFrom is when an answer in part is due, counted from the caller's first
+	// attempt. What is sent later can't be in time, so from then until urgentAt the
+	// request yields to others.
 	yieldFrom time.Time
 	urgentAt  time.Time
 	// queueUntil is when the wait for room for a primary attempt ends.
@@ -131,19 +132,21 @@
 	if latencyTarget == 0 {
 		latencyTarget = timeout
 	}
-	queueUntil := request.Arrived.Add(latencyTarget / queueTimeDivisor)
+	urgentAfter := timeout - urgentTime(latencyTarget, timeout-max(0, latencyTarget-spent))
+	queueFor := latencyTarget / queueTimeDivisor
 	if len(route.Gather) > 0 && spent > latencyTarget {
 		// The request is already late, so it may queue for as long as it yields.
-		queueUntil = request.Arrived.Add(max(timeout-urgentFactor*latencyTarget, latencyTarget/queueTimeDivisor))
+		queueFor = max(queueFor, urgentAfter)
 	}
+	partialAfter := max(latencyTarget-margin, latencyTarget/2)
 	return schedule{
 		spent:      spent,
-		yieldFrom:  request.Arrived.Add(latencyTarget - spent),
-		urgentAt:   request.Arrived.Add(timeout - urgentTime(latencyTarget, timeout-max(0, latencyTarget-spent))),
+		yieldFrom:  request.Arrived.Add(partialAfter - spent),
+		urgentAt:   request.Arrived.Add(urgentAfter),
 		deadline:   request.Arrived.Add(timeout),
-		partialAt:  request.Arrived.Add(max(latencyTarget-margin, latencyTarget/2)),
+		partialAt:  request.Arrived.Add(partialAfter),
 		lateAt:     request.Arrived.Add(min(lateAnswerFactor*latencyTarget, timeout*3/4)),
-		queueUntil: queueUntil,
+		queueUntil: request.Arrived.Add(queueFor),
 	}
 }
 
--- a/internal/request/relay/timeouts_test.go
+++ b/internal/request/relay/timeouts_test.go
@@ -59,3 +59,32 @@
 		})
 	}
 }
+
+// While targets are short of room, attempts for requests whose answer in part is due
+// would fill the queues before requests that can still be in time. A request yields
+// from that moment, here and at a peer that gathers for it.
+func TestRequestYieldsOnceItsAnswerInPartIsDue(t *testing.T) {
+	r := &Runner{}
+	now := time.Unix(1000, 0)
+	route := historyRoute()
+	x := &exchange{route: route, schedule: r.newSchedule(&Request{Arrived: now, Timeout: route.Timeout}, route)}
+	for _, tt := range []struct {
+		name   string
+		at     time.Time
+		yields bool
+	}{
+		{name: "before the answer in part is due", at: x.schedule.partialAt.Add(-time.Millisecond)},
+		{name: "when it is due", at: x.schedule.partialAt, yields: true},
+		{name: "when the latency target has passed", at: now.Add(2 * route.LatencyTarget), yields: true},
+		{name: "near the deadline", at: x.schedule.deadline.Add(-route.LatencyTarget)},
+	} {
+		if got := x.yields(tt.at); got != tt.yields {
+			t.Errorf("%s: yields %v, want %v", tt.name, got, tt.yields)
+		}
+	}
+	times := assistSchedule(now, &remoteRequest{LeftMillis: 4000, SoonMillis: 150, LateMillis: 400})
+	assisting := &exchange{route: route, schedule: times}
+	if assisting.yields(times.partialAt.Add(-time.Millisecond)) || !assisting.yields(times.partialAt) {
+		t.Errorf("at a peer, the request yields from %v to %v, want from %v", times.yieldFrom, times.urgentAt, times.partialAt)
+	}
+}
