--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -41,8 +41,7 @@
 	Execute
 	// Entries asks for the registrations that changed.
 	Entries
-	// Stall is a notice about a target that is late to answer, has answered again, or
-	// has lost an answer.
+	// Stall is a notice about a target that is late to answer or has lost an answer.
 	Stall
 	// Gather asks for the merged results of some shards.
 	Gather
--- a/internal/layer/layer_test.go
+++ b/internal/layer/layer_test.go
@@ -62,7 +62,7 @@
 var purePackages = []string{
 	"internal/request/gather", "internal/request/admit", "internal/request/once", "internal/process/fleet",
 	"internal/process/budget", "internal/process/retry", "internal/process/alloc", "internal/process/ticks", "internal/process/poison", "internal/process/member",
-	"internal/process/quota", "internal/process/roster", "internal/process/pauses", "internal/process/timing",
+	"internal/process/quota", "internal/process/roster", "internal/process/timing",
 	"internal/version/epoch",
 }
 
--- a/internal/process/fleet/expect.go
+++ b/internal/process/fleet/expect.go
@@ -88,16 +88,14 @@
 }
 
 // expectedLatency returns how long an attempt at the target is expected to
-// take, including time in its queue and the rest of a pause.
+// take, including time in its queue and, if an answer is overdue, the rest of a pause.
 func (f *Fleet) expectedLatency(now time.Time, t *Target) time.Duration {
 	typical := t.responses.typicalLatency(now)
 	expected := typical
 	if queued := t.inFlight + 1 - t.slots; queued > 0 {
 		expected += typical * time.Duration(queued) / time.Duration(t.slots)
 	}
-	if until, paused := t.predictor.Paused(now, typical); paused {
-		expected += until.Sub(now)
-	} else if t.overdue(now) {
+	if t.overdue(now) {
 		since := t.responses.unanswered
 		if since.IsZero() {
 			since = t.peerUnansweredSince
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/magnoliarelay/magnoliarelay/internal/process/pauses"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -23,17 +22,10 @@
 	Region string
 	// Registered is true for a pool whose targets come from SetEntries.
 	Registered bool
-	// PauseEstimator holds the pause period that the registered targets of all
-	// pools have in common.
-	PauseEstimator *pauses.PeriodEstimator
 	// OnStateChange, if set, is called when the daemon's view of whether a target
 	// serves requests changes; why is the outcome that changed it. It must not
 	// call the fleet.
 	OnStateChange func(t *Target, state State, why Outcome)
-	// OnPauseEnd, if set, is called when a target answers again after a pause
-	// that ended at the given time and delayed an answer by delay. It must not
-	// call the fleet.
-	OnPauseEnd func(t *Target, at time.Time, delay time.Duration)
 	// Seed makes the selection of targets repeatable.
 	Seed uint64
 }
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -122,7 +122,7 @@
 
 // RemoteRegions returns the regions whose targets can serve a shard while no
 // target in the daemon's own region can, because there is none or each of them
-// is down, late or pausing. The result remote is false when a target in the
+// is down or late. The result remote is false when a target in the
 // daemon's own region can serve or none can.
 func (g *Group) RemoteRegions(now time.Time, shard int) (regions []string, remote bool) {
 	f := g.fleets[shard]
@@ -133,7 +133,7 @@
 	defer f.mu.Unlock()
 	for _, t := range g.View.Replicas[shard] {
 		switch {
-		case !t.available(now) || t.pausingOrDue(now):
+		case !t.available(now) || t.overdue(now):
 		case t.Local:
 			return nil, false
 		case !slices.Contains(regions, t.Region):
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -43,9 +43,6 @@
 	slowerFactor = 6
 	// slowerMargin is large enough for a target in another region.
 	slowerMargin = 60 * time.Millisecond
-	// pauseFactor times the typical latency is the minimum latency of an answer
-	// that counts as delayed by a pause.
-	pauseFactor = 2
 	// unusedConnectionShare is the part of a target's connections that daemons
 	// leave unused, since they may disagree for a while on how many of them
 	// share the target.
@@ -103,7 +100,6 @@
 			Service: f.config.Service, Version: registeredVersion, ShardCount: registeredShards, Shards: []int{0},
 		}},
 	}
-	t.predictor.Estimator = f.config.PauseEstimator
 	t.responses.initial = remoteInitialLatency
 	if t.Local {
 		t.responses.initial = localInitialLatency
@@ -220,7 +216,6 @@
 		t.failures, t.refusals, t.sheds = 0, 0, 0
 		t.rejections.recordAnswer(load)
 		t.downUntil = time.Time{}
-		f.detectPause(now, t, sent)
 		t.responses.recordReply(now, sent)
 	case Crowded:
 		t.lostAnswerAt = now
@@ -294,32 +289,3 @@
 	}
 	t.reportedState = state
 }
-
-// detectPause records a pause of the target if its answer took much longer than
-// usual.
-func (f *Fleet) detectPause(now time.Time, t *Target, sent time.Time) {
-	typical := t.responses.typicalLatency(now)
-	delay := now.Sub(sent) - typical
-	if delay <= 0 || now.Sub(sent) < pauseFactor*typical {
-		t.predictor.RecordPromptAnswer(sent)
-		return
-	}
-	if at := now.Add(-typical); t.predictor.RecordPause(at, delay) && f.config.OnPauseEnd != nil {
-		f.config.OnPauseEnd(t, at, delay)
-	}
-}
-
-// RecordPeerPause records the notice of a peer that a target has resumed after a pause.
-func (f *Fleet) RecordPeerPause(id string, at time.Time, delay time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if t := f.targets[id]; t != nil && t.Local {
-		t.predictor.RecordPause(at, delay)
-	}
-}
-
-// pausingOrDue reports whether the target is in a pause or about to start one.
-func (t *Target) pausingOrDue(now time.Time) bool {
-	_, paused := t.predictor.Paused(now, t.responses.typicalLatency(now))
-	return paused || t.overdue(now)
-}
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"github.com/magnoliarelay/magnoliarelay/internal/process/pauses"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -14,7 +13,7 @@
 // pool returns a fleet with two targets: "near" in the local region and "far" in
 // a remote one.
 func pool() (*Fleet, *Group) {
-	f := New(Config{Service: "p", Region: "here", Registered: true, Seed: 1, PauseEstimator: pauses.NewPeriodEstimator()})
+	f := New(Config{Service: "p", Region: "here", Registered: true, Seed: 1})
 	f.SetEntries(start, []roster.Entry{
 		{ID: "far", Pool: "p", Address: "b", DataCentre: "there", Slots: 2, Revision: 2},
 		{ID: "near", Pool: "p", Address: "a", DataCentre: "here", Slots: 2, Revision: 1},
@@ -127,44 +126,6 @@
 	}
 }
 
-// A local target pauses at regular times. Requests go to the other target
-// shortly before and during the pause, and return after it.
-func TestPredictedPauseIsAvoided(t *testing.T) {
-	f, g := pool()
-	const period = 6 * time.Second
-	for target := range 4 {
-		c := pauses.Predictor{Estimator: f.config.PauseEstimator}
-		for round := range 3 {
-			c.RecordPause(start.Add(time.Duration(target)*time.Second+time.Duration(round)*period), 240*time.Millisecond)
-		}
-	}
-	near := f.targets["near"]
-	for round := range 2 {
-		near.predictor.RecordPause(start.Add(time.Duration(round)*period), 240*time.Millisecond)
-	}
-	for range recentReplies {
-		near.responses.recordReply(start.Add(period), start.Add(period-5*time.Millisecond))
-	}
-	next := start.Add(2 * period)
-	tests := []struct {
-		at   time.Duration
-		want string
-	}{
-		{-time.Second, "near"},
-		{-200 * time.Millisecond, "far"},
-		{-100 * time.Millisecond, "far"},
-		{20 * time.Millisecond, "near"},
-		{time.Second, "near"},
-	}
-	for _, tt := range tests {
-		choice := g.pickAt(next.Add(tt.at))
-		if choice.Target.ID != tt.want {
-			t.Errorf("%v from the end of the pause: picked %s, want %s", tt.at, choice.Target.ID, tt.want)
-		}
-		f.Finish(next.Add(tt.at), choice.Target, 0, Success, 0.005, nil)
-	}
-}
-
 func TestAttemptsStayWithinTheShareOfConnections(t *testing.T) {
 	f, _ := pool()
 	f.SetDaemons(6)
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/magnoliarelay/magnoliarelay/internal/process/pauses"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -94,7 +93,6 @@
 	born       int64
 	revision   int64
 	responses  responseTimes
-	predictor  pauses.Predictor
 	// peerUnansweredSince is the time since when a peer has had no answer.
 	peerUnansweredSince time.Time
 	// A target that refused connections gets no attempts before downUntil.
--- a/internal/process/gossip/stall.go
+++ b/internal/process/gossip/stall.go
@@ -20,18 +20,15 @@
 	maxNoticePeers = 16
 )
 
-// Notice tells other daemons of an event at a target: it fell silent, answered
-// again, or lost an answer.
+// Notice tells other daemons of an event at a target: it fell silent or lost an
+// answer.
 type Notice struct {
 	_    struct{} `cbor:",toarray"`
 	Pool string
 	ID   string
 	// AgeMillis is the time since the event.
 	AgeMillis int64
-	// HeldMillis is how long the target had delayed an answer before it answered
-	// again. Zero means that the target is silent.
-	HeldMillis int64
-	// Lost is true if the target lost an answer.
+	// Lost is true if the target lost an answer, and false if it is silent.
 	Lost bool
 }
 
@@ -69,13 +66,6 @@
 	}
 }
 
-// Resume notifies the daemons of the own region that a target has answered again.
-// The age is the time since the answer.
-func (g *Gossip) Resume(pool, id string, age, held time.Duration) {
-	notice := &Notice{Pool: pool, ID: id, AgeMillis: age.Milliseconds(), HeldMillis: max(held.Milliseconds(), 1)}
-	g.sendNotice(notice, g.Users(true))
-}
-
 // Lost notifies daemons of all regions that a target has just lost the answer to a
 // request that cannot be sent again.
 func (g *Gossip) Lost(pool, id string) {
@@ -100,7 +90,7 @@
 		g.Meter.CountDecision("DropMalformedNotice")
 		return
 	}
-	if notice.HeldMillis == 0 && !notice.Lost {
+	if !notice.Lost {
 		// Other daemons have this notice too, so this daemon need not send its own.
 		g.recentNotices.allow(time.Now(), notice.ID)
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -179,7 +179,7 @@
 	n.Poison = poison.New()
 	n.Pools = &pools.Pools{
 		Daemon: n.Setup.Name, Region: n.Setup.Region, RegionOf: func(dc string) string { return n.Setup.Regions[dc] },
-		Terms: n.Setup.RetryBudget, Seed: rand.Uint64(), Opened: func() { n.Meter.CountDecision("OpenTargetConnection") }, Correlator: n.Dialect, OnPauseEnd: n.announcePauseEnd,
+		Terms: n.Setup.RetryBudget, Seed: rand.Uint64(), Opened: func() { n.Meter.CountDecision("OpenTargetConnection") }, Correlator: n.Dialect,
 		OnStateChange: func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome) {
 			n.Log.State("target state changed", "pool", pool, "target", t.ID, "address", t.Address, "state", state, "why", why)
 		},
@@ -364,14 +364,6 @@
 	n.gossip.Stall(pool, t.ID, since)
 }
 
-// announcePauseEnd notifies other daemons that a target of this region answers
-// again after a pause.
-func (n *Node) announcePauseEnd(pool string, t *fleet.Target, answeredAt time.Time, paused time.Duration) {
-	if t.Local {
-		n.gossip.Resume(pool, t.ID, time.Since(answeredAt), paused)
-	}
-}
-
 // handleNotice applies another daemon's notice about a target.
 func (n *Node) handleNotice(notice *gossip.Notice) {
 	now := time.Now()
@@ -382,9 +374,5 @@
 		f.RecordPeerLoss(notice.ID, now.Add(-age))
 		return
 	}
-	if notice.HeldMillis == 0 {
-		f.RecordPeerStall(now, notice.ID, age)
-		return
-	}
-	f.RecordPeerPause(notice.ID, now.Add(-age), time.Duration(notice.HeldMillis)*time.Millisecond)
+	f.RecordPeerStall(now, notice.ID, age)
 }
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -21,7 +21,6 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
-	"github.com/magnoliarelay/magnoliarelay/internal/process/pauses"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -47,9 +46,6 @@
 	// OnStateChange, if set, is called when the daemon's view of whether a target
 	// serves requests changes.
 	OnStateChange func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome)
-	// OnPauseEnd, if set, is called when a target answers again after a pause
-	// that ended at the given time and delayed an answer by delay.
-	OnPauseEnd func(pool string, t *fleet.Target, at time.Time, delay time.Duration)
 
 	mu                sync.RWMutex
 	pools             map[string]*pool
@@ -58,7 +54,6 @@
 	localDaemons      int
 	allowanceFraction float64
 	transferredBytes  atomic.Int64
-	estimator         *pauses.PeriodEstimator
 	bulk              *bulk.Budget
 }
 
@@ -89,17 +84,12 @@
 	}
 	found = &pool{
 		fleet: fleet.New(fleet.Config{
-			Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: p.Seed ^ xxhash.Sum64String(name), PauseEstimator: p.sharedEstimator(),
+			Daemon: p.Daemon, Service: name, Region: p.Region, Registered: true, Seed: p.Seed ^ xxhash.Sum64String(name),
 			OnStateChange: func(t *fleet.Target, state fleet.State, why fleet.Outcome) {
 				if p.OnStateChange != nil {
 					p.OnStateChange(name, t, state, why)
 				}
 			},
-			OnPauseEnd: func(t *fleet.Target, at time.Time, delay time.Duration) {
-				if p.OnPauseEnd != nil {
-					p.OnPauseEnd(name, t, at, delay)
-				}
-			},
 		}),
 		budget: retry.New(p.Terms),
 	}
@@ -110,15 +100,6 @@
 	return found
 }
 
-// sharedEstimator returns the pause estimator that all targets share; the caller
-// holds the lock.
-func (p *Pools) sharedEstimator() *pauses.PeriodEstimator {
-	if p.estimator == nil {
-		p.estimator = pauses.NewPeriodEstimator()
-	}
-	return p.estimator
-}
-
 // Fleet returns the fleet of a pool, which may have no targets.
 func (p *Pools) Fleet(name string) *fleet.Fleet { return p.get(name).fleet }
 
