A restarted daemon reads the store at once, and requests wait shortly for it

It had its routes 80 to 100 ms after its start near the store and 331 to 465 ms in the other two regions: a lease, a registration and a read of the members one after the other, then peers that had nothing either, then a wait of 200 ms.

Change: a daemon that restarts reads the store while it registers, and serves once it has routes and targets; at the first start of all one daemon of each data centre reads it, as before. A request that arrives during the start waits for it, 150 ms or an eighth of its timeout at most, and is refused then with a retry after 200 ms.

--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -20,19 +20,27 @@
 		return
 	}
 	n.shareTargets(time.Now())
+	close(n.serving)
 	n.Log.State("ready", "uptimeMillis", time.Since(n.started).Milliseconds(), "members", n.Table.Live(),
 		"targets", n.Roster.Len(), "revision", n.Keeper.Current().Change.Revision)
+	n.entering.Wait()
 	n.feed.Run(ctx)
 }
 
-// joinRound is one round of joining. It reports whether the daemon can serve.
+// joinRound is one round of joining. It reports whether the daemon can serve. A
+// daemon that restarts reads the store while it registers, since its callers wait;
+// at the first start of all, one daemon of each data centre reads it for the others.
 func (n *Node) joinRound(ctx context.Context, registrationTried *bool, round int) bool {
 	if !*registrationTried {
 		*registrationTried = true
-		if err := n.feed.Enter(ctx); err != nil {
-			n.Log.State("the store did not complete this daemon's registration", "error", err)
+		n.entering.Go(func() { n.enter(ctx) })
+		if n.Setup.FirstStart || !n.load(ctx) || !n.hasRoutesAndTargets() {
+			n.entering.Wait()
 		}
 	}
+	if n.hasRoutesAndTargets() {
+		return n.finishJoin(ctx)
+	}
 	for i, seed := range n.peerLinks() {
 		if i == maxJoinSeeds || n.gossip.Join(ctx, []string{seed}, 1) && n.hasRoutesAndTargets() {
 			break
@@ -40,15 +48,15 @@
 	}
 	// When all daemons start at once, one daemon of each data centre reads the store,
 	// and the others get the content from it.
-	if !n.hasRoutesAndTargets() && (round > peerOnlyRounds || n.feed.Chosen(time.Now())) {
-		err := n.feed.LoadOnce(ctx)
-		n.storeLost.Store(err != nil)
-		if err != nil {
-			n.Log.State("the store could not be read during startup; retrying", "error", err)
-			*registrationTried = false
-		}
+	if !n.hasRoutesAndTargets() && (round > peerOnlyRounds || n.feed.Chosen(time.Now())) && !n.load(ctx) {
+		*registrationTried = false
 	}
-	if !n.hasRoutesAndTargets() || ctx.Err() != nil {
+	return n.hasRoutesAndTargets() && n.finishJoin(ctx)
+}
+
+// finishJoin makes the daemon serve, unless ctx has ended.
+func (n *Node) finishJoin(ctx context.Context) bool {
+	if ctx.Err() != nil {
 		return false
 	}
 	n.joined.Store(true)
@@ -58,6 +66,23 @@
 	return true
 }
 
+// enter registers this daemon in the store and reads the records of the others.
+func (n *Node) enter(ctx context.Context) {
+	if err := n.feed.Enter(ctx); err != nil {
+		n.Log.State("the store did not complete this daemon's registration", "error", err)
+	}
+}
+
+// load reads the whole store and reports whether it did.
+func (n *Node) load(ctx context.Context) bool {
+	err := n.feed.LoadOnce(ctx)
+	n.storeLost.Store(err != nil)
+	if err != nil {
+		n.Log.State("the store could not be read during startup; retrying", "error", err)
+	}
+	return err == nil
+}
+
 // peerLinks lists the link addresses of known daemons: first those of this data
 // centre, then those of this region, then the rest, each group in random order.
 func (n *Node) peerLinks() []string {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -103,9 +103,14 @@
 	addressTTLFactor = 3
 	// stopMargin is the part of the grace that is reserved for the last replies.
 	stopMargin = 800 * time.Millisecond
+	// maxStartWait is how long a request waits at most for a daemon that starts, which
+	// takes two round trips to the store; and not longer than the caller's timeout
+	// divided by startWaitDivisor, so that time remains to retry elsewhere.
+	maxStartWait     = 150 * time.Millisecond
+	startWaitDivisor = 8
 	// unreadyRetryAfter is the delay after which a caller may retry at a daemon that has
 	// no routes yet.
-	unreadyRetryAfter = 500 * time.Millisecond
+	unreadyRetryAfter = 200 * time.Millisecond
 	// storeLostRetryAfter replaces unreadyRetryAfter while the store does not answer:
 	// outages last for seconds, and the daemon would refuse an earlier retry again.
 	storeLostRetryAfter = 2 * time.Second
@@ -150,6 +155,10 @@
 	// tableReady is true once Table is set.
 	tableReady atomic.Bool
 	joined     atomic.Bool
+	// serving is closed once the daemon has what it needs to serve, and entering is
+	// done once it has registered in the store.
+	serving  chan struct{}
+	entering sync.WaitGroup
 	// storeLost is true while the daemon joins and the store does not answer.
 	storeLost atomic.Bool
 }
@@ -158,6 +167,7 @@
 // and the targets.
 func (n *Node) Start(ctx context.Context) error {
 	n.started = time.Now()
+	n.serving = make(chan struct{})
 	n.build()
 	if err := n.listen(); err != nil {
 		return err
@@ -304,8 +314,29 @@
 	}
 }
 
+// awaitStart lets a request wait for a short time while the daemon starts.
+func (n *Node) awaitStart(ctx context.Context, request *relay.Request) {
+	select {
+	case <-n.serving:
+		return
+	default:
+	}
+	patience := maxStartWait
+	if request.Timeout > 0 {
+		patience = min(patience, request.Timeout/startWaitDivisor)
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-n.serving:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // serve answers one request.
 func (n *Node) serve(ctx context.Context, request *relay.Request) *relay.Answer {
+	n.awaitStart(ctx, request)
 	e := n.Keeper.Current()
 	routes := e.Tree.Routes()
 	if routes == nil {
