Remove the wait for a fast target without room

A first attempt waited while the only target with room was six times slower than one without.

Change: any target with room is taken. Two constants and TestMuchSlowerTargetIsNotPicked, which held this rule alone, are gone.

Conclusion: removed; guards no rule.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -36,13 +36,6 @@
 	// maxLoadAge is the age up to which a target's load report is used; its
 	// queue moves by a few requests meanwhile.
 	maxLoadAge = 150 * time.Millisecond
-	// slowerFactor and slowerMargin decide whether a first attempt goes to a
-	// slow target or waits for a fast one without room: it waits if the score
-	// of every target with room is above slowerFactor times that of the fast
-	// one, plus slowerMargin.
-	slowerFactor = 6
-	// slowerMargin is large enough for a target in another region.
-	slowerMargin = 60 * time.Millisecond
 	// unusedConnectionShare is the part of a target's connections that daemons
 	// leave unused, since they may disagree for a while on how many of them
 	// share the target.
@@ -174,7 +167,7 @@
 // among those that are available and have room.
 func (f *Fleet) pickRegistered(now time.Time, q Query) Choice {
 	var chosen *Target
-	var minScore, minBusyScore time.Duration
+	var minScore time.Duration
 	busy, tried := 0, 0
 	for _, t := range q.View.Replicas[q.Shard] {
 		if !t.available(now) {
@@ -185,9 +178,6 @@
 			continue
 		}
 		if t.inFlight >= f.queryLimit(now, t, q) {
-			if score := f.queryScore(now, t, q); busy == 0 || score < minBusyScore {
-				minBusyScore = score
-			}
 			busy++
 			continue
 		}
@@ -196,7 +186,7 @@
 		}
 	}
 	switch {
-	case chosen != nil && (busy == 0 || len(q.Tried) > 0 || minScore <= slowerFactor*minBusyScore+slowerMargin):
+	case chosen != nil:
 		return Choice{Verdict: Picked, Target: chosen}
 	case busy > 0:
 		return Choice{Verdict: Busy}
