Bound the cost of rejections, the early read of the store, and what a lock covers

A rejection rate that reaches one made the cost of a target infinite, and its score wrap around; a target without a queue that is busy was taken for one with room; a restarted daemon would have asked a dead store for four seconds before its peers, where it waited two before; notices to peers were sent under a request's lock.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -217,7 +217,7 @@
 		t.crowdedUntil, t.crowdedLimit = now.Add(crowdedTime), t.inFlight
 	case Shed:
 		t.responses.recordSignOfLife()
-		if t.rejections.full(load) {
+		if t.rejections.full(load, t.slots) {
 			t.markFull(now)
 			return
 		}
--- a/internal/process/fleet/reject.go
+++ b/internal/process/fleet/reject.go
@@ -6,8 +6,13 @@
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
-// rejectionWeight is the weight of a new outcome in a target's rejection rate.
-const rejectionWeight = 0.1
+const (
+	// rejectionWeight is the weight of a new outcome in a target's rejection rate.
+	rejectionWeight = 0.1
+	// maxRejectionRate bounds the rate, so that a target that rejects everything is
+	// tried again when all others are worse.
+	maxRejectionRate = 0.95
+)
 
 // rejections estimates how often a target rejects requests although it has room for
 // them, as when a part of it is broken.
@@ -21,9 +26,13 @@
 }
 
 // full reports whether a rejection with the given load means that the target is
-// full: its queue is as long as any that it has accepted.
-func (r *rejections) full(load *wire.Load) bool {
-	return load == nil || load.Queued > 0 && load.Queued >= r.longestQueue
+// full: all slots are busy or requests wait, and its queue is as long as any that it
+// has accepted.
+func (r *rejections) full(load *wire.Load, slots int) bool {
+	if load == nil {
+		return true
+	}
+	return load.Queued >= r.longestQueue && (load.Queued > 0 || load.InFlight >= slots)
 }
 
 func (r *rejections) recordAnswer(load *wire.Load) {
@@ -34,7 +43,7 @@
 }
 
 func (r *rejections) recordRejection(took time.Duration) {
-	r.rate += rejectionWeight * (1 - r.rate)
+	r.rate = min(r.rate+rejectionWeight*(1-r.rate), maxRejectionRate)
 	r.took = took
 }
 
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -34,7 +34,7 @@
 	if !*registrationTried {
 		*registrationTried = true
 		n.entering.Go(func() { n.enter(ctx) })
-		if n.Setup.FirstStart || !n.load(ctx) || !n.hasRoutesAndTargets() {
+		if n.Setup.FirstStart || !n.loadEarly(ctx) {
 			n.entering.Wait()
 		}
 	}
@@ -73,6 +73,15 @@
 	}
 }
 
+// loadEarly reads the whole store while the daemon registers, and reports whether that
+// is all that it needs to serve. While the store does not answer, it ends before the
+// registration does.
+func (n *Node) loadEarly(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, earlyLoadTimeout)
+	defer cancel()
+	return n.load(ctx) && n.hasRoutesAndTargets()
+}
+
 // load reads the whole store and reports whether it did.
 func (n *Node) load(ctx context.Context) bool {
 	err := n.feed.LoadOnce(ctx)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -91,6 +91,9 @@
 	// peerOnlyRounds is the number of rounds in which a daemon that is not chosen to
 	// read the store asks only its peers for routes and targets.
 	peerOnlyRounds = 4
+	// earlyLoadTimeout bounds the read of the store by which a daemon restarts; other
+	// daemons may have what it needs.
+	earlyLoadTimeout = time.Second
 	// maintenanceInterval is the time between rounds of maintain, and roundsPerSweep
 	// the number of rounds between two sweeps of idle connections.
 	maintenanceInterval = 200 * time.Millisecond
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
@@ -67,8 +69,9 @@
 	}
 	x.noticeAt = time.Time{}
 	x.mu.Lock()
-	defer x.mu.Unlock()
-	for _, a := range x.inFlight {
+	waiting := slices.Collect(maps.Values(x.inFlight))
+	x.mu.Unlock()
+	for _, a := range waiting {
 		waited := now.Sub(a.sent)
 		x.noticeAt = now.Add(waited)
 		if x.runner.OnStalledTarget != nil {
