--- a/internal/request/relay/pattern_test.go
+++ b/internal/request/relay/pattern_test.go
@@ -95,8 +95,8 @@
 
 func steady(time.Duration) float64 { return usualRate }
 
-// patterns lists the loads. An answer in time is worth little less than the best
-// dispatcher reaches: daemons know each other's work only by its effect.
+// patterns lists the loads. The product has to reach 0.85 of the best dispatcher, since
+// daemons know each other's work only by its effect, and more while all is calm.
 func patterns() []pattern {
 	oneReplica := func(_, replica int) bool { return replica == 0 }
 	everySecondShard := func(shard, replica int) bool { return shard%2 == 0 && replica == 0 && shard < 18 }
@@ -112,6 +112,33 @@
 			disruptions: []disruption{{from: 4 * time.Second, to: 10 * time.Second, affects: everySecondShard, slowdown: 11}},
 			from:        4 * time.Second, to: 10 * time.Second, least: 0.85,
 		},
+		{
+			name: "most targets lose answers", perSecond: steady,
+			disruptions: []disruption{{
+				from: 4 * time.Second, to: 8 * time.Second, lossRate: 0.4,
+				affects: func(shard, replica int) bool { return (2*shard+replica)%9 < 7 },
+			}},
+			from: 4 * time.Second, to: 8 * time.Second, least: 0.85,
+		},
+		{
+			name: "one replica of nine shards is slow during a burst",
+			perSecond: func(since time.Duration) float64 {
+				if since >= 8*time.Second && since < 10*time.Second {
+					return 1.56 * usualRate
+				}
+				return usualRate
+			},
+			disruptions: []disruption{{from: 4 * time.Second, to: 9 * time.Second, affects: everySecondShard, slowdown: 11}},
+			from:        8 * time.Second, to: 10 * time.Second, least: 0.85,
+		},
+		{
+			name: "a quarter of the shards has only slow replicas", perSecond: steady,
+			disruptions: []disruption{{
+				from: 4 * time.Second, to: 9 * time.Second, slowdown: 4,
+				affects: func(shard, _ int) bool { return shard%4 == 0 },
+			}},
+			from: 4 * time.Second, to: 9 * time.Second, least: 0.85,
+		},
 	}
 }
 
