--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -106,11 +106,6 @@
 	addressTTLFactor = 3
 	// stopMargin is the part of the grace that is reserved for the last replies.
 	stopMargin = 800 * time.Millisecond
-	// maxStartWait is how long a request waits at most for a daemon that starts, which
-	// takes two round trips to the store; and not longer than the caller's timeout
-	// divided by startWaitDivisor, so that time remains to retry elsewhere.
-	maxStartWait     = 150 * time.Millisecond
-	startWaitDivisor = 8
 	// unreadyRetryAfter is the delay after which a caller may retry at a daemon that has
 	// no routes yet.
 	unreadyRetryAfter = 200 * time.Millisecond
@@ -317,26 +312,6 @@
 	}
 }
 
-// awaitStart lets a request wait for a short time while the daemon starts.
-func (n *Node) awaitStart(ctx context.Context, request *relay.Request) {
-	select {
-	case <-n.serving:
-		return
-	default:
-	}
-	patience := maxStartWait
-	if request.Timeout > 0 {
-		patience = min(patience, request.Timeout/startWaitDivisor)
-	}
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-n.serving:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // serve answers one request.
 func (n *Node) serve(ctx context.Context, request *relay.Request) *relay.Answer {
 	n.awaitStart(ctx, request)
