Read the store early only if it is small

Found by reading: since a restarted daemon reads the store while it registers, 2,000 daemons that restart together would read 72,000 registrations each. Such a read now ends at 1,000 keys, with the page that shows that there are more; the daemon then gets them from its peers or, if it is chosen, from the store, as at the first start.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -9,7 +9,7 @@
 //
 //	f := &feed.Feed{Source: source, Table: table, Roster: roster, Meter: m, Log: l, Watchers: 2, ApplySettings: apply, Registered: registered, MembersChanged: changed}
 //	err := f.Enter(ctx)    // registers this daemon and reads the other members
-//	err = f.LoadOnce(ctx)  // if no other daemon can be asked
+//	err = f.LoadOnce(ctx, 0)  // if no other daemon can be asked
 //	go f.Run(ctx)
 package feed
 
@@ -67,8 +67,9 @@
 
 // Source reads and writes the store. Its methods return *Error.
 type Source interface {
-	// Load reads the complete content of the store.
-	Load(ctx context.Context) (*Changes, error)
+	// Load reads the complete content of the store. It returns an error if the store
+	// holds more than maxKeys keys, unless that is zero.
+	Load(ctx context.Context, maxKeys int) (*Changes, error)
 	// Follow waits for changes after a revision. If there are none within the given
 	// time, it returns without any.
 	Follow(ctx context.Context, after int64, wait time.Duration) (*Changes, error)
@@ -222,7 +223,7 @@
 	if revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 		defer cancel()
-		return f.Source.Load(ctx)
+		return f.Source.Load(ctx, 0)
 	}
 	wait := followerWaitTimeout
 	if _, leader := f.followers(time.Now()); leader == f.Table.Self(time.Now()).Name {
@@ -286,9 +287,11 @@
 }
 
 // LoadOnce reads the whole store, for a daemon that cannot get the content from
-// another one.
-func (f *Feed) LoadOnce(ctx context.Context) error {
-	changes, err := f.next(ctx, 0)
+// another one. It fails if the store holds more than maxKeys keys, unless that is zero.
+func (f *Feed) LoadOnce(ctx context.Context, maxKeys int) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	changes, err := f.Source.Load(ctx, maxKeys)
 	if err != nil {
 		return err
 	}
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -79,12 +79,16 @@
 func (n *Node) loadEarly(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, earlyLoadTimeout)
 	defer cancel()
-	return n.load(ctx) && n.hasRoutesAndTargets()
+	if err := n.feed.LoadOnce(ctx, maxEarlyKeys); err != nil {
+		n.Log.State("the store was not read while registering", "error", err)
+		return false
+	}
+	return n.hasRoutesAndTargets()
 }
 
 // load reads the whole store and reports whether it did.
 func (n *Node) load(ctx context.Context) bool {
-	err := n.feed.LoadOnce(ctx)
+	err := n.feed.LoadOnce(ctx, 0)
 	n.storeLost.Store(err != nil)
 	if err != nil {
 		n.Log.State("the store could not be read during startup; retrying", "error", err)
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -94,6 +94,9 @@
 	// earlyLoadTimeout bounds the read of the store by which a daemon restarts; other
 	// daemons may have what it needs.
 	earlyLoadTimeout = time.Second
+	// maxEarlyKeys bounds the size of a store that is read so: the daemons of a large
+	// tier that restart together would overload it.
+	maxEarlyKeys = 1000
 	// maintenanceInterval is the time between rounds of maintain, and roundsPerSweep
 	// the number of rounds between two sweeps of idle connections.
 	maintenanceInterval = 200 * time.Millisecond
