--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -12,6 +12,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"k8s.io/klog/v2"
+
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
@@ -59,7 +61,7 @@
 	}
 	o.Streams.PrintErrf("daemon %s listens at %s, link %s", s.Name, d.URL(), d.Link())
 	// The first signal also cancels ctx, so Run waits for the channel alone.
-	<-signals
+	klog.InfoS("signal received", "signal", (<-signals).String())
 	return o.stop(d, signals)
 }
 
@@ -93,7 +95,8 @@
 			return &term.Error{Op: "daemon", Kind: term.KindFailed, Err: err}
 		}
 		return nil
-	case <-signals:
+	case s := <-signals:
+		klog.InfoS("signal received while stopping; the daemon ends now", "signal", s.String())
 		aborted := d.InFlight()
 		d.Kill()
 		return &term.Error{Op: "daemon", Kind: term.KindFailed, Err: fault.Causef("stopped immediately by a second signal: %d requests were aborted", aborted)}
--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -70,6 +70,8 @@
 	Limits func() *tree.Limits
 	// WriteFailed is called when an answer could not be written whole.
 	WriteFailed func(request *relay.Request, err error)
+	// Report, if set, logs a step of a stop.
+	Report func(message string, pairs ...any)
 
 	server   *http.Server
 	draining atomic.Bool
@@ -83,8 +85,10 @@
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
 	s.Address = listener.Addr().String()
+	s.drain.Report = s.Report
 	s.server = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
+		ConnState:         s.drain.ConnState,
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
@@ -97,8 +101,8 @@
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	defer s.drain.Begin()()
 	request := s.Codec.Read(r)
+	defer s.drain.Begin(request.ID)()
 	request.Arrived = arrived
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -160,6 +164,7 @@
 func (s *Server) Stop(ctx context.Context) error {
 	if err := s.drain.Wait(ctx); err != nil {
 		// InFlight still counts the requests that this cuts off.
+		s.drain.ReportCut()
 		_ = s.server.Close()
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
--- a/internal/process/daemon/opaque.go
+++ b/internal/process/daemon/opaque.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/edge"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/plain"
@@ -40,6 +42,7 @@
 	d.opaque.server = &edge.Server{
 		Address: d.Setup.Opaque, Codec: plain.Codec{}, Serve: d.serveOpaque, Limits: d.limits,
 		WriteFailed: func(*relay.Request, error) { d.Meter.CountDecision("OpaqueAnswerUnwritten") },
+		Report:      klog.InfoS,
 	}
 	return d.opaque.server.Start()
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -208,6 +208,7 @@
 	}
 	n.server = &edge.Server{
 		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Limits: n.limits, WriteFailed: n.logUnwritten,
+		Report: n.Log.State,
 	}
 }
 
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -67,6 +67,8 @@
 	Name    string
 	Backend Backend
 	Meter   *meter.Meter
+	// Report, if set, logs a step of a stop.
+	Report func(message string, pairs ...any)
 
 	server   *http.Server
 	listener net.Listener
@@ -94,8 +96,10 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
+	s.drain.Report = s.Report
 	s.server = &http.Server{
 		Handler:           handler,
+		ConnState:         s.drain.ConnState,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		WriteTimeout:      writeTimeout,
@@ -145,6 +149,7 @@
 	}
 	if err != nil {
 		cut := s.drain.InFlight()
+		s.drain.ReportCut()
 		_ = s.server.Close()
 		return &Error{Op: "stop", Kind: KindStop, Err: fault.Causef("%d requests were cut at the end of the grace period", cut)}
 	}
@@ -157,12 +162,6 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return s.drain.InFlight() }
 
-// begin counts a request that has arrived.
-func (s *Server) begin() (arrived time.Time, end func()) {
-	arrived = time.Now()
-	return arrived, s.drain.Begin()
-}
-
 // handle returns a handler that reads and checks a request and then answers it.
 func handle[Q, A any](
 	s *Server,
@@ -171,8 +170,8 @@
 	answer func(context.Context, time.Time, *Q) (*A, *wire.Refusal),
 ) iris.Handler {
 	return func(ctx iris.Context) {
-		arrived, end := s.begin()
-		defer end()
+		arrived := time.Now()
+		defer s.drain.Begin(ctx.RemoteAddr())()
 		body, refusal := readBody(ctx)
 		if refusal != nil {
 			s.refuse(ctx, "", refusal)
