--- a/cmd/magnoliarelay/main_test.go
+++ b/cmd/magnoliarelay/main_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,10 +15,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/crowd"
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/proxy"
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
 	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
@@ -220,6 +223,119 @@
 	}
 }
 
+// newCrowd makes callers of a daemon who search, over connections that they keep, until the
+// daemon's process is gone.
+func (r *tier) newCrowd(daemon, callers int, seed uint64) *crowd.Crowd {
+	var count atomic.Int64
+	return &crowd.Crowd{
+		Address: r.listen[daemon], Callers: callers, Pause: 60 * time.Millisecond, Seed: seed,
+		Request: func() (string, *http.Request) {
+			id := fmt.Sprintf("d%d-%d", daemon, count.Add(1))
+			body := fmt.Sprintf(`{"Deployment":"D","Service":"S","Caller":"c","RequestID":%q,"Deadline":"4s","Query":"sage %s"}`, id, id)
+			request, err := http.NewRequest(http.MethodPost, r.url(daemon)+"/v1/search", strings.NewReader(body))
+			if err != nil {
+				panic(err)
+			}
+			return id, request
+		},
+	}
+}
+
+// checkAnswered reports requests that ended without a complete answer. A request that has
+// just been sent may cross the close of its connection.
+func (r *tier) checkAnswered(calls []crowd.Call, daemon int) {
+	r.t.Helper()
+	const crossing = 100 * time.Millisecond
+	lost := 0
+	for _, call := range calls {
+		if took := call.Ended.Sub(call.Sent); call.Err != nil && took > crossing {
+			if lost++; lost <= 5 {
+				r.t.Errorf("request %s ended without an answer after %v: %v", call.ID, took, call.Err)
+			}
+		}
+	}
+	if lost > 0 {
+		r.t.Errorf("%d of %d requests lost:\n%s", lost, len(calls), r.logs[daemon].String())
+	}
+}
+
+const slowTargets = 300 * time.Millisecond
+
+// slowDown makes all targets take slowTargets for a request.
+func (r *tier) slowDown() {
+	for _, searchers := range r.world.Searchers {
+		for _, s := range searchers {
+			s.UpdateBehaviour(func(b *shard.Behaviour) { b.Median = slowTargets })
+		}
+	}
+}
+
+// awaitEnd waits for the process of a daemon to end, and kills it after the timeout.
+func (r *tier) awaitEnd(i int, timeout time.Duration) {
+	r.t.Helper()
+	command := r.processes[i]
+	timer := time.AfterFunc(timeout, func() {
+		r.t.Errorf("daemon %d is still there after %v", i, timeout)
+		_ = command.Process.Kill()
+	})
+	defer timer.Stop()
+	// The exit code says whether requests were cut, which the callers tell better.
+	_ = command.Wait()
+}
+
+// Guards against requests that end without an answer when their daemon is stopped, while
+// callers use its address until the process is gone.
+func TestStopAnswersCallersThatDoNotLeave(t *testing.T) {
+	const grace = 4 * time.Second
+	r := startTier(t, 2, false, tree.Files{"D/deployment.ini": "[Cost]\nQueueLength = 50\n", "firm.ini": stopSettings})
+	r.slowDown()
+	callers := r.newCrowd(1, 10, 1)
+	callers.Start()
+	time.Sleep(400 * time.Millisecond)
+	r.signal(1, syscall.SIGTERM)
+	r.awaitEnd(1, grace)
+	calls := callers.Stop()
+	r.checkAnswered(calls, 1)
+	if len(calls) < 30 {
+		t.Errorf("only %d requests were sent", len(calls))
+	}
+}
+
+const stopSettings = "[System]\nHeartbeatInterval = 100ms\nSilentAfter = 600ms\nAddressKeep = 1s\nStopGrace = 4s\n[Targets]\nStatusInterval = 200ms\n"
+
+// Guards against signals that end a daemon at once, before or while it stops: SIGHUP, and
+// SIGTERM again.
+func TestSeriesOfSignalsCutsNoRequest(t *testing.T) {
+	const (
+		seed  = 3
+		grace = 4 * time.Second
+	)
+	r := startTier(t, 2, false, tree.Files{"D/deployment.ini": "[Cost]\nQueueLength = 50\n", "firm.ini": stopSettings})
+	r.slowDown()
+	random := rand.New(rand.NewPCG(seed, 0))
+	callers := r.newCrowd(1, 6, seed)
+	callers.Start()
+	time.Sleep(400 * time.Millisecond)
+	for range 3 {
+		r.signal(1, syscall.SIGHUP)
+		time.Sleep(time.Duration(100+random.IntN(200)) * time.Millisecond)
+	}
+	if status := r.status(1); !strings.Contains(status, "settings revision") {
+		t.Errorf("the daemon does not answer after SIGHUP: %s", status)
+	}
+	for range 40 {
+		r.signal(1, syscall.SIGHUP)
+	}
+	r.signal(1, syscall.SIGTERM)
+	for range 5 {
+		time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+		// The daemon may have ended.
+		_ = r.processes[1].Process.Signal([]syscall.Signal{syscall.SIGHUP, syscall.SIGTERM}[random.IntN(2)])
+	}
+	r.awaitEnd(1, grace)
+	r.checkAnswered(callers.Stop(), 1)
+}
+
 func TestKilledDaemonFailsNoSearch(t *testing.T) {
 	r := startTier(t, 3, false, nil)
 	stop := r.load(r.caller(0, 1, 2))
