Stop a server by a schedule that callers cannot prolong, with an answer for each request

What callers saw: requests that a daemon had read and passed on to a target ended with a closed connection when the daemon got SIGTERM.

Cause: a stop waited for 300 ms without a request and took new requests until then. Callers that use an address until the process is gone never leave such a pause, so the stop ran into the end of its time and closed every connection, also of requests that it had just accepted. The class: a bounded wait for others, at whose end work that was accepted is dropped. Elsewhere of the same kind: Shutdown waited for connections on which nothing had been sent and dropped what came meanwhile; the two servers of the product's daemon stopped one after the other and the second got what time was left, possibly none; AddressKeep could use up all of StopGrace.

Now a stop refuses new requests ('not run', at once) while half of the time after the address lists have run out is left, and at the end of the time interrupts what is in flight: its handlers answer with what they know. One implementation, internal/conn/drain, for all servers of both programs. Its times are bounded by the deadline alone.

TestStopReportsCutRequests wanted a cut to be reported; it is replaced by TestStopAnswersAndReportsInterruptedRequests, which wants the report and an answer.

--- a/internal/conn/drain/drain.go
+++ b/internal/conn/drain/drain.go
@@ -1,12 +1,29 @@
-// Package drain lets a server stop without cutting off a request. It counts the
-// requests in flight and waits until there are none and none has arrived for a
-// moment, since a caller may just have sent one on a connection that it keeps open.
+// Package drain stops an HTTP server without leaving a request unanswered, whatever its
+// callers do.
+//
+// A stop has steps, and a caller can prolong none of them beyond its time:
+//
+//  1. After Leave, each reply closes its connection.
+//  2. Stop serves until no request arrives any more, for at most half of its time.
+//  3. From then on new connections are refused, and so are new requests on open
+//     connections. Requests in flight go on.
+//  4. At the end of the time, the context of each request still in flight ends with the
+//     cause ErrStopping. Its handler answers with what it knows.
+//  5. Once the answers are written, all connections are closed.
 //
 // # Usage
 //
-//	defer d.Begin(id)()
-//	...
-//	err := d.Wait(ctx)
+//	d := &drain.Drain{Report: klog.InfoS}
+//	d.Attach(server, listener)
+//	go server.Serve(listener)
+//
+//	// in the handler:
+//	end, accepted := d.Begin(id)
+//	defer end()
+//	if !accepted { /* refuse the request */ }
+//
+//	d.Leave()
+//	err := d.Stop(ctx) // the deadline of ctx is when step 4 begins
 package drain
 
 import (
@@ -14,30 +31,63 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 )
 
+// Kind classifies an Error.
+type Kind string
+
+// The kinds.
+const (
+	// KindInterrupted means that the time did not suffice for requests in flight.
+	KindInterrupted Kind = "Interrupted"
+	// KindStopping is the kind of ErrStopping.
+	KindStopping Kind = "Stopping"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+// ErrStopping is the cause for which the context of a request ends when its server has
+// no more time to wait for it. The caller still waits for an answer.
+var ErrStopping error = &Error{Op: "serve", Kind: KindStopping, Err: fault.Causef("the daemon is stopping")}
+
 const (
 	// quietPeriod is the time without a new request after which a stopping server
-	// closes its idle connections.
+	// refuses further ones.
 	quietPeriod  = 300 * time.Millisecond
 	pollInterval = 20 * time.Millisecond
-	// maxReported bounds the requests that are logged one by one when they are cut.
+	// AnswerTime is the maximum time that Stop takes after its context has ended, for
+	// the answers to requests that it interrupts.
+	AnswerTime = 250 * time.Millisecond
+	// maxReported bounds the requests that are logged one by one when they are
+	// interrupted.
 	maxReported = 50
 )
 
-// Drain counts the requests and connections of one server. The zero value is ready.
+// Drain counts the requests and connections of one server and stops it. Exported fields
+// are set before Attach.
 type Drain struct {
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
 
+	server    *http.Server
+	listener  net.Listener
+	interrupt context.CancelCauseFunc
+	leaving   atomic.Bool
+
 	mu          sync.Mutex
+	refusing    bool
 	next        uint64
 	requests    map[uint64]request
 	connections map[net.Conn]http.ConnState
 	// arrived is the number of requests so far, and lastBegin the time of the last.
-	arrived   int
-	lastBegin time.Time
+	arrived     int
+	lastBegin   time.Time
+	interrupted int
 }
 
 // request is a request in flight.
@@ -46,12 +96,22 @@
 	began time.Time
 }
 
-// Begin counts a request until the function that it returns is called.
-func (d *Drain) Begin(id string) (end func()) {
+// Attach makes the drain follow the server, which is about to serve the listener.
+func (d *Drain) Attach(server *http.Server, listener net.Listener) {
+	ctx, interrupt := context.WithCancelCause(context.Background())
+	d.server, d.listener, d.interrupt = server, listener, interrupt
+	d.requests, d.connections = map[uint64]request{}, map[net.Conn]http.ConnState{}
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnState = d.trackConnection
+}
+
+// Begin counts a request until end is called. If accepted is false, the request must be
+// refused: the server has no time left for it.
+func (d *Drain) Begin(id string) (end func(), accepted bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.requests == nil {
-		d.requests = map[uint64]request{}
+	if d.refusing {
+		return func() {}, false
 	}
 	d.next++
 	number := d.next
@@ -62,16 +122,12 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.requests, number)
-	}
+	}, true
 }
 
-// ConnState follows the server's connections; it is set in http.Server.
-func (d *Drain) ConnState(conn net.Conn, state http.ConnState) {
+func (d *Drain) trackConnection(conn net.Conn, state http.ConnState) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.connections == nil {
-		d.connections = map[net.Conn]http.ConnState{}
-	}
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(d.connections, conn)
 		return
@@ -79,6 +135,12 @@
 	d.connections[conn] = state
 }
 
+// Leave asks that each reply from now on closes its connection.
+func (d *Drain) Leave() { d.leaving.Store(true) }
+
+// Leaving reports whether replies should close their connections.
+func (d *Drain) Leaving() bool { return d.leaving.Load() }
+
 // InFlight returns the number of requests in flight.
 func (d *Drain) InFlight() int {
 	d.mu.Lock()
@@ -86,58 +148,114 @@
 	return len(d.requests)
 }
 
-func (d *Drain) isQuiet() bool {
+// Interrupted returns the number of requests for which Stop had no time left.
+func (d *Drain) Interrupted() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.requests) == 0 && time.Since(d.lastBegin) >= quietPeriod
+	return d.interrupted
+}
+
+// Stop stops the server. It returns at most AnswerTime after the end of ctx, with an
+// error if requests were interrupted. Without a deadline it waits for all requests.
+func (d *Drain) Stop(ctx context.Context) error {
+	d.Leave()
+	d.report("waiting until no request arrives")
+	d.waitQuiet(ctx)
+	d.refuse()
+	d.report("refusing new requests")
+	if !wait(ctx, func() bool { return d.InFlight() == 0 }) {
+		d.interruptRequests()
+	}
+	// The last answers are still being written after their handlers have returned.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), AnswerTime)
+	defer cancel()
+	answered := wait(ctx, func() bool { return d.InFlight() == 0 && d.countConnections()[http.StateActive] == 0 })
+	d.report("closing connections")
+	// Closing fails only for connections that have ended already.
+	_ = d.server.Close()
+	if interrupted := d.Interrupted(); interrupted > 0 || !answered {
+		return &Error{Op: "stop", Kind: KindInterrupted, Err: fault.Causef("there was no time left for %d requests", max(interrupted, d.InFlight()))}
+	}
+	return nil
 }
 
-// Wait waits until the server may close, or returns the context's error.
-func (d *Drain) Wait(ctx context.Context) error {
-	d.ReportStep("waiting until no request arrives")
-	for !d.isQuiet() {
+// waitQuiet waits until no request is in flight and none has arrived for a moment, or
+// until half of the context's time is over.
+func (d *Drain) waitQuiet(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+		defer cancel()
+	}
+	wait(ctx, func() bool {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		return len(d.requests) == 0 && time.Since(d.lastBegin) >= quietPeriod
+	})
+}
+
+// refuse makes the server take no more connections and requests.
+func (d *Drain) refuse() {
+	d.mu.Lock()
+	d.refusing = true
+	d.mu.Unlock()
+	// Callers that connect now find out at once that they have to go elsewhere. Closing
+	// fails only if the listener is closed already.
+	_ = d.listener.Close()
+}
+
+// interruptRequests ends the contexts of the requests in flight.
+func (d *Drain) interruptRequests() {
+	d.mu.Lock()
+	d.interrupted = len(d.requests)
+	var reported []request
+	for _, r := range d.requests {
+		if reported = append(reported, r); len(reported) == maxReported {
+			break
+		}
+	}
+	d.mu.Unlock()
+	d.report("interrupting requests in flight")
+	for _, r := range reported {
+		if d.Report != nil {
+			d.Report("request interrupted", "request", r.id, "ageMillis", time.Since(r.began).Milliseconds())
+		}
+	}
+	d.interrupt(ErrStopping)
+}
+
+// wait waits until the condition holds and returns whether it does.
+func wait(ctx context.Context, condition func() bool) bool {
+	for !condition() {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return condition()
 		case <-time.After(pollInterval):
 		}
 	}
-	d.ReportStep("no request arrives any more")
-	return nil
+	return true
 }
 
-// ReportStep logs a step of a stop, with the requests in flight, the requests so far
-// and the connections by state.
-func (d *Drain) ReportStep(step string) {
-	if d.Report == nil {
-		return
-	}
+func (d *Drain) countConnections() map[http.ConnState]int {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	states := map[http.ConnState]int{}
 	for _, state := range d.connections {
 		states[state]++
 	}
-	inFlight, arrived := len(d.requests), d.arrived
-	d.mu.Unlock()
-	d.Report(step, "inFlight", inFlight, "arrived", arrived,
-		"newConnections", states[http.StateNew], "activeConnections", states[http.StateActive], "idleConnections", states[http.StateIdle])
+	return states
 }
 
-// ReportCut logs the requests that are in flight, which closing the server cuts.
-func (d *Drain) ReportCut() {
+// report logs a step of a stop, with the requests in flight, the requests so far and the
+// connections by state.
+func (d *Drain) report(step string) {
 	if d.Report == nil {
 		return
 	}
-	d.ReportStep("closing connections with requests in flight")
+	states := d.countConnections()
 	d.mu.Lock()
-	var cut []request
-	for _, r := range d.requests {
-		if cut = append(cut, r); len(cut) == maxReported {
-			break
-		}
-	}
+	inFlight, arrived := len(d.requests), d.arrived
 	d.mu.Unlock()
-	for _, r := range cut {
-		d.Report("request cut", "request", r.id, "ageMillis", time.Since(r.began).Milliseconds())
-	}
+	d.Report(step, "inFlight", inFlight, "arrived", arrived,
+		"newConnections", states[http.StateNew], "activeConnections", states[http.StateActive], "idleConnections", states[http.StateIdle])
 }
--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -8,7 +8,9 @@
 //	s.Leave()       // every further reply closes its connection
 //	err = s.Stop(ctx)
 //
-// When a caller closes its connection, the context of its request is cancelled.
+// When a caller closes its connection, the context of its request is cancelled. When the
+// server stops and has no more time for a request, the context ends with the cause
+// drain.ErrStopping, and Serve returns an answer at once.
 package edge
 
 import (
@@ -17,7 +19,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
@@ -66,6 +67,8 @@
 	Codec   Codec
 	// Serve answers a request whose body has been read.
 	Serve func(ctx context.Context, request *relay.Request) *relay.Answer
+	// Refuse answers a request that arrives too late during a stop to be served.
+	Refuse func(request *relay.Request) *relay.Answer
 	// Limits returns the operator's limits, or nil before they are known.
 	Limits func() *tree.Limits
 	// WriteFailed is called when an answer could not be written whole.
@@ -73,9 +76,8 @@
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
 
-	server   *http.Server
-	draining atomic.Bool
-	drain    drain.Drain
+	server *http.Server
+	drain  drain.Drain
 }
 
 // Start listens and serves.
@@ -88,13 +90,13 @@
 	s.drain.Report = s.Report
 	s.server = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
-		ConnState:         s.drain.ConnState,
 		ReadHeaderTimeout: headerTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	// Serve always returns an error, ErrServerClosed after a normal stop.
+	s.drain.Attach(s.server, listener)
+	// Serve returns an error when the stop closes the listener.
 	go func() { _ = s.server.Serve(listener) }()
 	return nil
 }
@@ -102,11 +104,16 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	request := s.Codec.Read(r)
-	defer s.drain.Begin(request.ID)()
 	request.Arrived = arrived
-	if s.draining.Load() {
+	end, accepted := s.drain.Begin(request.ID)
+	defer end()
+	if s.drain.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
+	if !accepted {
+		s.write(w, request, s.Refuse(request))
+		return
+	}
 	body, status := s.readBody(w, r)
 	if status != 0 {
 		w.Header().Set("Connection", "close")
@@ -115,16 +122,20 @@
 	}
 	request.Body = body
 	answer := s.Serve(r.Context(), request)
-	if s.draining.Load() {
+	if s.drain.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	if answer.Result == relay.CallerLeft {
 		return
 	}
+	s.write(w, request, answer)
+}
+
+// write sends an answer. It aborts the connection if that fails, so that the caller does
+// not mistake a truncated answer for a complete one.
+func (s *Server) write(w http.ResponseWriter, request *relay.Request, answer *relay.Answer) {
 	if err := s.Codec.Write(w, request, answer); err != nil {
 		s.WriteFailed(request, err)
-		// Abort the connection, so that the caller does not mistake a truncated answer
-		// for a complete one.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -156,19 +167,16 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return s.drain.InFlight() }
 
+// Interrupted returns the number of requests for which Stop had no time left.
+func (s *Server) Interrupted() int { return s.drain.Interrupted() }
+
 // Leave makes every further reply close its connection.
-func (s *Server) Leave() { s.draining.Store(true) }
+func (s *Server) Leave() { s.drain.Leave() }
 
-// Stop waits until no request is in flight and none has arrived for a moment,
-// and then closes the server. It returns an error if the context ends first.
+// Stop stops the server as package drain describes. The deadline of the context is the
+// time at which requests in flight are interrupted.
 func (s *Server) Stop(ctx context.Context) error {
-	if err := s.drain.Wait(ctx); err != nil {
-		// InFlight still counts the requests that this cuts off.
-		s.drain.ReportCut()
-		_ = s.server.Close()
-		return &Error{Op: "stop", Kind: KindStop, Err: err}
-	}
-	if err := s.server.Shutdown(ctx); err != nil {
+	if err := s.drain.Stop(ctx); err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
 	return nil
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -302,6 +302,34 @@
 	}
 }
 
+// Guards against a search that ends without an answer when the daemon has no time left for
+// it: the caller gets what the shards have answered, with its coverage.
+func TestStopDeliversWhatShardsHaveAnswered(t *testing.T) {
+	files := quickSettings()
+	files["firm.ini"] += "[System]\nStopGrace = 3s\n"
+	files["D/S/service.ini"] = "[Cost]\nLeastCoverage = 0.5\n[Time]\nMaxDeadline = 30s\n"
+	w := start(t, &world.World{Daemons: 1, Settings: files})
+	for replica := range 3 {
+		w.Replica("D", "S", replica)[4].UpdateBehaviour(func(b *shard.Behaviour) { b.Median = time.Minute })
+	}
+	type result struct {
+		answer *wire.SearchAnswer
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		answer, err := w.Caller("D", "c").Search(t.Context(), caller.Query{Service: "S", Text: "sage", Deadline: 30 * time.Second})
+		done <- result{answer, err}
+	}()
+	eventually(t, "the search is in flight", func() bool { return w.Running[0].InFlight() > 0 })
+	if err := w.Running[0].Stop(t.Context()); err == nil {
+		t.Error("the stop did not report the search that it interrupted")
+	}
+	if r := <-done; r.err != nil || r.answer.Complete || r.answer.Coverage.ShardsAnswered != 5 {
+		t.Errorf("answer %+v, %v", r.answer, r.err)
+	}
+}
+
 func TestNonIdempotentRequestRunsOnceThroughAnyDaemon(t *testing.T) {
 	w := start(t, &world.World{Daemons: 3})
 	home := w.Running[0].Addresses("", "").Addresses[0].Home
--- a/internal/process/daemon/execute.go
+++ b/internal/process/daemon/execute.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
@@ -146,6 +148,9 @@
 		refusal.RetryAfterMillis = outcomeGrace.Milliseconds()
 		return nil, refusal
 	case <-ctx.Done():
+		if errors.Is(context.Cause(ctx), drain.ErrStopping) {
+			return nil, outcomeUnknown("the daemon is stopping")
+		}
 		return nil, outcomeUnknown("the caller went away")
 	}
 	switch entry.Result.Outcome {
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -156,26 +156,40 @@
 
 // Stop leaves gracefully: other daemons remove this one from their address lists, it
 // serves until callers no longer use old lists, and it finishes the requests in
-// flight. The context bounds the time; an error reports the requests that were cut.
+// flight. The context and StopGrace bound the time; an error reports the requests that
+// were interrupted.
 func (d *Daemon) Stop(ctx context.Context) error {
 	settings := d.Keeper.Current().Tree.Resolve("", "", "")
-	ctx, cancel := context.WithTimeout(ctx, settings.StopGrace)
+	ctx, cancel := context.WithTimeout(ctx, settings.StopGrace-stopMargin(settings.StopGrace))
 	defer cancel()
 	klog.Infof("daemon %s is leaving", d.self.Name)
 	servers := []joiner.Server{d.server}
 	if d.opaque.server != nil {
 		servers = append(servers, d.opaque.server)
 	}
-	_, err := d.membership.Leave(ctx, joiner.LeaveOptions{
+	interrupted, err := d.membership.Leave(ctx, joiner.LeaveOptions{
 		AddressTTL: settings.AddressKeep + settings.SilentAfter, Servers: servers,
 		PeerRequests: func() int { return d.home.Running() + int(d.forwardsInFlight.Load()) }, Close: d.close,
 	})
+	klog.InfoS("stopped", "interrupted", interrupted)
 	if err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
 	return nil
 }
 
+const (
+	// maxStopMargin is the part of StopGrace that is reserved for the answers to
+	// requests that are interrupted, and for leaving the other daemons. A short
+	// StopGrace is divided by minStopMarginDivisor instead.
+	maxStopMargin        = 800 * time.Millisecond
+	minStopMarginDivisor = 2
+)
+
+func stopMargin(grace time.Duration) time.Duration {
+	return min(maxStopMargin, grace/minStopMarginDivisor)
+}
+
 // Kill ends the daemon at once, like a crash.
 func (d *Daemon) Kill() {
 	d.server.Kill()
--- a/internal/process/daemon/opaque.go
+++ b/internal/process/daemon/opaque.go
@@ -40,7 +40,7 @@
 		OnSuspectedCrash: d.gossip.Push,
 	}
 	d.opaque.server = &edge.Server{
-		Address: d.Setup.Opaque, Codec: plain.Codec{}, Serve: d.serveOpaque, Limits: d.limits,
+		Address: d.Setup.Opaque, Codec: plain.Codec{}, Serve: d.serveOpaque, Refuse: d.refuseOpaque, Limits: d.limits,
 		WriteFailed: func(*relay.Request, error) { d.Meter.CountDecision("OpaqueAnswerUnwritten") },
 		Report:      klog.InfoS,
 	}
@@ -68,6 +68,12 @@
 	return answer
 }
 
+// refuseOpaque refuses a request for which a stop leaves no time.
+func (d *Daemon) refuseOpaque(*relay.Request) *relay.Answer {
+	d.Meter.CountDecision("OpaqueRefusedStopping")
+	return &relay.Answer{Result: relay.NotRun, Reason: relay.ReasonStopping}
+}
+
 func (d *Daemon) answerOpaque(ctx context.Context, request *relay.Request) *relay.Answer {
 	if ready, reason := d.Ready(); !ready && !d.membership.Leaving() {
 		return &relay.Answer{Result: relay.NotRun, Reason: reason, RetryAfter: joinInterval}
--- a/internal/process/joiner/joiner.go
+++ b/internal/process/joiner/joiner.go
@@ -7,7 +7,7 @@
 //	if m.Join(ctx, round) {
 //		// the daemon serves
 //	}
-//	cut, err := m.Leave(ctx, joiner.LeaveOptions{
+//	interrupted, err := m.Leave(ctx, joiner.LeaveOptions{
 //		AddressTTL: 3 * time.Second, Servers: servers, PeerRequests: peerRequests, Close: closeLinks,
 //	})
 package joiner
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,15 +29,15 @@
 
 // Server serves callers; *edge.Server and *server.Server implement it.
 type Server interface {
-	// Stop waits until no request is in flight and closes the server.
+	// Leave asks callers to connect to another daemon.
+	Leave()
+	// Stop stops the server. The end of ctx is the time at which it interrupts the
+	// requests that are still in flight.
 	Stop(ctx context.Context) error
-	InFlight() int
+	// Interrupted returns the number of requests that Stop has interrupted.
+	Interrupted() int
 }
 
-// Leaver is a server that can ask its callers, before it stops, to connect to another
-// daemon.
-type Leaver interface{ Leave() }
-
 // Membership is one daemon's membership of the tier, which it joins and leaves once.
 // Exported fields are set before Join.
 type Membership struct {
@@ -80,27 +81,24 @@
 }
 
 // Leave announces that the daemon leaves, continues to serve while callers may still
-// use its address, and closes the daemon once no request is in flight. The context
-// bounds the time; if that does not suffice, Leave returns an error and the number of
-// requests that it cut. A second call does nothing.
-func (m *Membership) Leave(ctx context.Context, options LeaveOptions) (cut int, err error) {
+// use its address, and closes the daemon once no request is in flight. At the end of ctx
+// it interrupts the requests that are still in flight; it returns their number and an
+// error. A second call does nothing.
+func (m *Membership) Leave(ctx context.Context, options LeaveOptions) (interrupted int, err error) {
 	if m.leaving.Swap(true) {
 		return 0, nil
 	}
 	m.setState(member.Leaving)
+	addressTTL := boundTTL(ctx, options.AddressTTL)
 	// Halfway, the servers ask callers with an open connection to use another daemon.
-	sleep.For(ctx, options.AddressTTL/2)
+	sleep.For(ctx, addressTTL/2)
 	for _, server := range options.Servers {
-		if l, ok := server.(Leaver); ok {
-			l.Leave()
-		}
+		server.Leave()
 	}
-	sleep.For(ctx, options.AddressTTL-options.AddressTTL/2)
+	sleep.For(ctx, addressTTL-addressTTL/2)
+	err = stopAll(ctx, options.Servers)
 	for _, server := range options.Servers {
-		if stopErr := server.Stop(ctx); stopErr != nil {
-			cut += server.InFlight()
-			err = errors.Join(err, stopErr)
-		}
+		interrupted += server.Interrupted()
 	}
 	for options.PeerRequests() > 0 && sleep.For(ctx, closeDelay) {
 		// Requests that were begun for other daemons are finished as well.
@@ -109,7 +107,28 @@
 	m.setState(member.Gone)
 	sleep.For(context.WithoutCancel(ctx), closeDelay)
 	options.Close()
-	return cut, err
+	return interrupted, err
+}
+
+// boundTTL shortens the time for which the daemon serves as before, so that a third of
+// the context's time is left to finish requests.
+func boundTTL(ctx context.Context, addressTTL time.Duration) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return addressTTL
+	}
+	return min(addressTTL, 2*time.Until(deadline)/3)
+}
+
+// stopAll stops the servers at the same time, since they share the time that is left.
+func stopAll(ctx context.Context, servers []Server) error {
+	errs := make([]error, len(servers))
+	var group sync.WaitGroup
+	for i, server := range servers {
+		group.Go(func() { errs[i] = server.Stop(ctx) })
+	}
+	group.Wait()
+	return errors.Join(errs...)
 }
 
 func (m *Membership) setState(state member.State) {
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -194,15 +193,15 @@
 }
 
 // Stop announces that the daemon leaves, continues to serve while callers may still
-// use its address, and returns once no request is in flight.
+// use its address, and returns once each request has its answer.
 func (n *Node) Stop(ctx context.Context) error {
 	began := time.Now()
 	grace, addressTTL := n.stopTimes()
 	n.Log.State("leaving", "inFlight", n.server.InFlight(), "graceMillis", grace.Milliseconds())
 	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
 	defer cancel()
-	cut, err := n.membership.Leave(ctx, joiner.LeaveOptions{
-		AddressTTL:   min(addressTTLFactor*addressTTL, grace-2*stopMargin-time.Second),
+	interrupted, err := n.membership.Leave(ctx, joiner.LeaveOptions{
+		AddressTTL:   addressTTLFactor * addressTTL,
 		Servers:      []joiner.Server{n.server},
 		PeerRequests: func() int { return int(n.assistsInFlight.Load()) },
 		Close: func() {
@@ -210,9 +209,9 @@
 			n.link.Close()
 		},
 	})
-	n.Log.State("stopped", "cut", cut, "tookMillis", time.Since(began).Milliseconds())
+	n.Log.State("stopped", "interrupted", interrupted, "tookMillis", time.Since(began).Milliseconds())
 	if err != nil {
-		return &Error{Op: "stop", Kind: KindStop, Err: errors.Join(err, ctx.Err())}
+		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
 	return nil
 }
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -107,7 +107,8 @@
 	// addressTTLFactor extends the time for which a leaving daemon serves: some callers
 	// keep addresses this many times longer than allowed.
 	addressTTLFactor = 3
-	// stopMargin is the part of the grace that is reserved for the last replies.
+	// stopMargin is the part of the grace that is reserved for the answers to requests
+	// that are interrupted, and for leaving the other daemons.
 	stopMargin = 800 * time.Millisecond
 	// unreadyRetryAfter is the delay after which a caller may retry at a daemon that has
 	// no routes yet.
@@ -207,7 +208,7 @@
 		RemotePeers: &remotePeers{node: n},
 	}
 	n.server = &edge.Server{
-		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Limits: n.limits, WriteFailed: n.logUnwritten,
+		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Refuse: n.refuseStopping, Limits: n.limits, WriteFailed: n.logUnwritten,
 		Report: n.Log.State,
 	}
 }
@@ -368,6 +369,13 @@
 	}
 }
 
+// refuseStopping refuses a request for which a stop leaves no time. Another daemon can
+// serve it at once.
+func (n *Node) refuseStopping(request *relay.Request) *relay.Answer {
+	n.Log.Failure(request.ID, "refused", "why", relay.ReasonStopping)
+	return &relay.Answer{Result: relay.NotRun, Reason: relay.ReasonStopping}
+}
+
 func (n *Node) logUnwritten(request *relay.Request, err error) {
 	n.Log.Failure(request.ID, "could not write the complete answer to the caller", "error", err)
 }
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -99,13 +99,13 @@
 	s.drain.Report = s.Report
 	s.server = &http.Server{
 		Handler:           handler,
-		ConnState:         s.drain.ConnState,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	s.drain.Attach(s.server, listener)
 	s.listener = listener
 	return nil
 }
@@ -139,19 +139,14 @@
 	return app, nil
 }
 
-// Stop waits until no new request has arrived for a moment, stops accepting connections
-// and waits for the requests in flight. The context bounds the time.
+// Leave makes every further reply to a search or a command close its connection.
+func (s *Server) Leave() { s.drain.Leave() }
+
+// Stop stops the server as package drain describes. The deadline of the context is the
+// time at which requests in flight are interrupted.
 func (s *Server) Stop(ctx context.Context) error {
-	s.server.SetKeepAlivesEnabled(false)
-	err := s.drain.Wait(ctx)
-	if err == nil {
-		err = s.server.Shutdown(ctx)
-	}
-	if err != nil {
-		cut := s.drain.InFlight()
-		s.drain.ReportCut()
-		_ = s.server.Close()
-		return &Error{Op: "stop", Kind: KindStop, Err: fault.Causef("%d requests were cut at the end of the grace period", cut)}
+	if err := s.drain.Stop(ctx); err != nil {
+		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
 	return nil
 }
@@ -162,6 +157,9 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return s.drain.InFlight() }
 
+// Interrupted returns the number of requests for which Stop had no time left.
+func (s *Server) Interrupted() int { return s.drain.Interrupted() }
+
 // handle returns a handler that reads and checks a request and then answers it.
 func handle[Q, A any](
 	s *Server,
@@ -171,7 +169,15 @@
 ) iris.Handler {
 	return func(ctx iris.Context) {
 		arrived := time.Now()
-		defer s.drain.Begin(ctx.RemoteAddr())()
+		end, accepted := s.drain.Begin(ctx.RemoteAddr())
+		defer end()
+		if s.drain.Leaving() {
+			ctx.Header("Connection", "close")
+		}
+		if !accepted {
+			s.refuse(ctx, "", &wire.Refusal{Kind: wire.RefusalNotReady, Message: "the daemon is stopping; use another one", Ran: wire.RanNo})
+			return
+		}
 		body, refusal := readBody(ctx)
 		if refusal != nil {
 			s.refuse(ctx, "", refusal)
@@ -183,6 +189,9 @@
 			return
 		}
 		result, refusal := answer(ctx.Request().Context(), arrived, request)
+		if s.drain.Leaving() {
+			ctx.Header("Connection", "close")
+		}
 		if refusal != nil {
 			s.refuse(ctx, id(request), refusal)
 			return
--- a/internal/process/server/server_test.go
+++ b/internal/process/server/server_test.go
@@ -133,20 +133,29 @@
 	}
 }
 
-func TestStopReportsCutRequests(t *testing.T) {
+// A request for which a stop has no time left gets an answer, and Stop reports it.
+func TestStopAnswersAndReportsInterruptedRequests(t *testing.T) {
 	s := start(t, 5*time.Second)
+	got := make(chan string, 1)
 	go func() {
 		response, err := http.Post("http://"+s.Address+"/v1/search", "application/json", strings.NewReader(validSearch))
-		if err == nil {
-			_ = response.Body.Close()
+		if err != nil {
+			got <- err.Error()
+			return
 		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		got <- fmt.Sprint(response.StatusCode, " ", string(body), err)
 	}()
 	for s.InFlight() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	if err := s.Stop(ctx); err == nil || !strings.Contains(err.Error(), "1 requests were cut") {
-		t.Errorf("stop: %v", err)
+	if err := s.Stop(ctx); err == nil || !strings.Contains(err.Error(), "no time left for 1 requests") || s.Interrupted() != 1 {
+		t.Errorf("stop: %v, interrupted %d", err, s.Interrupted())
+	}
+	if answer := <-got; !strings.Contains(answer, `"Ran":"Unknown"`) {
+		t.Errorf("the interrupted request got %s", answer)
 	}
 }
--- a/internal/process/tenant/tenant.go
+++ b/internal/process/tenant/tenant.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	lru "github.com/hashicorp/golang-lru/v2"
 	"golang.org/x/time/rate"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/target"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/alloc"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/budget"
@@ -232,6 +234,9 @@
 		t.Queue.Leave(time.Now(), ticket)
 	case <-ctx.Done():
 		t.Queue.Leave(time.Now(), ticket)
+		if errors.Is(context.Cause(ctx), drain.ErrStopping) {
+			return nil, &wire.Refusal{Kind: wire.RefusalNotReady, Message: "the daemon is stopping; use another one", Ran: wire.RanNo}
+		}
 		return nil, &wire.Refusal{Kind: wire.RefusalCancelled, Message: "the caller went away", Ran: wire.RanNo}
 	}
 	wait := time.Since(arrived)
--- a/internal/request/relay/answer.go
+++ b/internal/request/relay/answer.go
@@ -1,11 +1,18 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 )
 
+// ReasonStopping is the reason of an answer that a stop of the daemon leaves no time for.
+const ReasonStopping = "the daemon is stopping"
+
 // tryAnswer returns the answer, or nil while there is none yet.
 func (x *exchange) tryAnswer(now time.Time, done bool) *Answer {
 	switch {
@@ -80,6 +87,22 @@
 	return &Answer{Result: Broken, Reason: "too few targets answered", Missing: missing, Outstanding: x.describeOutstanding()}
 }
 
+// interruptedAnswer answers a request whose context has ended: the caller has
+// disconnected, or the daemon stops and has no more time for the request.
+func (x *exchange) interruptedAnswer(ctx context.Context) *Answer {
+	if !errors.Is(context.Cause(ctx), drain.ErrStopping) {
+		return &Answer{Result: CallerLeft, Reason: "the caller went away"}
+	}
+	if x.isGather() && x.enoughAnswered() {
+		return x.mergedAnswer(Partial, ReasonStopping)
+	}
+	answer := x.failureAnswer(time.Now())
+	if answer.Result != Passed {
+		answer.Reason = ReasonStopping
+	}
+	return answer
+}
+
 // describeOutstanding describes the shards that have not answered, for the log:
 // the pool, its phase, the targets tried, and the milliseconds since the last
 // attempt.
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -263,6 +263,9 @@
 		return answer
 	}
 	defer x.release()
+	if ctx.Err() != nil {
+		return x.interruptedAnswer(ctx)
+	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var events []event
@@ -281,9 +284,10 @@
 		case <-timer.C:
 			step = x.tick(time.Now())
 		case <-ctx.Done():
+			answer := x.interruptedAnswer(ctx)
 			x.cancelAll()
 			x.cancelRemote()
-			return &Answer{Result: CallerLeft, Reason: "the caller went away"}
+			return answer
 		}
 	}
 }
--- a/internal/request/search/scatter.go
+++ b/internal/request/search/scatter.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
@@ -78,6 +80,10 @@
 		case <-timer.C:
 			step = s.gather.Tick(time.Now())
 		case <-ctx.Done():
+			if errors.Is(context.Cause(ctx), drain.ErrStopping) {
+				// The caller gets what the shards have answered so far.
+				return nil
+			}
 			if context.Cause(ctx) == context.Canceled {
 				return &wire.Refusal{Kind: wire.RefusalCancelled, Message: "the caller went away"}
 			}
