--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -8,15 +8,13 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"k8s.io/klog/v2"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
-	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/halt"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
 )
@@ -32,11 +30,15 @@
 
 // Help adds examples to the command's help.
 func (o *Options) Help() string {
-	return "A first SIGTERM or interrupt stops the daemon gracefully; a second one stops it immediately.\n\nExample:\n  magnoliarelay daemon --config /etc/magnoliarelay/daemon.ini"
+	return "SIGTERM or an interrupt stops the daemon gracefully; a second interrupt stops it immediately. " +
+		"SIGHUP reads the keys again.\n\nExample:\n  magnoliarelay daemon --config /etc/magnoliarelay/daemon.ini"
 }
 
 // Run runs the daemon until a signal stops it.
 func (o *Options) Run(ctx context.Context) error {
+	signals := &halt.Handler{Report: klog.InfoS}
+	signals.Listen()
+	defer signals.Close()
 	s, err := setup.Load(o.Config)
 	if err != nil {
 		return &term.Error{Op: "daemon", Kind: term.KindUsage, Err: err}
@@ -52,17 +54,25 @@
 		return &term.Error{Op: "daemon", Kind: term.KindUsage, Err: err}
 	}
 	tuneGC()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
 	d := &daemon.Daemon{Setup: s, Keys: k}
 	if err := d.Start(ctx); err != nil {
 		return &term.Error{Op: "daemon", Kind: term.KindFailed, Err: err}
 	}
 	o.Streams.PrintErrf("daemon %s listens at %s, link %s", s.Name, d.URL(), d.Link())
-	// The first signal also cancels ctx, so Run waits for the channel alone.
-	klog.InfoS("signal received", "signal", (<-signals).String())
-	return o.stop(d, signals)
+	signals.Reload = func() {
+		if err := k.Load(); err != nil {
+			klog.InfoS("cannot read the keys again; the old ones stay in use", "error", err)
+		}
+	}
+	signals.Stop = func() error { return d.Stop(context.Background()) }
+	signals.Kill = func() {
+		klog.InfoS("requests aborted", "inFlight", d.InFlight())
+		d.Kill()
+	}
+	if err := signals.Run(ctx); err != nil {
+		return &term.Error{Op: "daemon", Kind: term.KindFailed, Err: err}
+	}
+	return nil
 }
 
 // A daemon has a small heap and most allocations live for one request, so the
@@ -82,23 +92,3 @@
 		debug.SetMemoryLimit(memoryLimitBytes)
 	}
 }
-
-// stop stops the daemon gracefully, or immediately on a second signal.
-func (o *Options) stop(d *daemon.Daemon, signals <-chan os.Signal) error {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	done := make(chan error, 1)
-	go func() { done <- d.Stop(ctx) }()
-	select {
-	case err := <-done:
-		if err != nil {
-			return &term.Error{Op: "daemon", Kind: term.KindFailed, Err: err}
-		}
-		return nil
-	case s := <-signals:
-		klog.InfoS("signal received while stopping; the daemon ends now", "signal", s.String())
-		aborted := d.InFlight()
-		d.Kill()
-		return &term.Error{Op: "daemon", Kind: term.KindFailed, Err: fault.Causef("stopped immediately by a second signal: %d requests were aborted", aborted)}
-	}
-}
