Close the connection of a request that was given up, instead of an empty success

What callers saw: a caller that ends its own side of a connection and goes on reading got status 200 without a body or signature. Cause: the handler returned without an answer, which net/http sends as a success.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -126,7 +126,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	if answer.Result == relay.CallerLeft {
-		return
+		// Returning would send an empty success to a caller that still reads.
+		panic(http.ErrAbortHandler)
 	}
 	s.write(w, request, answer)
 }
--- /dev/null
+++ b/internal/conn/edge/edge_test.go
@@ -0,0 +1,57 @@
+package edge_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/edge"
+	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
+)
+
+// codec passes on the host and the body.
+type codec struct{}
+
+func (codec) Read(r *http.Request) *relay.Request { return &relay.Request{ID: "1", Host: r.Host} }
+
+func (codec) Write(w http.ResponseWriter, _ *relay.Request, answer *relay.Answer) error {
+	_, err := w.Write(answer.Body)
+	return err
+}
+
+// Guards against a success without a body for a request that was given up: a caller that
+// has only ended its own side of the connection still reads.
+func TestRequestThatWasGivenUpIsNoSuccess(t *testing.T) {
+	s := &edge.Server{
+		Address: "127.0.0.1:0", Codec: codec{}, Limits: func() *tree.Limits { return nil },
+		WriteFailed: func(_ *relay.Request, err error) { t.Error(err) },
+		Serve: func(ctx context.Context, _ *relay.Request) *relay.Answer {
+			<-ctx.Done()
+			return &relay.Answer{Result: relay.CallerLeft}
+		},
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	conn, err := net.Dial("tcp", s.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: d\r\n\r\n")
+	if tcp, ok := conn.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
+		t.Fatal("cannot end one side of the connection")
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		t.Errorf("status %d with %d bytes", response.StatusCode, len(body))
+	}
+}
--- a/internal/process/halt/halt_test.go
+++ b/internal/process/halt/halt_test.go
@@ -49,7 +49,7 @@
 	ended                 chan error
 }
 
-func run(t *testing.T, ctx context.Context, before ...syscall.Signal) *process {
+func run(ctx context.Context, t *testing.T, before ...syscall.Signal) *process {
 	t.Helper()
 	p := &process{release: make(chan struct{}), ended: make(chan error, 1)}
 	p.Listen()
@@ -79,7 +79,7 @@
 
 // Guards against a signal that is lost in a series of others, so that a stop never begins.
 func TestBurstOfReloadsHidesNoStop(t *testing.T) {
-	p := run(t, t.Context(), append(repeat(syscall.SIGHUP, 100), syscall.SIGTERM)...)
+	p := run(t.Context(), t, append(repeat(syscall.SIGHUP, 100), syscall.SIGTERM)...)
 	await(t, "the stop began", func() bool { return p.stops.Load() == 1 })
 	close(p.release)
 	if err := p.end(t); err != nil {
@@ -92,7 +92,7 @@
 
 // Guards against a further signal that ends or repeats a stop.
 func TestSignalsDuringStopDoNotShortenIt(t *testing.T) {
-	p := run(t, t.Context(), syscall.SIGTERM)
+	p := run(t.Context(), t, syscall.SIGTERM)
 	await(t, "the stop began", func() bool { return p.stops.Load() == 1 })
 	for range 3 {
 		reloads := p.reloads.Load()
@@ -111,7 +111,7 @@
 }
 
 func TestSecondInterruptKills(t *testing.T) {
-	p := run(t, t.Context(), syscall.SIGINT)
+	p := run(t.Context(), t, syscall.SIGINT)
 	await(t, "the stop began", func() bool { return p.stops.Load() == 1 })
 	send(t, syscall.SIGINT)
 	var killed *halt.Error
@@ -124,7 +124,7 @@
 func TestEndOfContextBeginsStop(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	p := run(t, ctx)
+	p := run(ctx, t)
 	await(t, "the stop began", func() bool { return p.stops.Load() == 1 })
 	close(p.release)
 	if err := p.end(t); err != nil {
