Count the time for writing an answer from the answer on

What callers of a route with a time of more than 90 seconds saw: no answer at all, but a closed connection, whenever the target took longer than that. Cause: the limit on writing an answer began with the request. TestTimeForWritingBeginsWithTheAnswer failed with EOF before.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -49,7 +49,8 @@
 	// maxHeaderBytes bounds its size until the operator's limits are known.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
-	writeTimeout   = 90 * time.Second
+	// defaultWriteTimeout is how long a caller may take to read an answer.
+	defaultWriteTimeout = 90 * time.Second
 )
 
 // Codec reads the requests of callers and writes the answers to them.
@@ -73,6 +74,8 @@
 	Limits func() *tree.Limits
 	// WriteFailed is called when an answer could not be written whole.
 	WriteFailed func(request *relay.Request, err error)
+	// WriteTimeout is the maximum time for writing an answer; zero means 90 seconds.
+	WriteTimeout time.Duration
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
 
@@ -88,10 +91,12 @@
 	}
 	s.Address = listener.Addr().String()
 	s.drain.Report = s.Report
+	if s.WriteTimeout == 0 {
+		s.WriteTimeout = defaultWriteTimeout
+	}
 	s.server = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: headerTimeout,
-		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
@@ -135,7 +140,13 @@
 // write sends an answer. It aborts the connection if that fails, so that the caller does
 // not mistake a truncated answer for a complete one.
 func (s *Server) write(w http.ResponseWriter, request *relay.Request, answer *relay.Answer) {
-	if err := s.Codec.Write(w, request, answer); err != nil {
+	// The time for writing is counted from the answer, since a target may take as long as
+	// its route allows.
+	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.WriteTimeout))
+	if err == nil {
+		err = s.Codec.Write(w, request, answer)
+	}
+	if err != nil {
 		s.WriteFailed(request, err)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/conn/edge/edge_test.go
+++ b/internal/conn/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/edge"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
@@ -55,3 +56,32 @@
 		t.Errorf("status %d with %d bytes", response.StatusCode, len(body))
 	}
 }
+
+// Guards against an answer that is lost because its target took longer than the time that
+// is allowed for writing it.
+func TestTimeForWritingBeginsWithTheAnswer(t *testing.T) {
+	const writeTimeout = 200 * time.Millisecond
+	s := &edge.Server{
+		Address: "127.0.0.1:0", Codec: codec{}, Limits: func() *tree.Limits { return nil }, WriteTimeout: writeTimeout,
+		WriteFailed: func(_ *relay.Request, err error) { t.Error(err) },
+		Serve: func(context.Context, *relay.Request) *relay.Answer {
+			time.Sleep(2 * writeTimeout)
+			return &relay.Answer{Result: relay.Passed, Body: []byte("late")}
+		},
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	for range 2 {
+		response, err := http.Get("http://" + s.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if err != nil || string(body) != "late" {
+			t.Errorf("body %q, %v", body, err)
+		}
+	}
+}
