--- a/internal/conn/drain/drain.go
+++ b/internal/conn/drain/drain.go
@@ -167,9 +167,13 @@
 		d.interruptRequests()
 	}
 	// The last answers are still being written after their handlers have returned.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), AnswerTime)
-	defer cancel()
-	answered := wait(ctx, func() bool { return d.InFlight() == 0 && d.countConnections()[http.StateActive] == 0 })
+	isAnswered := func() bool { return d.InFlight() == 0 && d.countConnections()[http.StateActive] == 0 }
+	answered := wait(ctx, isAnswered)
+	if !answered {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), AnswerTime)
+		defer cancel()
+		answered = wait(ctx, isAnswered)
+	}
 	d.report("closing connections")
 	// Closing fails only for connections that have ended already.
 	_ = d.server.Close()
--- a/internal/conn/drain/drain_test.go
+++ b/internal/conn/drain/drain_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -227,3 +228,62 @@
 		t.Errorf("stop: %v, served %d", err, s.served.Load())
 	}
 }
+
+// pipes is a listener whose connections have no buffers.
+type pipes struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case conn := <-p.conns:
+		return conn, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+func (*pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// Guards against an answer that is cut while it is being written, although there is time
+// left: a caller may read slowly.
+func TestStopWaitsUntilAnswersAreWritten(t *testing.T) {
+	s := &server{}
+	listener := &pipes{conns: make(chan net.Conn), closed: make(chan struct{})}
+	web := &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: time.Second}
+	s.Attach(web, listener)
+	go func() { _ = web.Serve(listener) }()
+	client, conn := net.Pipe()
+	listener.conns <- conn
+	caller := &connection{Conn: client, reader: bufio.NewReader(client)}
+	if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: d\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for s.served.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := stop(s, 10*time.Second)
+		done <- err
+	}()
+	time.Sleep(3 * drain.AnswerTime)
+	response, err := http.ReadResponse(caller.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("status %d, %v", response.StatusCode, err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
