--- a/internal/request/relay/answer.go
+++ b/internal/request/relay/answer.go
@@ -88,11 +88,18 @@
 }
 
 // interruptedAnswer answers a request whose context has ended: the caller has
-// disconnected, or the daemon stops and has no more time for the request.
-func (x *exchange) interruptedAnswer(ctx context.Context) *Answer {
+// disconnected, or the daemon stops and has no more time for the request. Buffer is a
+// buffer for events.
+func (x *exchange) interruptedAnswer(ctx context.Context, buffer []event) *Answer {
 	if !errors.Is(context.Cause(ctx), drain.ErrStopping) {
 		return &Answer{Result: CallerLeft, Reason: "the caller went away"}
 	}
+	// A reply may have arrived at the same moment.
+	if events := x.inbox.Take(buffer); len(events) > 0 {
+		if answer := x.tryAnswer(time.Now(), x.handle(events).Done); answer != nil {
+			return answer
+		}
+	}
 	if x.isGather() && x.enoughAnswered() {
 		return x.mergedAnswer(Partial, ReasonStopping)
 	}
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -264,7 +264,7 @@
 	}
 	defer x.release()
 	if ctx.Err() != nil {
-		return x.interruptedAnswer(ctx)
+		return x.interruptedAnswer(ctx, nil)
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -284,7 +284,7 @@
 		case <-timer.C:
 			step = x.tick(time.Now())
 		case <-ctx.Done():
-			answer := x.interruptedAnswer(ctx)
+			answer := x.interruptedAnswer(ctx, events)
 			x.cancelAll()
 			x.cancelRemote()
 			return answer
--- a/internal/request/relay/stop_test.go
+++ b/internal/request/relay/stop_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
@@ -81,3 +82,31 @@
 		})
 	}
 }
+
+// Guards against a gather for another daemon that is dropped when this one stops: the
+// shards that have answered are delivered.
+func TestInterruptedAssistDeliversItsShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		names := []string{"a", "b", "c", "d"}
+		c := newCluster(t, 1, 1, 1, names...)
+		c.targets["a"][0].set(func(f *fakeTarget) { f.unresponsive = true })
+		message, err := codec.Encode(&remoteRequest{
+			ID: "x", Method: http.MethodGet, URI: "/x", Header: http.Header{headerID: {"x"}, headerWork: {"1ms"}},
+			Pools: names, MaxAttempts: 1, Least: 1, LeftMillis: 60_000, SoonMillis: 50_000, LateMillis: 55_000,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancelCause(t.Context())
+		time.AfterFunc(2*time.Second, func() { cancel(drain.ErrStopping) })
+		began := time.Now()
+		var reply remoteReply
+		if err := codec.Decode(c.daemons[0].Assist(ctx, message, make(chan struct{})), &reply); err != nil {
+			t.Fatal(err)
+		}
+		if took := time.Since(began); took > 2*time.Second || len(reply.Signatures) != 3 || len(reply.Missing) != 1 {
+			t.Errorf("after %v: %+v", took, reply)
+		}
+		c.settle()
+	})
+}
