Send a search that a stop interrupts to another daemon

What callers saw: a search that a stopping daemon had no time left for, with too few shards, failed for good with 'coverage too low', although another daemon could serve it. Now it is refused as interrupted, and pkg/caller sends it again, as searches are idempotent.

--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -330,6 +331,38 @@
 	}
 }
 
+// Guards against a search that fails for good because its daemon stops, although another
+// one can serve it.
+func TestInterruptedSearchIsSentToAnotherDaemon(t *testing.T) {
+	files := quickSettings()
+	files["firm.ini"] += "[System]\nStopGrace = 3s\n"
+	files["D/S/service.ini"] = "[Cost]\nLeastCoverage = 1\n[Time]\nMaxDeadline = 30s\n"
+	w := start(t, &world.World{Daemons: 2, Settings: files})
+	setMedian := func(d time.Duration) {
+		for replica := range 3 {
+			w.Replica("D", "S", replica)[4].UpdateBehaviour(func(b *shard.Behaviour) { b.Median = d })
+		}
+	}
+	setMedian(time.Minute)
+	done := make(chan error, 1)
+	go func() {
+		_, err := w.Caller("D", "c").Search(context.WithoutCancel(t.Context()), caller.Query{Service: "S", Text: "sage", Deadline: 15 * time.Second})
+		done <- err
+	}()
+	serving := 0
+	eventually(t, "the search is in flight", func() bool {
+		serving = slices.IndexFunc(w.Running, func(d *daemon.Daemon) bool { return d.InFlight() > 0 })
+		return serving >= 0
+	})
+	time.AfterFunc(1500*time.Millisecond, func() { setMedian(time.Millisecond) })
+	if err := w.Running[serving].Stop(t.Context()); err == nil {
+		t.Error("the stop did not report the search that it interrupted")
+	}
+	if err := <-done; err != nil {
+		t.Errorf("the search failed with ten seconds left: %v", err)
+	}
+}
+
 func TestNonIdempotentRequestRunsOnceThroughAnyDaemon(t *testing.T) {
 	w := start(t, &world.World{Daemons: 3})
 	home := w.Running[0].Addresses("", "").Addresses[0].Home
--- a/internal/request/search/runner.go
+++ b/internal/request/search/runner.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/target"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/budget"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
@@ -84,7 +86,11 @@
 			view = next
 			continue
 		}
-		return r.conclude(s, request, started, restarts)
+		answer, refusal := r.conclude(s, request, started, restarts)
+		if refusal != nil && errors.Is(context.Cause(ctx), drain.ErrStopping) {
+			return nil, stoppingRefusal(s.ran())
+		}
+		return answer, refusal
 	}
 }
 
@@ -184,6 +190,16 @@
 	return &wire.Refusal{Kind: wire.RefusalCoverage, Message: message, Coverage: &c, RetryAfterMillis: 100}
 }
 
+// stoppingRefusal refuses a search that the daemon has no more time for. Another daemon
+// can serve it, whether it ran or not.
+func stoppingRefusal(ran wire.Ran) *wire.Refusal {
+	refusal := &wire.Refusal{Kind: wire.RefusalNotReady, Message: "the daemon is stopping; use another one", Ran: ran}
+	if ran != wire.RanNo {
+		refusal.Kind = wire.RefusalUncertain
+	}
+	return refusal
+}
+
 func quarantineRefusal(remaining time.Duration) *wire.Refusal {
 	return &wire.Refusal{
 		Kind:             wire.RefusalQuarantined,
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -155,10 +155,11 @@
 	return nil, lastErr
 }
 
-// otherDaemonMayServe reports whether another daemon may serve a request that
-// one daemon refused.
+// otherDaemonMayServe reports whether another daemon may serve a search that one daemon
+// refused. A daemon that stops refuses with RefusalUncertain what it has begun.
 func otherDaemonMayServe(refusal *wire.Refusal) bool {
-	return refusal.Ran == wire.RanNo && (refusal.Kind == wire.RefusalNotReady || refusal.Kind == wire.RefusalNoTarget)
+	return refusal.Kind == wire.RefusalUncertain ||
+		refusal.Ran == wire.RanNo && (refusal.Kind == wire.RefusalNotReady || refusal.Kind == wire.RefusalNoTarget)
 }
 
 // Each calls handle with every match, page by page. All matches are of one index
