Answer requests of other daemons when a stop has no time left for them

The other daemon's caller waited for its whole deadline. Now they are waited for beside the servers and interrupted at the same moment, with a reply.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -100,8 +100,11 @@
 	opaque     opaque
 	// forwardsInFlight counts the requests in flight that other daemons forwarded.
 	forwardsInFlight atomic.Int64
-	hostsLoaded      atomic.Bool
-	seeds            atomic.Pointer[[]string]
+	// peerContext ends when a stop has no more time for these requests.
+	peerContext    context.Context
+	endPeerContext context.CancelCauseFunc
+	hostsLoaded    atomic.Bool
+	seeds          atomic.Pointer[[]string]
 
 	mu      sync.RWMutex
 	tenants map[string]*tenant.Tenant
@@ -112,6 +115,7 @@
 func (d *Daemon) Start(ctx context.Context) error {
 	d.started = time.Now()
 	d.tenants = map[string]*tenant.Tenant{}
+	d.peerContext, d.endPeerContext = context.WithCancelCause(context.Background())
 	d.Meter = meter.New()
 	d.Keeper = epoch.NewKeeper()
 	d.Poison = poison.New()
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -331,6 +331,48 @@
 	}
 }
 
+// slowCommands is a service whose single target takes the given time for a command.
+func slowCommands(daemons int, grace string, work time.Duration) *world.World {
+	files := quickSettings()
+	files["firm.ini"] += "[System]\nStopGrace = " + grace + "\n"
+	files["D/S/service.ini"] = "[Time]\nMaxDeadline = 30s\n"
+	return &world.World{Daemons: daemons, Settings: files, Services: []world.Service{{
+		Deployment: "D", Name: "S", Shards: 1, Replicas: 1, Slots: 4, Connections: 40, Documents: 30,
+		Behaviour: shard.Behaviour{Median: work},
+	}}}
+}
+
+// Guards against a forwarded command that gets no reply when its home stops, so that its
+// caller waits for the whole deadline.
+func TestForwardedCommandIsAnsweredWhenItsHomeStops(t *testing.T) {
+	w := start(t, slowCommands(2, "3s", time.Minute))
+	home, other := w.Running[0], w.Running[1]
+	var token string
+	for _, a := range other.Addresses("", "").Addresses {
+		if a.URL == home.URL() {
+			token = a.Home
+		}
+	}
+	answered := make(chan time.Time, 1)
+	go func() {
+		_, refusal := other.Execute(context.WithoutCancel(t.Context()), time.Now(), &wire.ExecuteRequest{
+			Deployment: "D", Service: "S", Caller: "c", RequestID: "r", Deadline: "12s", IdempotencyKey: "k", Home: token, Command: "pick",
+		})
+		if refusal == nil || refusal.Ran != wire.RanUnknown {
+			t.Errorf("refusal %v", refusal)
+		}
+		answered <- time.Now()
+	}()
+	time.Sleep(300 * time.Millisecond)
+	if err := home.Stop(t.Context()); err == nil {
+		t.Error("the stop did not report the command that it interrupted")
+	}
+	gone := time.Now()
+	if late := (<-answered).Sub(gone); late > time.Second {
+		t.Errorf("answered %v after the home had gone", late)
+	}
+}
+
 // Guards against a search that fails for good because its daemon stops, although another
 // one can serve it.
 func TestInterruptedSearchIsSentToAnotherDaemon(t *testing.T) {
--- a/internal/process/daemon/execute.go
+++ b/internal/process/daemon/execute.go
@@ -102,7 +102,7 @@
 	case token.Daemon != d.self.Name || token.Incarnation != d.self.Incarnation:
 		reply.Refusal = outcomeUnknown("the home has been replaced")
 	default:
-		reply.Answer, reply.Refusal = d.executeHere(context.Background(), arrived, token, &message.Request)
+		reply.Answer, reply.Refusal = d.executeHere(d.peerContext, arrived, token, &message.Request)
 	}
 	encoded, err := codec.Encode(&reply)
 	if err != nil {
@@ -111,6 +111,13 @@
 	return encoded
 }
 
+// stopForwarded ends the wait for commands that other daemons have forwarded, and returns
+// their number.
+func (d *Daemon) stopForwarded() int {
+	d.endPeerContext(drain.ErrStopping)
+	return int(d.forwardsInFlight.Load())
+}
+
 // executeHere runs a request at its home. If the request was sent before, it waits for
 // the earlier run or replays its result.
 func (d *Daemon) executeHere(ctx context.Context, arrived time.Time, token once.Token, request *wire.ExecuteRequest) (*wire.ExecuteAnswer, *wire.Refusal) {
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/joiner"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
@@ -169,9 +170,14 @@
 	}
 	interrupted, err := d.membership.Leave(ctx, joiner.LeaveOptions{
 		AddressTTL: settings.AddressKeep + settings.SilentAfter, Servers: servers,
-		PeerRequests: func() int { return d.home.Running() + int(d.forwardsInFlight.Load()) }, Close: d.close,
+		PeerRequests:   func() int { return d.home.Running() + int(d.forwardsInFlight.Load()) },
+		InterruptPeers: d.stopForwarded,
+		Close:          d.close,
 	})
 	klog.InfoS("stopped", "interrupted", interrupted)
+	if err == nil && interrupted > 0 {
+		err = fault.Causef("there was no time left for %d commands forwarded by other daemons", interrupted)
+	}
 	if err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
--- a/internal/process/joiner/joiner.go
+++ b/internal/process/joiner/joiner.go
@@ -8,7 +8,7 @@
 //		// the daemon serves
 //	}
 //	interrupted, err := m.Leave(ctx, joiner.LeaveOptions{
-//		AddressTTL: 3 * time.Second, Servers: servers, PeerRequests: peerRequests, Close: closeLinks,
+//		AddressTTL: 3 * time.Second, Servers: servers, PeerRequests: peerRequests, InterruptPeers: interruptPeers, Close: closeLinks,
 //	})
 package joiner
 
@@ -19,13 +19,18 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 )
 
-// closeDelay is the time between the last heartbeat and closing the link, so that the
-// heartbeat is sent.
-const closeDelay = 60 * time.Millisecond
+const (
+	// closeDelay is the time between the last heartbeat and closing the link, so that the
+	// heartbeat is sent.
+	closeDelay = 60 * time.Millisecond
+	// replyPollInterval is the time between checks for requests of other daemons.
+	replyPollInterval = 20 * time.Millisecond
+)
 
 // Server serves callers; *edge.Server and *server.Server implement it.
 type Server interface {
@@ -76,6 +81,8 @@
 	Servers    []Server
 	// PeerRequests returns the number of requests in flight on behalf of other daemons.
 	PeerRequests func() int
+	// InterruptPeers ends them early, each with a reply, and returns their number.
+	InterruptPeers func() int
 	// Close closes the remaining parts of the daemon after all requests have ended.
 	Close func()
 }
@@ -96,13 +103,16 @@
 		server.Leave()
 	}
 	sleep.For(ctx, addressTTL-addressTTL/2)
+	peers := make(chan int, 1)
+	go func() { peers <- finishPeers(ctx, &options) }()
 	err = stopAll(ctx, options.Servers)
 	for _, server := range options.Servers {
 		interrupted += server.Interrupted()
 	}
-	for options.PeerRequests() > 0 && sleep.For(ctx, closeDelay) {
-		// Requests that were begun for other daemons are finished as well.
-		continue
+	interrupted += <-peers
+	if ctx.Err() == nil {
+		// Other daemons may have sent more meanwhile.
+		interrupted += finishPeers(ctx, &options)
 	}
 	m.setState(member.Gone)
 	sleep.For(context.WithoutCancel(ctx), closeDelay)
@@ -120,6 +130,24 @@
 	return min(addressTTL, 2*time.Until(deadline)/3)
 }
 
+// finishPeers waits for the requests in flight on behalf of other daemons. At the end of
+// ctx it interrupts them, returns their number and waits for their replies.
+func finishPeers(ctx context.Context, options *LeaveOptions) (interrupted int) {
+	for options.PeerRequests() > 0 && sleep.For(ctx, replyPollInterval) {
+		continue
+	}
+	if options.PeerRequests() == 0 {
+		return 0
+	}
+	interrupted = options.InterruptPeers()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain.AnswerTime)
+	defer cancel()
+	for options.PeerRequests() > 0 && sleep.For(ctx, replyPollInterval) {
+		continue
+	}
+	return interrupted
+}
+
 // stopAll stops the servers at the same time, since they share the time that is left.
 func stopAll(ctx context.Context, servers []Server) error {
 	errs := make([]error, len(servers))
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/joiner"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
@@ -201,15 +202,19 @@
 	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-stopMargin))
 	defer cancel()
 	interrupted, err := n.membership.Leave(ctx, joiner.LeaveOptions{
-		AddressTTL:   addressTTLFactor * addressTTL,
-		Servers:      []joiner.Server{n.server},
-		PeerRequests: func() int { return int(n.assistsInFlight.Load()) },
+		AddressTTL:     addressTTLFactor * addressTTL,
+		Servers:        []joiner.Server{n.server},
+		PeerRequests:   func() int { return int(n.assistsInFlight.Load()) },
+		InterruptPeers: n.stopAssisting,
 		Close: func() {
 			n.cancel()
 			n.link.Close()
 		},
 	})
 	n.Log.State("stopped", "interrupted", interrupted, "tookMillis", time.Since(began).Milliseconds())
+	if err == nil && interrupted > 0 {
+		err = fault.Causef("there was no time left for %d gathers of other daemons", interrupted)
+	}
 	if err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -154,6 +154,9 @@
 	activeSince time.Time
 	// assistsInFlight counts gathers in flight for other daemons.
 	assistsInFlight atomic.Int64
+	// peerContext ends when a stop has no more time for these gathers.
+	peerContext    context.Context
+	endPeerContext context.CancelCauseFunc
 	// tableReady is true once Table is set.
 	tableReady atomic.Bool
 	joined     atomic.Bool
@@ -170,6 +173,7 @@
 func (n *Node) Start(ctx context.Context) error {
 	n.started = time.Now()
 	n.serving = make(chan struct{})
+	n.peerContext, n.endPeerContext = context.WithCancelCause(context.Background())
 	n.build()
 	if err := n.listen(); err != nil {
 		return err
--- a/internal/process/node/remote.go
+++ b/internal/process/node/remote.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 )
 
 // peerRetryDelay is how long no message is sent to a peer that did not answer in time.
@@ -72,5 +74,15 @@
 	}
 	n.assistsInFlight.Add(1)
 	defer n.assistsInFlight.Add(-1)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(n.peerContext, func() { cancel(context.Cause(n.peerContext)) })()
 	return n.runner.Assist(ctx, body, confirmed)
 }
+
+// stopAssisting ends the gathers on behalf of other daemons with the shards that have
+// answered, and returns their number.
+func (n *Node) stopAssisting() int {
+	n.endPeerContext(drain.ErrStopping)
+	return int(n.assistsInFlight.Load())
+}
