Let a stopping home answer resends of commands, and refuse new ones truly

What callers saw: a resend of a command that the home was running got 'not run' from the home's stop, and pkg/caller takes that as final; a user who then runs it again under a new key has it run twice. Cause: the stop refused by the kind of its moment and not by the kind of request. Now a command always reaches the home: keys that it knows get their outcome, and new ones are refused for good, so that 'not run' stays true; pkg/caller takes such a key to another home. Also: requests are interrupted before the log tells so.

--- a/internal/conn/drain/drain.go
+++ b/internal/conn/drain/drain.go
@@ -73,6 +73,8 @@
 type Drain struct {
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
+	// OnRefuse, if set, is called when the server begins to refuse requests.
+	OnRefuse func()
 
 	server    *http.Server
 	listener  net.Listener
@@ -113,6 +115,18 @@
 	if d.refusing {
 		return func() {}, false
 	}
+	return d.begin(id), true
+}
+
+// BeginLate counts a request like Begin, also while new requests are refused: one that
+// may belong to earlier work, so that a refusal would not be true.
+func (d *Drain) BeginLate(id string) (end func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.begin(id)
+}
+
+func (d *Drain) begin(id string) (end func()) {
 	d.next++
 	number := d.next
 	d.arrived++
@@ -122,7 +136,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.requests, number)
-	}, true
+	}
 }
 
 func (d *Drain) trackConnection(conn net.Conn, state http.ConnState) {
@@ -156,7 +170,8 @@
 }
 
 // Stop stops the server. It returns at most AnswerTime after the end of ctx, with an
-// error if requests were interrupted. Without a deadline it waits for all requests.
+// error if requests were interrupted or answers cut. Without a deadline it waits for as
+// long as callers send requests.
 func (d *Drain) Stop(ctx context.Context) error {
 	d.Leave()
 	d.report("waiting until no request arrives")
@@ -174,11 +189,13 @@
 		defer cancel()
 		answered = wait(ctx, isAnswered)
 	}
+	unwritten := d.countConnections()[http.StateActive]
 	d.report("closing connections")
 	// Closing fails only for connections that have ended already.
 	_ = d.server.Close()
 	if interrupted := d.Interrupted(); interrupted > 0 || !answered {
-		return &Error{Op: "stop", Kind: KindInterrupted, Err: fault.Causef("there was no time left for %d requests", max(interrupted, d.InFlight()))}
+		return &Error{Op: "stop", Kind: KindInterrupted, Err: fault.Causef(
+			"there was no time left for %d requests; %d answers could not be written", interrupted, unwritten)}
 	}
 	return nil
 }
@@ -203,6 +220,9 @@
 	d.mu.Lock()
 	d.refusing = true
 	d.mu.Unlock()
+	if d.OnRefuse != nil {
+		d.OnRefuse()
+	}
 	// Callers that connect now find out at once that they have to go elsewhere. Closing
 	// fails only if the listener is closed already.
 	_ = d.listener.Close()
@@ -219,13 +239,13 @@
 		}
 	}
 	d.mu.Unlock()
+	d.interrupt(ErrStopping)
 	d.report("interrupting requests in flight")
 	for _, r := range reported {
 		if d.Report != nil {
 			d.Report("request interrupted", "request", r.id, "ageMillis", time.Since(r.began).Milliseconds())
 		}
 	}
-	d.interrupt(ErrStopping)
 }
 
 // wait waits until the condition holds and returns whether it does.
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -127,7 +127,7 @@
 		Accepted: d.applySettings, Execute: d.executeForwarded,
 	}
 	d.gossip.Init()
-	d.server = &server.Server{Address: d.Setup.Listen, Name: d.Setup.Name, Backend: d, Meter: d.Meter, Report: klog.InfoS}
+	d.server = &server.Server{Address: d.Setup.Listen, Name: d.Setup.Name, Backend: d, Meter: d.Meter, Report: klog.InfoS, OnRefuse: func() { d.home.Close() }}
 	if err := d.listen(); err != nil {
 		return err
 	}
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -1,9 +1,12 @@
 package daemon_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -342,6 +345,59 @@
 	}}}
 }
 
+// Guards against "not run" said of a command that runs: a stopping home refuses new
+// commands, but a resend of an earlier one learns its outcome.
+func TestStoppingHomeAnswersResendsTruly(t *testing.T) {
+	const work = 2900 * time.Millisecond
+	w := start(t, slowCommands(1, "4s", work))
+	d := w.Running[0]
+	home := d.Addresses("", "").Addresses[0].Home
+	// Both connections are open before the stop, since it closes the listener.
+	send := func(connection net.Conn, key string) string {
+		body := fmt.Sprintf(`{"Deployment":"D","Service":"S","Caller":"c","RequestID":"r","IdempotencyKey":%q,"Home":%q,"Command":"pick","Deadline":"10s"}`, key, home)
+		fmt.Fprintf(connection, "POST /v1/execute HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		if err != nil {
+			return err.Error()
+		}
+		defer response.Body.Close()
+		content, _ := io.ReadAll(response.Body)
+		return fmt.Sprint(response.StatusCode, " ", string(content))
+	}
+	var connections []net.Conn
+	for range 3 {
+		connection, err := net.Dial("tcp", strings.TrimPrefix(d.URL(), "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer connection.Close()
+		connections = append(connections, connection)
+	}
+	first, resent := make(chan string, 1), make(chan string, 1)
+	go func() { first <- send(connections[0], "k1") }()
+	eventually(t, "the command is in flight", func() bool { return d.InFlight() > 0 })
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.Stop(context.WithoutCancel(t.Context())) }()
+	// By now the stop refuses searches and new commands.
+	time.Sleep(2600 * time.Millisecond)
+	go func() { resent <- send(connections[1], "k1") }()
+	if answer := send(connections[2], "k2"); !strings.Contains(answer, `"NotRun"`) {
+		t.Errorf("a new command: %s", answer)
+	}
+	if answer := <-first; !strings.HasPrefix(answer, "200 ") {
+		t.Errorf("the command in flight: %s", answer)
+	}
+	if answer := <-resent; !strings.HasPrefix(answer, "200 ") {
+		t.Errorf("the command sent again: %s", answer)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+	if runs := runsOf(w, "c/k2"); runs != 0 {
+		t.Errorf("the refused command ran %d times", runs)
+	}
+}
+
 // Guards against a forwarded command that gets no reply when its home stops, so that its
 // caller waits for the whole deadline.
 func TestForwardedCommandIsAnsweredWhenItsHomeStops(t *testing.T) {
--- a/internal/process/daemon/execute.go
+++ b/internal/process/daemon/execute.go
@@ -132,6 +132,8 @@
 		go d.runOnce(context.WithoutCancel(ctx), entry, request, settings, arrived, deadline)
 	case once.Expired, once.WrongHome:
 		return nil, &wire.Refusal{Kind: wire.RefusalHomeClosed, Message: "the home token has expired; whether the request ran is not known", Ran: wire.RanUnknown}
+	case once.Closed:
+		return nil, &wire.Refusal{Kind: wire.RefusalNotReady, Message: "this home is stopping and takes no new commands; use another one", Ran: wire.RanNo}
 	case once.Full:
 		return nil, &wire.Refusal{Kind: wire.RefusalOverloaded, Message: "this home keeps no more keys", Ran: wire.RanUnknown, RetryAfterMillis: 1000}
 	case once.Mismatch:
@@ -142,7 +144,7 @@
 }
 
 func verdictName(v once.Verdict) string {
-	return [...]string{"HomeRun", "HomeWait", "HomeReplay", "HomeWrong", "HomeExpired", "HomeFull", "HomeMismatch"}[v]
+	return [...]string{"HomeRun", "HomeWait", "HomeReplay", "HomeWrong", "HomeExpired", "HomeFull", "HomeMismatch", "HomeClosed"}[v]
 }
 
 func awaitResult(ctx context.Context, entry *once.Entry, request *wire.ExecuteRequest, name string, arrived, deadline time.Time, replayed bool) (*wire.ExecuteAnswer, *wire.Refusal) {
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -69,6 +69,9 @@
 	Meter   *meter.Meter
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
+	// OnRefuse, if set, is called when a stop begins to refuse searches. Commands still
+	// reach the backend, since they may be sent again to learn their outcome.
+	OnRefuse func()
 
 	server   *http.Server
 	listener net.Listener
@@ -96,7 +99,7 @@
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	s.drain.Report = s.Report
+	s.drain.Report, s.drain.OnRefuse = s.Report, s.OnRefuse
 	s.server = &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
@@ -122,8 +125,9 @@
 	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithoutInterruptHandler, iris.WithFireMethodNotAllowed)
 	searchID := func(q *wire.SearchRequest) string { return q.RequestID }
 	executeID := func(q *wire.ExecuteRequest) string { return q.RequestID }
-	app.Post("/v1/search", handle(s, check.Search, searchID, s.Backend.Search))
-	app.Post("/v1/execute", handle(s, check.Execute, executeID, s.Backend.Execute))
+	beginCommand := func(caller string) (end func(), accepted bool) { return s.drain.BeginLate(caller), true }
+	app.Post("/v1/search", handle(s, s.drain.Begin, check.Search, searchID, s.Backend.Search))
+	app.Post("/v1/execute", handle(s, beginCommand, check.Execute, executeID, s.Backend.Execute))
 	app.Get("/v1/addresses", s.addresses)
 	app.Get("/v1/status", func(ctx iris.Context) { s.write(ctx, http.StatusOK, s.Backend.Status()) })
 	app.Get("/ready", s.ready)
@@ -160,24 +164,22 @@
 // Interrupted returns the number of requests for which Stop had no time left.
 func (s *Server) Interrupted() int { return s.drain.Interrupted() }
 
-// handle returns a handler that reads and checks a request and then answers it.
+// handle returns a handler that reads and checks a request and then answers it. Begin
+// counts a request under its caller's address.
 func handle[Q, A any](
 	s *Server,
+	begin func(caller string) (end func(), accepted bool),
 	read func([]byte) (*Q, *wire.Refusal),
 	id func(*Q) string,
 	answer func(context.Context, time.Time, *Q) (*A, *wire.Refusal),
 ) iris.Handler {
 	return func(ctx iris.Context) {
 		arrived := time.Now()
-		end, accepted := s.drain.Begin(ctx.RemoteAddr())
+		end, accepted := begin(ctx.RemoteAddr())
 		defer end()
 		if s.drain.Leaving() {
 			ctx.Header("Connection", "close")
 		}
-		if !accepted {
-			s.refuse(ctx, "", &wire.Refusal{Kind: wire.RefusalNotReady, Message: "the daemon is stopping; use another one", Ran: wire.RanNo})
-			return
-		}
 		body, refusal := readBody(ctx)
 		if refusal != nil {
 			s.refuse(ctx, "", refusal)
@@ -188,6 +190,10 @@
 			s.refuse(ctx, refusal.RequestID, refusal)
 			return
 		}
+		if !accepted {
+			s.refuse(ctx, id(request), &wire.Refusal{Kind: wire.RefusalNotReady, Message: "the daemon is stopping; use another one", Ran: wire.RanNo})
+			return
+		}
 		result, refusal := answer(ctx.Request().Context(), arrived, request)
 		if s.drain.Leaving() {
 			ctx.Header("Connection", "close")
--- a/internal/request/once/once.go
+++ b/internal/request/once/once.go
@@ -87,6 +87,9 @@
 	Full
 	// Mismatch means that the key was used for another command.
 	Mismatch
+	// Closed means that the home takes no new keys any more; the request did not run
+	// and will not.
+	Closed
 )
 
 // Outcome classifies the end of a run.
@@ -135,6 +138,7 @@
 	config Config
 
 	mu      sync.Mutex
+	closed  bool
 	entries map[string]*Entry
 }
 
@@ -158,6 +162,9 @@
 	if now >= t.ExpiryMillis || t.ExpiryMillis > now+h.config.MaxTokenLife.Milliseconds() {
 		return nil, Expired
 	}
+	if h.closed {
+		return nil, Closed
+	}
 	if len(h.entries) >= h.config.MaxKeys {
 		h.sweep(now)
 	}
@@ -169,6 +176,13 @@
 	return e, Run
 }
 
+// Close makes the home take no new keys. It goes on answering for those that it keeps.
+func (h *Home) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+}
+
 // decideKnown decides on a request whose key the home keeps. A token with a later
 // expiry extends the time for which the key is kept.
 func (h *Home) decideKnown(e *Entry, expiry int64, contentHash uint64) Verdict {
--- a/internal/request/once/once_test.go
+++ b/internal/request/once/once_test.go
@@ -46,6 +46,11 @@
 				h.Begin(0, token(time.Minute), key, 1)
 			}
 		}, time.Second, token(time.Minute), 1, Full},
+		{"new at a closed home", func(h *Home) { h.Close() }, time.Second, token(time.Minute), 1, Closed},
+		{"running at a closed home", func(h *Home) {
+			h.Begin(0, token(time.Minute), "k", 1)
+			h.Close()
+		}, time.Second, token(time.Minute), 1, Wait},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -184,8 +184,8 @@
 }
 
 // Execute runs a command at most once. It resends, also through other daemons,
-// but always with the same home and key; a later Execute of the key uses them
-// too. An error of KindUnknown means that the command may have run. A refusal
+// but always with the same home and key, unless the home refuses the key for good
+// because it stops; a later Execute of the key uses them too. An error of KindUnknown means that the command may have run. A refusal
 // with Ran "NotRun" guarantees that the command has not run and will not run.
 func (c *Caller) Execute(ctx context.Context, command Command) (*wire.ExecuteAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, command.Deadline+replyOverhead)
@@ -214,6 +214,14 @@
 			lastErr = &Error{Op: "execute", Kind: KindUnknown, Err: err}
 		case refusal == nil:
 			return &answer, nil
+		case refusal.Kind == wire.RefusalNotReady && refusal.Ran == wire.RanNo:
+			// The home stops and will never run this key, so another home may.
+			lastErr = refusalError("execute", refusal)
+			c.forgetHome(command.Key)
+			if home, err = c.homeForKey(ctx, command.Key); err != nil {
+				return nil, lastErr
+			}
+			request.Home = home.Home
 		case refusal.Ran == wire.RanUnknown && refusal.RetryAfterMillis > 0:
 			lastErr = &Error{Op: "execute", Kind: KindUnknown, Refusal: refusal, Err: refusal}
 		case refusal.Ran == wire.RanUnknown:
@@ -248,6 +256,12 @@
 	return home, nil
 }
 
+func (c *Caller) forgetHome(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.homeByKey.Remove(key)
+}
+
 var errHomeTokensExpired = errors.New("no daemon answered, and the cached home tokens are too old for a first send")
 
 // homeTokensUsable reports whether the home tokens of the cached list may be used
