Retry the shard of a broken canary within its attempts and the budget

What callers saw: a search that was not seen before ran on one target of a shard more than MaxAttempts allows (on two where one is allowed, on three of two if the canary had been hedged), and the retry budget did not count the attempt. A request that breaks its targets so reached one more of them. Cause: a canary whose target broke puts its shard back to idle, and the answer of another canary sends all idle shards, as if they had never been sent. Every other second attempt passes retry, which checks the attempts left and the budget. Change: sendAll passes a shard that has had an attempt to retry.

--- a/internal/request/gather/canary.go
+++ b/internal/request/gather/canary.go
@@ -65,7 +65,7 @@
 // target that broke. The caller refuses a query that the loss quarantines, so
 // handleBrokenCanary does not see that query.
 func (g *Gather) handleBrokenCanary(now time.Time, shard int, broken *fleet.Target) {
-	// The shard is sent again with the others once a canary has answered.
+	// The shard is retried with the others once a canary has answered.
 	g.shards[shard].phase = idle
 	g.avoidDomain = broken.Domain()
 	if g.canaryPending() {
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -309,9 +309,15 @@
 	}
 }
 
+// sendAll sends the shards that are idle. Those whose canary broke its target have
+// had an attempt, so a further one is a retry.
 func (g *Gather) sendAll(now time.Time) {
 	for shard := range g.shards {
-		if g.shards[shard].phase == idle && !g.remote(shard) {
+		switch s := &g.shards[shard]; {
+		case s.phase != idle || g.remote(shard):
+		case s.attempts > 0:
+			g.retry(now, shard, fleet.Broken)
+		default:
 			g.launch(now, shard, false)
 		}
 	}
