Gather a pool once, however often a route names it

Cause: each entry of the list is a shard with attempts of its own. Change: a repeated name is dropped when the routes are read; the operator's configuration passes through there too. Evidence: TestRepeatedPoolIsGatheredOnce fails on the code before ([a b a]) and passes now.

--- a/pkg/tree/route_test.go
+++ b/pkg/tree/route_test.go
@@ -1,6 +1,8 @@
 package tree
 
 import (
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/sebdah/goldie/v2"
@@ -53,6 +55,19 @@
 	}
 }
 
+// Guards against a request that runs on more targets of a pool than MaxAttempts allows,
+// because the pool is named twice and so is two shards.
+func TestRepeatedPoolIsGatheredOnce(t *testing.T) {
+	parsed, err := Parse(Files{RoutesFile: strings.Replace(goodRoutes, "Gather = a, b", "Gather = a, b, a", 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := parsed.Routes().Match("shop.example", "/search/x")
+	if want := []string{"a", "b"}; got == nil || !slices.Equal(got.Gather, want) {
+		t.Errorf("route %+v, want a gather over %v", got, want)
+	}
+}
+
 // Parse reports every problem of a routes file with its line.
 func TestRouteProblems(t *testing.T) {
 	_, err := Parse(Files{RoutesFile: `
--- a/pkg/tree/routeexplain.go
+++ b/pkg/tree/routeexplain.go
@@ -59,7 +59,7 @@
 		},
 	},
 	{
-		Explanation{Field: "Gather", Unit: "pools", Range: "either Split or Gather", Doc: "The pools whose replies form the answer; each pool is one shard."},
+		Explanation{Field: "Gather", Unit: "pools", Range: "either Split or Gather", Doc: "The pools whose replies form the answer; each pool is one shard, however often it is named."},
 		func(r *Route) string { return strings.Join(r.Gather, ", ") },
 	},
 	{
--- a/pkg/tree/routefile.go
+++ b/pkg/tree/routefile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -122,7 +123,7 @@
 			return err
 		},
 		"Gather": func(value string) error {
-			route.Gather = splitList(value)
+			route.Gather = distinct(splitList(value))
 			return nil
 		},
 		"Merge": func(value string) error {
@@ -168,6 +169,18 @@
 	return names
 }
 
+// distinct drops repeated names. A pool that is gathered twice would be two shards,
+// with the attempts of two.
+func distinct(names []string) []string {
+	kept := names[:0]
+	for _, name := range names {
+		if !slices.Contains(kept, name) {
+			kept = append(kept, name)
+		}
+	}
+	return kept
+}
+
 func stringSetter(field *string) func(string) error {
 	return func(value string) error {
 		*field = value
