Count the attempts of a search from before a restart at a new version

What callers saw: a search whose targets dropped their index version during it is gathered again at the new version, under the same ID. Each shard then had all its attempts again, up to three times MaxAttempts, which the settings call the maximum for one shard of one request. Change: a gather knows what earlier ones of the request have spent: the attempts that may have run, at the shard that had most of them, since shards of two versions need not match. With nothing left for some shard there is no restart, and the answer or refusal tells the coverage as before. So with one attempt a search is no longer restarted, nor if a hedge took the last one. Evidence: TestRestartKeepsToItsAttempts: with one attempt allowed, three of four shards ran twice on the code before; TestSearchRestartsAtNewVersion and 20 runs of both pass. TestShardsRunNoMoreOftenThanAllowed now plays gathers after a restart too.

--- a/internal/request/gather/attempts_test.go
+++ b/internal/request/gather/attempts_test.go
@@ -89,6 +89,9 @@
 		config.NonIdempotent, p.limit = true, 1
 	case 1:
 		config.DeferExtras = true
+	case 3:
+		config.Spent = p.random.IntN(p.limit)
+		p.limit -= config.Spent
 	case 2:
 		config.Canary, config.Remote = false, make([]bool, shards)
 		for shard := range shards {
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -81,6 +81,9 @@
 	// DeferExtras forbids extra attempts until AllowExtras is called, except retries
 	// after an attempt that certainly did not run.
 	DeferExtras bool
+	// Spent is the number of attempts for each shard that an earlier gather of the same
+	// request has made, and that may have run.
+	Spent int
 	// Remote, if set, is true at the index of each shard that another daemon
 	// gathers. The caller reports the end of each by EndRemote or FailRemote, and
 	// counts their primary attempts for the budgets.
@@ -121,6 +124,7 @@
 type shardState struct {
 	phase    phase
 	attempts uint8
+	notRun   uint8
 	inFlight uint8
 	sentAt   time.Time
 	retryAt  time.Time
@@ -185,6 +189,9 @@
 	a.ended = true
 	s := &g.shards[a.shard]
 	s.inFlight--
+	if notRun(outcome) {
+		s.notRun++
+	}
 	switch {
 	case s.phase == answered || s.phase == failed:
 	case outcome == fleet.Success:
@@ -367,7 +374,7 @@
 	if g.config.DeferExtras {
 		return s.attempts == 0
 	}
-	return int(s.attempts) < min(g.config.Settings.MaxAttempts, maxAttempts)
+	return g.config.Spent+int(s.attempts) < min(g.config.Settings.MaxAttempts, maxAttempts)
 }
 
 // retry sends a shard whose attempt failed to another target. The retry is free
--- a/internal/request/gather/state.go
+++ b/internal/request/gather/state.go
@@ -27,6 +27,17 @@
 // ShardAttempts returns the number of attempts for a shard.
 func (g *Gather) ShardAttempts(shard int) int { return int(g.shards[shard].attempts) }
 
+// Spent returns the maximum number of attempts for any shard that may have run, with
+// those of earlier gathers.
+func (g *Gather) Spent() int {
+	spent := 0
+	for shard := range g.shards {
+		s := &g.shards[shard]
+		spent = max(spent, int(s.attempts-s.notRun))
+	}
+	return g.config.Spent + spent
+}
+
 // SentAt returns when the newest attempt for a shard was sent; zero means never.
 func (g *Gather) SentAt(shard int) time.Time { return g.shards[shard].sentAt }
 
--- a/internal/request/search/runner.go
+++ b/internal/request/search/runner.go
@@ -74,8 +74,10 @@
 	margin := min(time.Until(request.Deadline)/marginDivisor, maxMargin)
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-margin))
 	defer cancel()
+	spent := 0
 	for restarts := 0; ; restarts++ {
 		s := r.scatter(request, view, after, fingerprint)
+		s.spent = spent
 		refusal := s.run(ctx)
 		if refusal != nil {
 			refusal.Ran = s.ran()
@@ -83,7 +85,7 @@
 		}
 		if next := r.newerView(s); next != nil && restarts < maxRestarts && ctx.Err() == nil && request.Cursor == "" {
 			r.Meter.CountDecision("RestartAtNewVersion")
-			view = next
+			view, spent = next, s.gather.Spent()
 			continue
 		}
 		answer, refusal := r.conclude(s, request, started, restarts)
@@ -95,10 +97,10 @@
 }
 
 // newerView returns the view to restart with if shards are missing because targets
-// dropped their index version. It returns nil if there is no reason for a restart
-// or no view of another version.
+// dropped their index version. It returns nil if there is no reason for a restart,
+// no attempt left for some shard or no view of another version.
 func (r *Runner) newerView(s *scatter) *fleet.View {
-	if !s.versionGone || s.gather.Answered() == s.view.Shards() {
+	if !s.versionGone || s.gather.Answered() == s.view.Shards() || s.gather.Spent() >= s.request.Settings.MaxAttempts {
 		return nil
 	}
 	next := r.Fleet.Plan()
--- a/internal/request/search/runner_test.go
+++ b/internal/request/search/runner_test.go
@@ -21,6 +21,9 @@
 
 const shards, replicas = 4, 2
 
+// restartDelay is the service time of searches that are to be restarted.
+const restartDelay = 100 * time.Millisecond
+
 // service is a runner with real connections to fake searchers of one shard each.
 // A test can change their index versions without a report to the fleet.
 type service struct {
@@ -114,6 +117,36 @@
 	}
 }
 
+// Guards against attempts beyond MaxAttempts for a shard of a search that is restarted at
+// a new version: its earlier attempts count, unless they have not run.
+func TestRestartKeepsToItsAttempts(t *testing.T) {
+	for _, maxAttempts := range []int{1, 2} {
+		x := newService(t)
+		settings := *x.settings
+		settings.MaxAttempts, settings.ExtraLoad, settings.Canary = maxAttempts, 0, false
+		x.settings = &settings
+		for i, s := range x.searchers {
+			s.Hold(x.corpus, 2, shards, []int{i % shards})
+			// The search has to last until version 2 is reported.
+			s.UpdateBehaviour(func(b *shard.Behaviour) { b.Median, b.Spread = restartDelay, 0 })
+			if i%shards == 0 {
+				s.Drop(1)
+			}
+		}
+		reported := time.AfterFunc(restartDelay/2, func() { x.report(2) })
+		answer, refusal := x.ask("oregano", "")
+		reported.Stop()
+		if restarted := refusal == nil && answer.Restarts > 0; restarted != (maxAttempts > 1) {
+			t.Errorf("%d attempts: answer %+v, refusal %+v", maxAttempts, answer, refusal)
+		}
+		for i := 1; i < shards; i++ {
+			if ran := x.searchers[i].Counts().Requests + x.searchers[shards+i].Counts().Requests; ran > int64(maxAttempts) {
+				t.Errorf("shard %d ran %d times, where %d are allowed", i, ran, maxAttempts)
+			}
+		}
+	}
+}
+
 // An attempt at a replica without the version is no reason for a restart if
 // another replica has the version.
 func TestCompleteSearchIsNotRestarted(t *testing.T) {
--- a/internal/request/search/scatter.go
+++ b/internal/request/search/scatter.go
@@ -35,6 +35,8 @@
 	query       poison.Query
 	canary      bool
 	canaryShard int
+	// spent is the number of attempts for each shard before a restart.
+	spent int
 
 	gather         *gather.Gather
 	merge          *merge.Merge
@@ -55,7 +57,7 @@
 	s.waitCancels = map[int]func(){}
 	s.gather = gather.New(gather.Config{
 		View: s.view, Targets: s.runner.Fleet, HedgeBudget: s.runner.HedgeBudget, RetryBudget: s.runner.RetryBudget,
-		Settings: s.request.Settings, Deadline: deadline, Canary: s.canary, CanaryShard: s.canaryShard,
+		Settings: s.request.Settings, Deadline: deadline, Canary: s.canary, CanaryShard: s.canaryShard, Spent: s.spent,
 	})
 	defer s.cancelWaits()
 	defer s.cancelAll()
