--- a/internal/request/search/runner_test.go
+++ b/internal/request/search/runner_test.go
@@ -205,3 +205,14 @@
 		}
 	}
 }
+
+// Guards against "not run" said of a search whose targets ran it before a restart at
+// another version, after which nothing was sent any more.
+func TestRestartedSearchIsNotSaidNotToHaveRun(t *testing.T) {
+	if got := (&scatter{spent: 1}).ran(); got != wire.RanUnknown {
+		t.Errorf("after a restart: %s", got)
+	}
+	if got := (&scatter{}).ran(); got != wire.RanNo {
+		t.Errorf("at the start: %s", got)
+	}
+}
--- a/internal/request/search/scatter.go
+++ b/internal/request/search/scatter.go
@@ -215,7 +215,7 @@
 
 // ran reports whether any target has or may have run the request.
 func (s *scatter) ran() wire.Ran {
-	if s.gather == nil || s.gather.Attempts() == 0 {
+	if s.spent == 0 && (s.gather == nil || s.gather.Attempts() == 0) {
 		return wire.RanNo
 	}
 	if s.merged > 0 {
