Keep the reply of a peer that has finished before it is asked to go on

If it is done before the confirmation arrives, the asking daemon's write fails, "stream canceled by remote with error code 0", and it threw away the reply, which held all shards. It then took it that the peer had used all attempts, so the shards failed at once.

Change: a refused confirmation is no reason not to read the reply.

--- a/internal/conn/link/consult.go
+++ b/internal/conn/link/consult.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"time"
 
@@ -45,7 +46,9 @@
 	if !stillWanted() {
 		return nil, &Error{Op: "consult", Kind: KindGivenUp}
 	}
-	if _, err := stream.Write([]byte{confirmedByte}); err != nil {
+	// A peer that has replied already refuses the confirmation, and its reply can be read.
+	var refused *quic.StreamError
+	if _, err := stream.Write([]byte{confirmedByte}); err != nil && !errors.As(err, &refused) {
 		return nil, &Error{Op: "consult", Kind: KindBroken, Err: err}
 	}
 	return l.readReply(stream)
--- a/internal/conn/link/consult_test.go
+++ b/internal/conn/link/consult_test.go
@@ -44,3 +44,31 @@
 		cancel()
 	}
 }
+
+// Guards against a reply that is thrown away because the peer has finished before the
+// confirmation reaches it, and so refuses to read it.
+func TestReplyBeforeConfirmationIsKept(t *testing.T) {
+	a, _ := startLink(t, "127.0.0.1:0")
+	replied := make(chan struct{})
+	b, _ := startLink(t, "127.0.0.1:0", func(l *Link) {
+		l.HandleGather = func(context.Context, []byte, <-chan struct{}) []byte { return []byte("reply") }
+		l.Sent = func(kind Type, _ int) {
+			if kind == Gather {
+				close(replied)
+			}
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	reply, err := a.AskGather(ctx, b.Address, []byte("ask"), func() bool {
+		<-replied
+		// This reply comes after the peer's refusal, on the same connection.
+		if _, err := a.Ask(ctx, b.Address, Fetch, nil); err != nil {
+			t.Error(err)
+		}
+		return true
+	})
+	if err != nil || string(reply) != "reply" {
+		t.Errorf("reply %q, error %v", reply, err)
+	}
+}
