Give up on a late peer only if its shards can be sent directly

Change: the extra attempts for all shards of a late peer are reserved first. Without them the daemon goes on waiting until the peer's reply would be due, asks again each round trip, and tells other requests to avoid the peer. The decision is one step with the look at the state.

--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -149,6 +149,8 @@
 	canaryOnly   bool
 	canariesSent int
 	avoidDomain  string
+	// reserved is true for shards with an extra attempt from ReserveRemote.
+	reserved []bool
 	// backingOff is the number of shards in phase backingOff.
 	backingOff int
 	// nextHedge is the earliest time at which a shard may be due for a hedge.
--- a/internal/request/gather/pools_test.go
+++ b/internal/request/gather/pools_test.go
@@ -135,6 +135,30 @@
 	}
 }
 
+// A reservation covers all shards of a peer or none, is spent once, and can be given back.
+func TestReservationsForShardsOfAPeer(t *testing.T) {
+	budgets := []*fakeBudget{{remaining: 1}, {remaining: 0}}
+	g := newPoolFixture(2, 0, func(c *Config) {
+		c.ShardBudgets, c.Remote = []Budget{budgets[0], budgets[1]}, []bool{true, true}
+	})
+	g.gather.Begin(start)
+	if g.gather.ReserveRemote(start, []int{0, 1}) || budgets[0].remaining != 1 {
+		t.Errorf("%d extra attempts are left of 1 that doesn't suffice", budgets[0].remaining)
+	}
+	budgets[1].remaining = 1
+	if !g.gather.ReserveRemote(start, []int{0, 1}) || budgets[0].remaining+budgets[1].remaining != 0 {
+		t.Errorf("%d and %d extra attempts are left after a reservation", budgets[0].remaining, budgets[1].remaining)
+	}
+	g.gather.ReleaseRemote(start, []int{0})
+	g.gather.ReleaseRemote(start, []int{0})
+	if budgets[0].remaining != 1 {
+		t.Errorf("%d extra attempts are left after one was given back", budgets[0].remaining)
+	}
+	if step := g.gather.EndRemote(start, 1, false, 1, nil); len(step.Send) != 1 {
+		t.Errorf("%d attempts were sent for a reservation", len(step.Send))
+	}
+}
+
 func TestRemoteShardsSettleOnce(t *testing.T) {
 	g := newPoolFixture(3, 10, func(c *Config) { c.Remote = []bool{true, true, false} })
 	first := g.gather.Begin(start)
--- a/internal/request/gather/skip.go
+++ b/internal/request/gather/skip.go
@@ -28,7 +28,7 @@
 			s.ids[s.attempts] = g.recordAttempt(shard)
 			s.attempts++
 		}
-		if !g.mayAttempt(s) || !g.retryBudget(shard).Take(now, g.config.Settings.RetryBudget) {
+		if !g.mayAttempt(s) || !g.takeReserved(shard) && !g.retryBudget(shard).Take(now, g.config.Settings.RetryBudget) {
 			g.giveUp(now, shard)
 			break
 		}
@@ -37,6 +37,48 @@
 	return g.finish(now)
 }
 
+// ReserveRemote reserves an extra attempt for each of the shards, which another daemon
+// gathers with one attempt for each. It reports false and reserves nothing unless the
+// budgets and the number of attempts allow it for all. EndRemote uses the reservations.
+func (g *Gather) ReserveRemote(now time.Time, shards []int) bool {
+	if min(g.config.Settings.MaxAttempts, maxAttempts) < 2 {
+		return false
+	}
+	for i, shard := range shards {
+		if !g.retryBudget(shard).Take(now, g.config.Settings.RetryBudget) {
+			for _, reserved := range shards[:i] {
+				g.retryBudget(reserved).Refund(now)
+			}
+			return false
+		}
+	}
+	if g.reserved == nil {
+		g.reserved = make([]bool, len(g.shards))
+	}
+	for _, shard := range shards {
+		g.reserved[shard] = true
+	}
+	return true
+}
+
+// ReleaseRemote gives back what ReserveRemote has reserved for the shards.
+func (g *Gather) ReleaseRemote(now time.Time, shards []int) {
+	for _, shard := range shards {
+		if g.takeReserved(shard) {
+			g.retryBudget(shard).Refund(now)
+		}
+	}
+}
+
+// takeReserved uses the extra attempt reserved for a shard, if there is one.
+func (g *Gather) takeReserved(shard int) bool {
+	if g.reserved == nil || !g.reserved[shard] {
+		return false
+	}
+	g.reserved[shard] = false
+	return true
+}
+
 // FailRemote fails a shard that another daemon gathers.
 func (g *Gather) FailRemote(now time.Time, shard int) *Step {
 	g.reset()
--- a/internal/request/relay/remote.go
+++ b/internal/request/relay/remote.go
@@ -93,7 +93,9 @@
 	state atomic.Int32
 	// acceptSeen is true once the exchange has processed the peer's acceptance.
 	acceptSeen bool
-	ended      bool
+	// reported is true once other requests avoid the peer.
+	reported bool
+	ended    bool
 }
 
 // The states of a remoteCall.
@@ -271,13 +273,13 @@
 	call.cancel()
 	if result.err != nil || !result.reply.valid(len(call.shards)) {
 		used := 1
-		if !call.state.CompareAndSwap(callPending, callAbandoned) {
+		if !call.state.CompareAndSwap(callPending, callAbandoned) && call.state.Load() == callAccepted {
 			used = x.route.MaxAttempts
 		}
 		x.runner.Log.Failure(x.request.ID, "a peer did not gather", "peer", call.peer, "region", call.region,
 			"shards", len(call.shards), "used", used, "most", x.route.MaxAttempts,
 			"tookMillis", now.Sub(call.sent).Milliseconds(), "error", result.err)
-		x.runner.RemotePeers.Failed(call.peer)
+		x.reportPeer(call)
 		return x.sendDirect(now, call, call.shards, func(int) int { return used })
 	}
 	missing := make([]int, 0, len(result.reply.Missing))
@@ -344,11 +346,10 @@
 // tick runs what is due: it gives up on peers that are late and checks for room.
 func (x *exchange) tick(now time.Time) *gather.Step {
 	for _, call := range x.remoteCalls {
-		if !call.ended && !now.Before(call.giveUpAt) {
-			if !call.acceptSeen && call.state.Load() == callAccepted {
-				// The acceptance is still in the inbox.
-				continue
-			}
+		if call.ended || now.Before(call.giveUpAt) {
+			continue
+		}
+		if call.acceptSeen || x.abandon(now, call) {
 			x.apply(x.endRemote(now, &remoteResult{call: call, err: errPeerLate}))
 		}
 	}
@@ -357,6 +358,41 @@
 	return x.gather.Tick(now)
 }
 
+// abandon gives up on a peer that has not accepted a call in time, if its shards can be
+// sent directly: if the extra attempts that this takes are allowed. Otherwise the shards
+// would fail while the peer may still answer, so it is given up on only when its reply
+// would be due.
+func (x *exchange) abandon(now time.Time, call *remoteCall) bool {
+	if call.state.Load() == callAccepted {
+		// The acceptance is still in the inbox.
+		return false
+	}
+	reserved := x.gather.ReserveRemote(now, call.shards)
+	if last := x.remoteLateAt().Add(remoteSlack); !reserved && now.Before(last) {
+		x.reportPeer(call)
+		call.giveUpAt = now.Add(x.runner.roundTrips.estimate(call.region) + remoteSlack)
+		if last.Before(call.giveUpAt) {
+			call.giveUpAt = last
+		}
+		return false
+	}
+	if call.state.CompareAndSwap(callPending, callAbandoned) {
+		return true
+	}
+	if reserved {
+		x.gather.ReleaseRemote(now, call.shards)
+	}
+	return false
+}
+
+// reportPeer makes other requests avoid the peer of a call for a while.
+func (x *exchange) reportPeer(call *remoteCall) {
+	if !call.reported {
+		call.reported = true
+		x.runner.RemotePeers.Failed(call.peer)
+	}
+}
+
 // Kind classifies an Error.
 type Kind string
 
--- a/internal/request/relay/remote_test.go
+++ b/internal/request/relay/remote_test.go
@@ -115,3 +115,37 @@
 		})
 	}
 }
+
+// Guards against searches that fail although all targets are healthy: a peer accepts
+// late, and the budget doesn't allow an attempt beside the one that it makes.
+func TestLatePeerIsAwaitedWithoutBudget(t *testing.T) {
+	for _, acceptDelay := range []time.Duration{60 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(acceptDelay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := historyRoute()
+				route.LeastCoverage = 1
+				c := newCluster(t, 0, 3, 8, route.Gather...)
+				assister := c.addDaemon("here", 2)
+				asker := c.addDaemon("away", 2)
+				remote := &fakePeer{runner: assister}
+				remote.acceptDelay.Store(int64(acceptDelay))
+				asker.RemotePeers = remote
+				c.daemons = []*Runner{asker}
+				for range 10 {
+					for _, name := range route.Gather {
+						for asker.Pools.Budget(name).Take(time.Now(), 0) {
+						}
+					}
+					c.ask(route, workTime, testCallerTimeout, false)
+					time.Sleep(700 * time.Millisecond)
+				}
+				c.settle()
+				for i := range c.results {
+					if r := &c.results[i]; r.answer.Result != Gathered {
+						t.Errorf("request %d: %s, %s", i, r.answer.Result, r.answer.Reason)
+					}
+				}
+			})
+		})
+	}
+}
