Refuse NaN, infinity and negative sizes in the routes file

TestRouteProblemsThatComparisonsMiss listed one problem, under a wrong section and line, where it now lists seven lines.

--- a/pkg/tree/route_test.go
+++ b/pkg/tree/route_test.go
@@ -107,3 +107,38 @@
 	}
 	goldie.New(t).Assert(t, "routeproblems", []byte(err.Error()))
 }
+
+// Values that no comparison refuses are refused, and a problem is listed under the section
+// that has it, whatever the labels are.
+func TestRouteProblemsThatComparisonsMiss(t *testing.T) {
+	_, err := Parse(Files{RoutesFile: `
+[Limits]
+BodyBytes = -1
+
+[Route search]
+Host = shop.example
+Prefix = /y/
+Gather = b
+Merge = Greatest
+LeastCoverage = NaN
+
+[Route 7]
+Host = shop.example
+Prefix = /z/
+Split = a:NaN, b
+
+[Route last]
+Host = shop.example
+Prefix = /w/
+Split = a:+Inf, b
+
+[Route 1]
+Host = shop.example
+Prefix = v
+Split = a
+`})
+	if err == nil {
+		t.Fatal("accepted")
+	}
+	goldie.New(t).Assert(t, "routevalues", []byte(err.Error()))
+}
--- a/pkg/tree/routefile.go
+++ b/pkg/tree/routefile.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,6 +34,8 @@
 	parser *parser
 	lines  map[string][]int
 	routes *Routes
+	// sections holds the name of the section of each route.
+	sections []string
 }
 
 func (p *parser) parseRoutes(content string) {
@@ -82,6 +85,7 @@
 			}
 		}
 		f.routes.All = append(f.routes.All, route)
+		f.sections = append(f.sections, section.Name())
 	default:
 		f.addProblem(section.Name(), "", "is not [Limits], [Pool ...] or [Route ...]")
 	}
@@ -94,6 +98,9 @@
 			if limits.BodyBytes, err = strconv.ParseInt(value, 10, 64); err != nil {
 				return fmt.Errorf("%q is not a whole number", value)
 			}
+			if limits.BodyBytes < 0 {
+				return fmt.Errorf("%q is less than 0", value)
+			}
 			return nil
 		},
 		"HeaderTimeout": nonNegativeDuration(&limits.HeaderTimeout),
@@ -135,7 +142,7 @@
 		},
 		"LeastCoverage": func(value string) (err error) {
 			route.LeastCoverage, err = strconv.ParseFloat(value, 64)
-			if err != nil || route.LeastCoverage < 0 || route.LeastCoverage > 1 {
+			if err != nil || !(route.LeastCoverage >= 0 && route.LeastCoverage <= 1) {
 				return fmt.Errorf("%q is not a share between 0 and 1", value)
 			}
 			return nil
@@ -150,7 +157,8 @@
 		share := Share{Pool: name, Weight: 1}
 		if weighted {
 			var err error
-			if share.Weight, err = strconv.ParseFloat(weight, 64); err != nil || share.Weight < 0 {
+			share.Weight, err = strconv.ParseFloat(weight, 64)
+			if err != nil || !(share.Weight >= 0 && share.Weight <= math.MaxFloat64) {
 				return nil, fmt.Errorf("%q has no valid weight; a weight is a number such as 2.5", part)
 			}
 		}
@@ -223,7 +231,7 @@
 // checkRoutes reports routes that cannot serve any request.
 func (f *routeFile) checkRoutes() {
 	for i, route := range f.routes.All {
-		name := fmt.Sprintf("%s %d", sectionRoute, i+1)
+		name := f.sections[i]
 		switch {
 		case route.Host == "" || !strings.HasPrefix(route.Prefix, "/"):
 			f.addProblem(name, "Prefix", "needs a Host, and a path that begins with a slash")
