--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -123,6 +123,7 @@
 func (r *Register) Lost(now time.Time, q Query, loss Loss) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.forgetLosses(now)
 	r.recentLosses = append(r.recentLosses, recentLoss{at: now, target: loss.Target, fingerprint: q.Fingerprint})
 	if r.hasSucceeded(q) {
 		return false
@@ -269,20 +270,15 @@
 // massFailure reports whether so many targets were lost just now under other
 // queries that this query is probably not the cause.
 func (r *Register) massFailure(now time.Time, fingerprint uint64) bool {
-	kept := r.recentLosses[:0]
+	r.forgetLosses(now)
 	ownTargets := map[string]bool{}
 	for _, loss := range r.recentLosses {
-		if now.Sub(loss.at) > massFailureWindow {
-			continue
-		}
-		kept = append(kept, loss)
 		if loss.fingerprint == fingerprint {
 			ownTargets[loss.target] = true
 		}
 	}
-	r.recentLosses = kept
 	otherTargets := map[string]bool{}
-	for _, loss := range kept {
+	for _, loss := range r.recentLosses {
 		if !ownTargets[loss.target] {
 			otherTargets[loss.target] = true
 		}
@@ -290,6 +286,15 @@
 	return len(otherTargets) >= massFailureLosses && len(otherTargets) > len(ownTargets)
 }
 
+// forgetLosses drops the oldest losses up to the first within massFailureWindow.
+func (r *Register) forgetLosses(now time.Time) {
+	expired := 0
+	for expired < len(r.recentLosses) && now.Sub(r.recentLosses[expired].at) > massFailureWindow {
+		expired++
+	}
+	r.recentLosses = r.recentLosses[expired:]
+}
+
 func (r *Register) hasSucceeded(q Query) bool {
 	if version, ok := r.succeeded[q.Fingerprint]; ok && version == q.Version {
 		return true
--- a/internal/process/poison/poison_test.go
+++ b/internal/process/poison/poison_test.go
@@ -136,3 +136,17 @@
 		t.Errorf("quarantined %d counting targets only, %d counting racks, %d with canaries in two racks", byTarget, byRack, inTwoRacks)
 	}
 }
+
+// Guards against a register that grows with every target lost since its start, although
+// no query is suspected of more than one loss.
+func TestLossesAreForgottenAfterTheirWindow(t *testing.T) {
+	const losses = 10_000
+	r := New()
+	for i := range losses {
+		now := start.Add(time.Duration(i) * time.Minute)
+		r.Lost(now, Query{Fingerprint: uint64(i)}, Loss{Target: fmt.Sprint("t", i), Domain: "r"})
+	}
+	if len(r.recentLosses) != 1 {
+		t.Errorf("%d losses are remembered, want that of the last minute", len(r.recentLosses))
+	}
+}
