--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -54,6 +54,11 @@
 	defaultSlots = 2
 )
 
+// MaxPause bounds the pause that a target can ask for. A target that still wants no
+// requests after it can ask again at the cost of one attempt a minute, while one
+// that asks for a day by mistake is back within a minute.
+const MaxPause = time.Minute
+
 // Target is one searcher. Its exported fields don't change after its creation.
 type Target struct {
 	// ID is the ID of a registered target; for others it is the address.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -100,6 +100,13 @@
 	Signature string
 	// Load is the load that the target reports; nil if it reports none.
 	Load *wire.Load
+	// Leaving is true if the target says that it is shutting down.
+	Leaving bool
+	// Pause is how long the target wants no further request from this host, at most
+	// fleet.MaxPause; zero means that it asks for no pause. InvalidPause is the text
+	// of a pause that is not a sensible time, shortened for the log.
+	Pause        time.Duration
+	InvalidPause string
 }
 
 // Dialect encodes requests to targets and interprets their replies.
