Keep what each boot of a target says of itself, and choose by it

A target that leaves is the last choice until its drain time is up, and gets nothing then; one that asks for a pause gets nothing, and one attempt at a time after it, one more with each answer. Neither counts as a failure.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -26,6 +26,12 @@
 	// serves requests changes; why is the outcome that changed it. It must not
 	// call the fleet.
 	OnStateChange func(t *Target, state State, why Outcome)
+	// OnNotice, if set, is called when a target begins to leave or to pause. It must
+	// not call the fleet.
+	OnNotice func(t *Target, n Notice)
+	// OnKept, if set, is called for each request that is kept away from a target that
+	// leaves or pauses. It must not call the fleet.
+	OnKept func(why NoticeKind)
 	// Seed makes the selection of targets repeatable.
 	Seed uint64
 }
@@ -51,6 +57,8 @@
 	viewsStale      bool
 	waiters         map[int][]*waiter
 	latency         *latencies
+	selfReports     selfReports
+	drainTimeout    time.Duration
 }
 
 // New returns an empty fleet with the default settings.
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -91,6 +91,31 @@
 	g.fleets[shard].Finish(now, t, 0, outcome, latency, load)
 }
 
+// Heed records what a target's reply to an attempt for the shard says of the target.
+func (g *Group) Heed(now time.Time, t *Target, shard int, s Statement) {
+	g.fleets[shard].Heed(now, t, s)
+}
+
+// ResumesIn returns the time until so many shards have an available target, if pauses
+// that targets have asked for are all that they lack.
+func (g *Group) ResumesIn(now time.Time, shards int) (in time.Duration, ok bool) {
+	shards -= g.AvailableShards(now)
+	var ends []time.Duration
+	for i, f := range g.fleets {
+		if f == nil || f.hasAvailable(now, g.View.Replicas[i]) {
+			continue
+		}
+		if at, ok := f.resumesAt(now, g.View.Replicas[i]); ok {
+			ends = append(ends, at.Sub(now))
+		}
+	}
+	if shards <= 0 || shards > len(ends) {
+		return 0, false
+	}
+	slices.Sort(ends)
+	return ends[shards-1], true
+}
+
 // HedgeDelay returns a constant. A gather over a group sets its own Delay for
 // each shard instead, since the shards of a group differ.
 func (g *Group) HedgeDelay(time.Time, float64) time.Duration { return initialDelay }
@@ -133,7 +158,7 @@
 	defer f.mu.Unlock()
 	for _, t := range g.View.Replicas[shard] {
 		switch {
-		case !t.available(now) || t.overdue(now):
+		case !t.available(now) || t.overdue(now) || t.selfReport.leaving():
 		case t.Local:
 			return nil, false
 		case !slices.Contains(regions, t.Region):
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -75,6 +75,9 @@
 		choice.Target.inFlight++
 		choice.Target.responses.recordSend(now, q.Late(choice.Target))
 	}
+	if len(f.selfReports.byBoot) > 0 {
+		f.countPassedOver(now, q.View.Replicas[q.Shard], choice.Target)
+	}
 	return choice
 }
 
@@ -241,6 +244,9 @@
 	Corrupt Outcome = "Corrupt"
 	// Failed is any other error.
 	Failed Outcome = "Failed"
+	// Withheld is an attempt that was not sent, since the target began to leave or to
+	// pause after it was chosen.
+	Withheld Outcome = "Withheld"
 	// Expired is an attempt that was not answered by its deadline.
 	Expired Outcome = "Expired"
 )
@@ -296,5 +302,6 @@
 		t.recordFailure(now)
 	case Gone:
 		t.statusOutdated = true
+	case Withheld:
 	}
 }
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -93,6 +93,7 @@
 			Service: f.config.Service, Version: registeredVersion, ShardCount: registeredShards, Shards: []int{0},
 		}},
 	}
+	t.owner, t.selfReport = f, f.selfReports.find(t.boot())
 	t.responses.initial = remoteInitialLatency
 	if t.Local {
 		t.responses.initial = localInitialLatency
@@ -109,6 +110,9 @@
 	}
 	t.revision = e.Revision
 	if e.Leaving {
+		if t.state != StateLeaving {
+			f.notify(t, Notice{Kind: NoticeLeavingRegistration})
+		}
 		f.setState(t, StateLeaving)
 		return
 	}
@@ -157,20 +161,33 @@
 	return t.responses.stalled(now) || now.Sub(t.peerUnansweredSince) < stallPenalty && t.responses.lastReply.Before(t.peerUnansweredSince)
 }
 
-// available reports whether the target may get attempts: it is neither leaving
-// nor down, and if it is silent, a probe is due.
+// available reports whether the target may get attempts: it is neither down nor, by
+// its registration, leaving, it does not withhold itself, and if it is silent, a probe
+// is due.
 func (t *Target) available(now time.Time) bool {
-	return t.state == StateReady && !now.Before(t.downUntil) && (!t.responses.silent(now) || t.responses.probeDue(now))
+	return t.state == StateReady && !t.selfReport.withholds(now) && !now.Before(t.downUntil) && (!t.responses.silent(now) || t.responses.probeDue(now))
 }
 
-// pickRegistered chooses the target of a pool that is expected to answer first,
-// among those that are available and have room.
+// pickRegistered chooses among the available targets of a pool. Targets that have said
+// that they leave are used only if no other can serve.
 func (f *Fleet) pickRegistered(now time.Time, q Query) Choice {
+	choice := f.pickAvailable(now, q, false)
+	if choice.Verdict == Exhausted || choice.Verdict == Lost {
+		if last := f.pickAvailable(now, q, true); last.Verdict != Lost {
+			return last
+		}
+	}
+	return choice
+}
+
+// pickAvailable chooses the target that is expected to answer first, among those that
+// are available and have room.
+func (f *Fleet) pickAvailable(now time.Time, q Query, leaving bool) Choice {
 	var chosen *Target
 	var minScore time.Duration
 	busy, tried := 0, 0
 	for _, t := range q.View.Replicas[q.Shard] {
-		if !t.available(now) {
+		if !t.available(now) || t.selfReport.leaving() != leaving {
 			continue
 		}
 		if slices.Contains(q.Tried, t) && !q.AllowTried {
@@ -200,6 +217,11 @@
 func (f *Fleet) recordRegistered(now time.Time, t *Target, outcome Outcome, latency float64, load *wire.Load) {
 	sent := now.Add(-time.Duration(latency * float64(time.Second)))
 	defer f.updateReportedState(now, t, outcome)
+	if t.selfReport.pausing(now) && (outcome == Shed || outcome == Failed) {
+		// The target has asked for a pause, which is no failure.
+		t.responses.recordSignOfLife()
+		return
+	}
 	switch outcome {
 	case Success:
 		t.lastSeen = now
@@ -207,6 +229,7 @@
 		t.rejections.recordAnswer(load)
 		t.downUntil = time.Time{}
 		t.responses.recordReply(now, sent)
+		t.selfReport.recordAnswer(sent, f.connectionShare(t))
 	case Crowded:
 		t.lostAnswerAt = now
 		t.responses.recordSignOfLife()
@@ -235,6 +258,10 @@
 	case Broken, Corrupt:
 		t.lostAnswerAt = now
 		t.failures = min(t.failures+1, ejectAfter)
+	case Withheld:
+		if t.inFlight == 0 {
+			t.responses.recordSignOfLife()
+		}
 	case Cancelled, Expired:
 		if t.inFlight == 0 && !t.responses.unanswered.IsZero() {
 			t.responses.recordWait(now, now.Sub(t.responses.unanswered))
--- /dev/null
+++ b/internal/process/fleet/selfreport_test.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+)
+
+const testDrainTimeout = 4 * time.Second
+
+// entry returns a registration in the local region.
+func entry(id, address string, born, revision int64) roster.Entry {
+	return roster.Entry{ID: id, Pool: "p", Address: address, DataCentre: "here", Slots: 4, Born: born, Revision: revision}
+}
+
+// registeredPool returns a fleet with the given registrations, and the notices it gives.
+func registeredPool(entries ...roster.Entry) (*Fleet, *[]Notice) {
+	var notices []Notice
+	f := New(Config{Service: "p", Region: "here", Registered: true, Seed: 1, OnNotice: func(_ *Target, n Notice) { notices = append(notices, n) }})
+	f.SetDrainTimeout(testDrainTimeout)
+	register(f, start, entries...)
+	f.SetConnections(20)
+	return f, &notices
+}
+
+func register(f *Fleet, now time.Time, entries ...roster.Entry) {
+	f.SetEntries(now, entries, func(dataCentre string) string { return dataCentre })
+}
+
+func pickNow(f *Fleet, now time.Time, tried ...*Target) Choice {
+	return NewGroup([]*Fleet{f}).pickAt(now, tried...)
+}
+
+// Guards against new work for a target that says in its answers that it leaves, whatever
+// its registration says, and against the loss of a shard while its last replica may serve.
+func TestLeavingTargetIsTheLastChoice(t *testing.T) {
+	f, notices := registeredPool(entry("a", "1", 1, 1), entry("b", "2", 1, 1))
+	a, b := f.targets["a"], f.targets["b"]
+	f.Heed(start, a, Statement{Leaving: true})
+	f.Heed(start.Add(time.Second), a, Statement{Leaving: true})
+	register(f, start, entry("a", "1", 1, 9), entry("b", "2", 1, 1))
+	for range 100 {
+		if c := pickNow(f, start); c.Target == a || c.Verdict == Lost {
+			t.Fatalf("picked %+v", c)
+		}
+	}
+	if c := pickNow(f, start); c.Verdict != Busy {
+		t.Errorf("%+v while the other replica is busy, want Busy", c)
+	}
+	if c := pickNow(f, start, b); c.Target != a {
+		t.Errorf("retry %+v, want the target that leaves", c)
+	}
+	if len(*notices) != 1 || (*notices)[0].Kind != NoticeLeaving || (*notices)[0].For != testDrainTimeout-drainMargin {
+		t.Errorf("notices %+v", *notices)
+	}
+	register(f, start, entry("a", "1", 1, 9))
+	last := start.Add(testDrainTimeout - drainMargin - time.Millisecond)
+	if c := pickNow(f, last); c.Target != a || !a.Admit(last) {
+		t.Errorf("last replica within the drain time: %+v", c)
+	}
+	for _, after := range []time.Duration{0, time.Second, time.Hour} {
+		now := start.Add(testDrainTimeout - drainMargin + after)
+		if c := pickNow(f, now); c.Verdict != Lost || a.Admit(now) || NewGroup([]*Fleet{f}).AvailableShards(now) != 0 {
+			t.Errorf("%v after the drain time: %+v", after, c)
+		}
+	}
+}
+
+// Guards against a target that leaves being used anew since its registration lapsed and
+// came back, and against another target, or a later process, being taken for it.
+func TestSelfReportBelongsToOneBoot(t *testing.T) {
+	late := start.Add(testDrainTimeout)
+	leave := Statement{Leaving: true, Pause: time.Minute}
+	tests := []struct {
+		name     string
+		register func(f *Fleet, old *Target)
+		admitted bool
+	}{
+		{"lapsed and back", func(f *Fleet, old *Target) {
+			f.Heed(start, old, leave)
+			register(f, start)
+			register(f, start, entry("a", "1", 1, 7))
+		}, false},
+		{"said after the registration lapsed", func(f *Fleet, old *Target) {
+			register(f, start)
+			f.Heed(start, old, leave)
+			register(f, start, entry("a", "1", 1, 7))
+		}, false},
+		{"said after the registration came back", func(f *Fleet, old *Target) {
+			register(f, start)
+			register(f, start, entry("a", "1", 1, 7))
+			f.Heed(start, old, leave)
+		}, false},
+		{"new boot with the same ID and address", func(f *Fleet, old *Target) {
+			f.Heed(start, old, leave)
+			register(f, start, entry("a", "1", 2, 7))
+		}, true},
+		{"late answer of the old boot", func(f *Fleet, old *Target) {
+			register(f, start, entry("a", "1", 2, 7))
+			f.Heed(start, old, leave)
+		}, true},
+		{"another target with the address", func(f *Fleet, old *Target) {
+			f.Heed(start, old, leave)
+			register(f, start, entry("other", "1", 1, 7))
+		}, true},
+		{"the same boot at another address", func(f *Fleet, old *Target) {
+			f.Heed(start, old, leave)
+			register(f, start, entry("a", "2", 1, 7))
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f, _ := registeredPool(entry("a", "1", 1, 1))
+			old := f.targets["a"]
+			tt.register(f, old)
+			if old.Admit(late) {
+				t.Error("the target that said so is admitted")
+			}
+			current := f.order[0]
+			if picked := pickNow(f, late).Target == current; picked != tt.admitted || current.Admit(late) != tt.admitted {
+				t.Errorf("picked %t, admitted %t, want %t", picked, current.Admit(late), tt.admitted)
+			}
+		})
+	}
+}
+
+// Guards against memory that grows with each target that has ever left.
+func TestSelfReportsAreBounded(t *testing.T) {
+	f, _ := registeredPool(entry("a", "1", 1, 1))
+	f.Heed(start, f.targets["a"], Statement{Leaving: true})
+	for i := range 3 * maxSelfReports {
+		id := strconv.Itoa(i)
+		register(f, start, entry("a", "1", 1, 1), entry(id, id, 1, 1))
+		f.Heed(start, f.targets[id], Statement{Leaving: true})
+	}
+	if got := len(f.selfReports.byBoot); got != maxSelfReports || len(f.selfReports.oldest) != got {
+		t.Errorf("%d reports, %d boots, want %d", got, len(f.selfReports.oldest), maxSelfReports)
+	}
+	if f.targets["a"].Admit(start.Add(testDrainTimeout)) {
+		t.Error("a registered target's report was dropped")
+	}
+}
+
+// Guards against requests to a target that has asked for a pause, against a pause that
+// counts as a failure, and against all waiting requests reaching it at its end.
+func TestPauseIsKept(t *testing.T) {
+	f, notices := registeredPool(entry("a", "1", 1, 1))
+	a := pickNow(f, start).Target
+	recalled := a.Recalled()
+	woken := false
+	g := NewGroup([]*Fleet{f})
+	for pickNow(f, start).Verdict == Picked {
+	}
+	g.Wait(start, Query{View: g.View}, 0, func(int) { woken = true })
+	said := start.Add(10 * time.Millisecond)
+	f.Heed(said, a, Statement{Pause: 2 * time.Second})
+	f.Heed(said, a, Statement{Pause: time.Second})
+	f.Finish(said, a, 0, Shed, 0.01, nil)
+	f.Finish(said, a, 0, Failed, 0.01, nil)
+	select {
+	case <-recalled:
+	default:
+		t.Error("requests that wait for a connection are not recalled")
+	}
+	if !woken {
+		t.Error("requests that wait for room are not woken")
+	}
+	for _, at := range []time.Duration{0, time.Second, 2*time.Second - 1} {
+		if c := pickNow(f, said.Add(at)); c.Verdict != Lost || a.Admit(said.Add(at)) {
+			t.Errorf("after %v: %+v", at, c)
+		}
+	}
+	in, ok := g.ResumesIn(said, 1)
+	if !ok || in < 2*time.Second || in > 2*time.Second+maxResumeSpread {
+		t.Errorf("resumes in %v, %t", in, ok)
+	}
+	if !a.fullUntil.IsZero() || a.sheds != 0 || a.failures != 0 || a.rejections.rate != 0 || !a.lostAnswerAt.IsZero() {
+		t.Errorf("the pause counts against the target: %+v", a)
+	}
+	if len(*notices) != 1 || (*notices)[0].Kind != NoticePause || (*notices)[0].For != 2*time.Second {
+		t.Errorf("notices %+v", *notices)
+	}
+	for a.inFlight > 0 {
+		f.Finish(said, a, 0, Cancelled, 0.01, nil)
+	}
+	back := said.Add(in)
+	for round, want := range []int{1, 2, 4, 8} {
+		got := 0
+		for pickNow(f, back).Verdict == Picked {
+			got++
+		}
+		if got != want {
+			t.Errorf("round %d: %d in flight, want %d", round, got, want)
+		}
+		back = back.Add(10 * time.Millisecond)
+		for range got {
+			f.Finish(back, a, 0, Success, 0.01, nil)
+		}
+	}
+}
+
+// Guards against a clock step that shortens or lengthens a pause or the drain time.
+func TestSelfReportUsesMonotonicTime(t *testing.T) {
+	f, _ := registeredPool(entry("a", "1", 1, 1))
+	a := f.targets["a"]
+	f.Heed(time.Now(), a, Statement{Leaving: true, Pause: time.Second})
+	for name, at := range map[string]time.Time{"resume": a.selfReport.resumeAt, "drained": a.selfReport.drainedAt} {
+		if !strings.Contains(at.String(), " m=") {
+			t.Errorf("%s at %v has no monotonic time", name, at)
+		}
+	}
+}
+
+// Guards against a faulty target whose pauses fill the log.
+func TestInvalidPauseIsToldOnce(t *testing.T) {
+	f, notices := registeredPool(entry("a", "1", 1, 1))
+	for range 3 {
+		f.Heed(start, f.targets["a"], Statement{InvalidPause: "soon"})
+	}
+	if len(*notices) != 1 || (*notices)[0].Kind != NoticeInvalidPause || (*notices)[0].Evidence != "soon" {
+		t.Errorf("notices %+v", *notices)
+	}
+	if !f.targets["a"].Admit(start) {
+		t.Error("an invalid pause withholds the target")
+	}
+}
+
+// Guards against a shard being told to come back while others that are needed still pause.
+func TestGroupResumesWithTheLastShardNeeded(t *testing.T) {
+	fleets := make([]*Fleet, 3)
+	for i := range fleets {
+		fleets[i], _ = registeredPool(entry("a", "1", 1, 1), entry("b", "2", 1, 1))
+		if i == 0 {
+			continue
+		}
+		fleets[i].Heed(start, fleets[i].targets["a"], Statement{Pause: time.Duration(i) * time.Second})
+		fleets[i].Heed(start, fleets[i].targets["b"], Statement{Pause: 10 * time.Second})
+	}
+	g := NewGroup(fleets)
+	for shards, want := range []time.Duration{0, 0, time.Second, 2 * time.Second} {
+		in, ok := g.ResumesIn(start, shards)
+		if ok != (want > 0) || in < want || in > want+100*time.Millisecond {
+			t.Errorf("%d shards: in %v, %t, want %v", shards, in, ok, want)
+		}
+	}
+}
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -119,6 +119,13 @@
 	queuedAt time.Time
 	// lostAnswerAt is when the target last lost an answer.
 	lostAnswerAt time.Time
+	// owner is the fleet of a registered target, and selfReport what this boot of the
+	// target has said of itself; nil means nothing.
+	owner      *Fleet
+	selfReport *selfReport
+	// recalled is closed when attempts that wait for a connection are recalled; nil if
+	// none waits.
+	recalled chan struct{}
 	// reportedState is the state last passed to Config.OnStateChange; empty means
 	// ready.
 	reportedState State
--- a/internal/process/fleet/wait.go
+++ b/internal/process/fleet/wait.go
@@ -90,6 +90,12 @@
 	return true
 }
 
+// wakeShard wakes all waiters of a shard.
+func (f *Fleet) wakeShard(shard int) {
+	for f.wakeOne(shard) {
+	}
+}
+
 func (f *Fleet) setQueue(shard int, queue []*waiter) {
 	if len(queue) == 0 {
 		delete(f.waiters, shard)
