Ask the target right before a request is sent, and recall what waits

http1.Gated asks a gate before it takes a connection and again when the connection is at hand; an attempt that waits for one is recalled when a pause begins. The gate is the fleet's target, so retries, hedges, canaries and gathers for peers pass it as well; there are no status checks of registered targets. A withheld attempt counts neither as an attempt of its shard nor for the retry budget. drainTimeoutMs comes from the settings file.

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -41,6 +41,9 @@
 	// KindNotSent means that no byte of the request left this host, or that the
 	// target refused the connection.
 	KindNotSent Kind = "NotSent"
+	// KindWithheld means that the gate kept the request back, so that no byte of it
+	// left this host.
+	KindWithheld Kind = "Withheld"
 	// KindBroken means that the connection ended before a whole reply; the
 	// request may have run.
 	KindBroken Kind = "Broken"
--- a/internal/conn/http1/pool.go
+++ b/internal/conn/http1/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/http"
 	"slices"
@@ -11,6 +12,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/dial"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 )
 
 // Correlator matches replies to requests by ID. A target may reply to a request twice,
@@ -42,29 +44,71 @@
 	closed            bool
 }
 
+// Gate decides whether a request may be sent. *fleet.Target implements it.
+type Gate interface {
+	// Admit is asked right before a request is sent.
+	Admit(now time.Time) bool
+	// Recalled returns a channel that is closed when requests that wait for a
+	// connection are to give up.
+	Recalled() <-chan struct{}
+}
+
+// Gated sends over the connections of Pool what Gate admits.
+type Gated struct {
+	Pool *Pool
+	Gate Gate
+}
+
+// Do is Pool.Do.
+func (g Gated) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
+	return g.Pool.do(ctx, request, deadline, math.MaxInt64, g.Gate)
+}
+
+// DoOnce is Pool.DoOnce.
+func (g Gated) DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
+	return g.Pool.do(ctx, request, deadline, maxUnsafeIdle, g.Gate)
+}
+
+// errWithheld is the error of a request that the gate did not admit.
+var errWithheld = &Error{Op: "send", Kind: KindWithheld, Err: fault.Causef("the target takes no requests now")}
+
+// openGate admits all requests.
+type openGate struct{}
+
+func (openGate) Admit(time.Time) bool { return true }
+
+func (openGate) Recalled() <-chan struct{} { return nil }
+
 // Do sends the request and returns the complete reply. A connection is reused
 // only if no bytes are left on it after the reply.
 func (p *Pool) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
-	return p.do(ctx, request, deadline, math.MaxInt64)
+	return p.do(ctx, request, deadline, math.MaxInt64, openGate{})
 }
 
 // DoOnce is Do for a request that must not be sent again. A target may have dropped
 // an idle connection without closing it, which shows only when a request sent on it
 // is lost, so DoOnce replaces a connection idle for longer than maxUnsafeIdle.
 func (p *Pool) DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
-	return p.do(ctx, request, deadline, maxUnsafeIdle)
+	return p.do(ctx, request, deadline, maxUnsafeIdle, openGate{})
 }
 
 // do reuses only connections that have been idle for at most maxIdle.
-func (p *Pool) do(ctx context.Context, request *http.Request, deadline time.Time, maxIdle time.Duration) (*Reply, error) {
+func (p *Pool) do(ctx context.Context, request *http.Request, deadline time.Time, maxIdle time.Duration, gate Gate) (*Reply, error) {
 	requestID := ""
 	if p.Correlator != nil {
 		requestID = p.Correlator.RequestID(request)
 	}
-	c, err := p.get(ctx, deadline, requestID, maxIdle)
+	if !gate.Admit(time.Now()) {
+		return nil, errWithheld
+	}
+	c, err := p.get(ctx, deadline, requestID, maxIdle, gate)
 	if err != nil {
 		return nil, err
 	}
+	if !gate.Admit(time.Now()) {
+		p.put(c)
+		return nil, errWithheld
+	}
 	c.requestID = requestID
 	stop := context.AfterFunc(ctx, func() { c.close() })
 	reply, keep, err := c.exchange(request, deadline, p)
@@ -77,7 +121,7 @@
 }
 
 // get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, deadline time.Time, requestID string, maxIdle time.Duration) (*conn, error) {
+func (p *Pool) get(ctx context.Context, deadline time.Time, requestID string, maxIdle time.Duration, gate Gate) (*conn, error) {
 	now := time.Now()
 	for c := p.take(requestID); c != nil; c = p.take(requestID) {
 		recent := now.Sub(c.idleSince) <= maxIdle
@@ -90,7 +134,7 @@
 			break
 		}
 	}
-	return p.open(ctx, deadline)
+	return p.open(ctx, deadline, gate)
 }
 
 // take returns the most recently used idle connection that has not carried the same
@@ -107,11 +151,25 @@
 	return nil
 }
 
-func (p *Pool) open(ctx context.Context, deadline time.Time) (*conn, error) {
+func (p *Pool) open(ctx context.Context, deadline time.Time, gate Gate) (*conn, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	ctx, recall := context.WithCancelCause(ctx)
+	defer recall(nil)
+	if recalled := gate.Recalled(); recalled != nil {
+		go func() {
+			select {
+			case <-recalled:
+				recall(errWithheld)
+			case <-ctx.Done():
+			}
+		}()
+	}
 	start := time.Now()
 	raw, err := dial.Dialer.DialContext(ctx, "tcp", p.Address)
+	if err != nil && errors.Is(context.Cause(ctx), errWithheld) {
+		return nil, errWithheld
+	}
 	if err != nil && ctx.Err() != nil {
 		// The time was up before the target could accept the connection.
 		return nil, &Error{Op: "connect", Kind: KindExpired, Err: err}
@@ -124,6 +182,8 @@
 	}
 	c := newConn(raw, p.TransferredBytes)
 	c.connectTime = time.Since(start)
+	// The target has not said yet for how long it keeps an idle connection.
+	c.expiresAt = time.Now().Add(minIdleTimeout)
 	return c, nil
 }
 
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -227,6 +227,7 @@
 	defer n.mu.Unlock()
 	n.Setup.Grace, n.Setup.AddressTTL = setup.Grace, setup.AddressTTL
 	n.Pools.SetTerms(setup.RetryBudget)
+	n.Pools.SetDrainTimeout(setup.DrainTimeout)
 }
 
 // Grace returns the maximum time that Stop may take.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -74,6 +74,9 @@
 	// stop.
 	AddressTTL time.Duration
 	Grace      time.Duration
+	// DrainTimeout is for how long a target may get requests after it has said that it
+	// leaves.
+	DrainTimeout time.Duration
 	// Cores is the number of processors that this daemon may use, and LinkBytes the
 	// bytes per second that the network link of the host carries.
 	Cores     float64
@@ -199,6 +202,8 @@
 		OnStateChange: func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome) {
 			n.Log.State("target state changed", "pool", pool, "target", t.ID, "address", t.Address, "state", state, "why", why)
 		},
+		OnNotice: n.reportNotice, OnKept: func(why fleet.NoticeKind) { n.Meter.CountDecision("KeepFromTarget" + string(why)) },
+		DrainTimeout: n.Setup.DrainTimeout,
 	}
 	n.Pools.SetSharers(1, 1, n.allocator.Fraction(mono.Now(), 1, true))
 	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, HandleGather: n.assist, Sent: n.countSent, SendFailed: n.countUnsent, WrapSocket: n.WrapLink, IdleTimeout: linkIdleTimeout}
@@ -217,6 +222,22 @@
 	}
 }
 
+// reportNotice logs that a target begins to leave or to pause.
+func (n *Node) reportNotice(pool string, t *fleet.Target, notice fleet.Notice) {
+	n.Meter.CountDecision("Target" + string(notice.Kind))
+	common := []any{"pool", pool, "target", t.ID, "address", t.Address, "born", notice.Born}
+	switch notice.Kind {
+	case fleet.NoticeLeaving:
+		n.Log.State("target leaves", append(common, "evidence", "its reply", "drainMillis", notice.For.Milliseconds())...)
+	case fleet.NoticeLeavingRegistration:
+		n.Log.State("target leaves", append(common, "evidence", "its registration")...)
+	case fleet.NoticePause:
+		n.Log.State("target pauses", append(common, "evidence", "its reply", "pauseMillis", notice.For.Milliseconds())...)
+	case fleet.NoticeInvalidPause:
+		n.Log.State("target asks for a pause that is no sensible time", append(common, "value", notice.Evidence, "pauseMillis", notice.For.Milliseconds())...)
+	}
+}
+
 // listen opens the sockets and creates the parts that depend on their addresses.
 func (n *Node) listen() error {
 	pinned, err := keys.Pinned(n.Setup.Name)
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -46,6 +46,13 @@
 	// OnStateChange, if set, is called when the daemon's view of whether a target
 	// serves requests changes.
 	OnStateChange func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome)
+	// OnNotice, if set, is called when a target begins to leave or to pause, and OnKept
+	// for each request that is kept away from such a target.
+	OnNotice func(pool string, t *fleet.Target, n fleet.Notice)
+	OnKept   func(why fleet.NoticeKind)
+	// DrainTimeout is for how long a target may get requests after it has said that it
+	// leaves.
+	DrainTimeout time.Duration
 
 	mu                sync.RWMutex
 	pools             map[string]*pool
@@ -90,11 +97,18 @@
 					p.OnStateChange(name, t, state, why)
 				}
 			},
+			OnNotice: func(t *fleet.Target, n fleet.Notice) {
+				if p.OnNotice != nil {
+					p.OnNotice(name, t, n)
+				}
+			},
+			OnKept: p.OnKept,
 		}),
 		budget: retry.New(p.Terms),
 	}
 	found.fleet.SetDaemons(max(p.daemons, 1))
 	found.fleet.SetLocalDaemons(p.localDaemons)
+	found.fleet.SetDrainTimeout(p.DrainTimeout)
 	found.budget.SetAllowanceFraction(p.allowanceFraction)
 	p.pools[name] = found
 	return found
@@ -147,6 +161,16 @@
 	}
 }
 
+// SetDrainTimeout changes for how long targets that begin to leave may get requests.
+func (p *Pools) SetDrainTimeout(timeout time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.DrainTimeout = timeout
+	for _, found := range p.pools {
+		found.fleet.SetDrainTimeout(timeout)
+	}
+}
+
 // Register applies the registrations of one pool.
 func (p *Pools) Register(now time.Time, name string, entries []roster.Entry) {
 	found := p.get(name)
@@ -162,8 +186,13 @@
 	}
 }
 
-// Connections returns the connection pool of a target.
-func (p *Pools) Connections(t *fleet.Target) *http1.Pool {
+// Connections returns the connections to a target. They send only what the target
+// admits at that moment.
+func (p *Pools) Connections(t *fleet.Target) http1.Gated {
+	return http1.Gated{Pool: p.connections(t), Gate: t}
+}
+
+func (p *Pools) connections(t *fleet.Target) *http1.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.conns[t.ID]
--- a/internal/request/gather/budgets.go
+++ b/internal/request/gather/budgets.go
@@ -10,7 +10,7 @@
 // will not run later.
 func notRun(outcome fleet.Outcome) bool {
 	switch outcome {
-	case fleet.Refused, fleet.Draining, fleet.Gone, fleet.Shed:
+	case fleet.Refused, fleet.Draining, fleet.Gone, fleet.Shed, fleet.Withheld:
 		return true
 	default:
 		return false
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -1,6 +1,7 @@
 package gather
 
 import (
+	"slices"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
@@ -130,11 +131,17 @@
 	retryAt  time.Time
 	ids      [maxAttempts]uint64
 	tried    [maxAttempts]*fleet.Target
+	// counted is true once the primary attempt has been counted for the budgets.
+	counted bool
+	// charged is true if the budget has paid for the next attempt.
+	charged bool
 }
 
 type attemptState struct {
 	shard int
 	ended bool
+	// charged is true if the budget has paid for the attempt.
+	charged bool
 }
 
 // Gather is the state of one scatter.
@@ -153,6 +160,8 @@
 	reserved []bool
 	// backingOff is the number of shards in phase backingOff.
 	backingOff int
+	// withheld is the number of attempts that were not sent.
+	withheld int
 	// nextHedge is the earliest time at which a shard may be due for a hedge.
 	nextHedge time.Time
 }
@@ -196,6 +205,8 @@
 	}
 	switch {
 	case s.phase == answered || s.phase == failed:
+	case outcome == fleet.Withheld:
+		g.takeBack(now, id)
 	case outcome == fleet.Success:
 		g.succeed(now, a.shard)
 	case s.inFlight > 0:
@@ -341,8 +352,9 @@
 	})
 	switch choice.Verdict {
 	case fleet.Picked:
-		if s.attempts == 0 && !g.remote(shard) {
+		if s.attempts == 0 && !s.counted && !g.remote(shard) {
 			g.countPrimary(now, shard)
+			s.counted = true
 		}
 		g.send(now, shard, choice.Target)
 	case fleet.Busy:
@@ -360,7 +372,8 @@
 func (g *Gather) send(now time.Time, shard int, target *fleet.Target) {
 	s := &g.shards[shard]
 	id := uint64(len(g.attempts))
-	g.attempts = append(g.attempts, attemptState{shard: shard})
+	g.attempts = append(g.attempts, attemptState{shard: shard, charged: s.charged})
+	s.charged = false
 	s.phase = inFlight
 	s.ids[s.attempts] = id
 	s.tried[s.attempts] = target
@@ -371,6 +384,31 @@
 	g.step.Send = append(g.step.Send, Attempt{ID: id, Shard: shard, Target: target})
 }
 
+// takeBack undoes an attempt that was not sent, and sends the shard to another target
+// unless a further attempt is in flight. What an extra attempt took from the budget
+// serves the one in its place, or is given back.
+func (g *Gather) takeBack(now time.Time, id uint64) {
+	shard := g.attempts[id].shard
+	s := &g.shards[shard]
+	at := slices.Index(s.ids[:s.attempts], id)
+	copy(s.ids[at:], s.ids[at+1:s.attempts])
+	copy(s.tried[at:], s.tried[at+1:s.attempts])
+	s.attempts--
+	g.withheld++
+	g.nextHedge = time.Time{}
+	s.charged = g.attempts[id].charged
+	if s.inFlight == 0 {
+		g.launch(now, shard, false)
+	}
+	if s.charged && (s.inFlight > 0 || s.phase == failed) {
+		s.charged = false
+		g.retryBudget(shard).Refund(now)
+	}
+	if g.canaryOnly && !g.canaryPending() {
+		g.endCanaryPhase(now)
+	}
+}
+
 // mayAttempt reports whether the settings allow the shard one attempt more.
 func (g *Gather) mayAttempt(s *shardState) bool {
 	if g.config.DeferExtras {
@@ -391,6 +429,7 @@
 		g.giveUp(now, shard)
 		return
 	}
+	s.charged = !free
 	g.launch(now, shard, false)
 }
 
--- a/internal/request/gather/hedge.go
+++ b/internal/request/gather/hedge.go
@@ -105,6 +105,7 @@
 		s.sentAt = now
 		return true
 	}
+	s.charged = true
 	g.send(now, shard, choice.Target)
 	return true
 }
--- a/internal/request/gather/pools_test.go
+++ b/internal/request/gather/pools_test.go
@@ -36,6 +36,7 @@
 		{fleet.Gone, true},
 		{fleet.Refused, true},
 		{fleet.Draining, true},
+		{fleet.Withheld, true},
 		{fleet.Broken, false},
 		{fleet.Crowded, false},
 		{fleet.Failed, false},
@@ -211,3 +212,48 @@
 		})
 	}
 }
+
+// Guards against an attempt that was recalled before it was sent using up the attempts or
+// the budget of its shard.
+func TestWithheldAttemptsDoNotCount(t *testing.T) {
+	g := newPoolFixture(1, 1, func(c *Config) { c.NonIdempotent = true })
+	budget := g.gather.config.ShardBudgets[0].(*fakeBudget)
+	step := g.gather.Begin(start)
+	for range 2 * maxAttempts {
+		step = g.gather.Ended(start, step.Send[0].ID, fleet.Withheld)
+		if len(step.Send) != 1 || budget.remaining != 1 || g.gather.ShardAttempts(0) != 1 || g.gather.Attempts() != 1 {
+			t.Fatalf("%d sent, %d extras left, %d attempts", len(step.Send), budget.remaining, g.gather.Attempts())
+		}
+	}
+	step = g.gather.Ended(start, step.Send[0].ID, fleet.Shed)
+	if len(step.Send) != 1 || budget.remaining != 0 || g.gather.ShardAttempts(0) != 2 {
+		t.Fatalf("retry: %d sent, %d extras left", len(step.Send), budget.remaining)
+	}
+	step = g.gather.Ended(start, step.Send[0].ID, fleet.Withheld)
+	if len(step.Send) != 1 || budget.remaining != 0 {
+		t.Fatalf("retry elsewhere: %d sent, %d extras left", len(step.Send), budget.remaining)
+	}
+	g.targets.lost[0] = true
+	if step = g.gather.Ended(start, step.Send[0].ID, fleet.Withheld); !step.Done || budget.remaining != 1 || g.gather.Attempts() != 1 {
+		t.Errorf("no target left: done %t, %d extras left, %d attempts", step.Done, budget.remaining, g.gather.Attempts())
+	}
+}
+
+// Guards against a recalled hedge ending the attempt that it was to help, or its cost.
+func TestWithheldHedgeLeavesTheAttemptInFlight(t *testing.T) {
+	g := newPoolFixture(1, 1, nil)
+	budget := g.gather.config.ShardBudgets[0].(*fakeBudget)
+	first := g.gather.Begin(start).Send[0].ID
+	step := g.gather.Tick(start.Add(delay))
+	if len(step.Send) != 1 || budget.remaining != 0 {
+		t.Fatalf("%d hedges, %d extras left", len(step.Send), budget.remaining)
+	}
+	g.targets.lost[0] = true
+	step = g.gather.Ended(start.Add(delay), step.Send[0].ID, fleet.Withheld)
+	if step.Done || budget.remaining != 1 || len(g.gather.Tried(0)) != 1 {
+		t.Errorf("done %t, %d extras left, tried %v", step.Done, budget.remaining, g.gather.Tried(0))
+	}
+	if step = g.gather.Ended(start.Add(delay), first, fleet.Success); !step.Done || g.gather.Answered() != 1 {
+		t.Error("the first attempt's answer does not settle the shard")
+	}
+}
--- a/internal/request/gather/skip.go
+++ b/internal/request/gather/skip.go
@@ -32,6 +32,7 @@
 			g.giveUp(now, shard)
 			break
 		}
+		s.charged = true
 		g.launch(now, shard, false)
 	}
 	return g.finish(now)
--- a/internal/request/gather/state.go
+++ b/internal/request/gather/state.go
@@ -12,8 +12,8 @@
 // Failed returns the number of shards that will not answer.
 func (g *Gather) Failed() int { return g.settled - g.answered }
 
-// Attempts returns the number of attempts sent.
-func (g *Gather) Attempts() int { return len(g.attempts) }
+// Attempts returns the number of attempts sent, without those that were withheld.
+func (g *Gather) Attempts() int { return len(g.attempts) - g.withheld }
 
 // Shard returns the shard that an attempt was for.
 func (g *Gather) Shard(id uint64) int { return g.attempts[id].shard }
--- a/internal/request/relay/answer.go
+++ b/internal/request/relay/answer.go
@@ -80,7 +80,7 @@
 	case x.reply != nil && !x.isGather():
 		return &Answer{Result: Passed, Reply: x.reply, Reason: "the target failed"}
 	case !x.outcomeUnknown && x.unsettled == 0 && x.gather.Answered() == 0 && len(x.remoteCalls) == 0:
-		return &Answer{Result: NotRun, Reason: "no target took the request", RetryAfter: retryAfterFull, Missing: missing}
+		return &Answer{Result: NotRun, Reason: "no target took the request", RetryAfter: x.retryAfter(now, retryAfterFull), Missing: missing}
 	case !now.Before(x.schedule.deadline):
 		return &Answer{Result: Expired, Reason: "the time is up", Missing: missing, Outstanding: x.describeOutstanding()}
 	}
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -103,10 +103,15 @@
 	if classification.Outcome == fleet.Success {
 		r.ResponseTimes.Observe(x.route.Name, a.Target.Region, now.Sub(sent))
 	}
+	x.group.Heed(now, a.Target, a.Shard, fleet.Statement{
+		Leaving: classification.Leaving, Pause: classification.Pause, InvalidPause: classification.InvalidPause,
+	})
 	x.group.Finish(now, a.Target, a.Shard, classification.Outcome, now.Sub(sent).Seconds(), classification.Load)
 	x.trackCrash(now, a.Target, classification.Outcome)
 	x.reportLostAnswer(a, classification.Outcome)
-	if classification.Outcome != fleet.Success && classification.Outcome != fleet.Cancelled {
+	switch classification.Outcome {
+	case fleet.Success, fleet.Cancelled, fleet.Withheld:
+	default:
 		r.Log.Failure(x.request.ID, "attempt failed", "pool", x.poolNames[a.Shard], "target", a.Target.ID, "address", a.Target.Address,
 			"outcome", classification.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "error", err)
 	}
@@ -166,6 +171,8 @@
 		return fleet.Failed
 	}
 	switch {
+	case e.Kind == http1.KindWithheld:
+		return fleet.Withheld
 	case ctx.Err() != nil:
 		return fleet.Cancelled
 	case e.Kind == http1.KindNotSent:
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -304,7 +306,24 @@
 	if x.schedule.assisting || up > 0 && float64(up) >= needed*float64(len(x.poolNames)) {
 		return nil
 	}
-	return &Answer{Result: NotRun, Reason: "too few pools have a target that is up", RetryAfter: retryAfterDown, Missing: len(x.poolNames) - up}
+	return &Answer{
+		Result: NotRun, Reason: "too few pools have a target that is up", RetryAfter: x.retryAfter(now, retryAfterDown), Missing: len(x.poolNames) - up,
+	}
+}
+
+// retryAfter returns when a caller may retry: when enough targets return, if pauses
+// that targets have asked for are all that the request lacks, or else the usual time.
+// Callers that are refused together get different times.
+func (x *exchange) retryAfter(now time.Time, usual time.Duration) time.Duration {
+	needed := 1
+	if x.isGather() {
+		needed = max(1, int(math.Ceil(x.route.LeastCoverage*float64(len(x.poolNames)))))
+	}
+	in, ok := x.group.ResumesIn(now, needed)
+	if !ok {
+		return usual
+	}
+	return in + rand.N(min(max(in/retrySpreadDivisor, minRetrySpread), maxRetrySpread))
 }
 
 // nextWake is when the loop has to run again: at the time that the gather asks
@@ -379,6 +398,8 @@
 		}
 	case fleet.Broken, fleet.Crowded, fleet.Corrupt, fleet.Expired, fleet.Cancelled:
 		x.outcomeUnknown = true
+	case fleet.Withheld:
+		x.sent = x.gather.Sent() > 0
 	default:
 	}
 	return step
