--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -229,7 +229,9 @@
 		t.rejections.recordAnswer(load)
 		t.downUntil = time.Time{}
 		t.responses.recordReply(now, sent)
-		t.selfReport.recordAnswer(sent, f.connectionShare(t))
+		if t.selfReport.recordAnswer(sent, f.connectionShare(t)) {
+			f.viewsStale = true
+		}
 	case Crowded:
 		t.lostAnswerAt = now
 		t.responses.recordSignOfLife()
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -92,6 +92,10 @@
 // withholds reports whether the target may get no request now.
 func (r *selfReport) withholds(now time.Time) bool { return r.drained(now) || r.pausing(now) }
 
+// reduced reports whether the target takes less than others: it leaves, pauses, or is
+// not yet taken up again after a pause.
+func (r *selfReport) reduced() bool { return r != nil && (r.leaving() || r.resumeLimit > 0) }
+
 // limit bounds the attempts in flight after a pause.
 func (r *selfReport) limit(limit int) int {
 	if r == nil || r.resumeLimit == 0 {
@@ -101,14 +105,15 @@
 }
 
 // recordAnswer raises the limit after a pause by one for each answer to an attempt
-// that was sent after the pause, until it reaches the usual limit.
-func (r *selfReport) recordAnswer(sent time.Time, usualLimit int) {
+// that was sent after the pause, and reports whether it has reached the usual limit.
+func (r *selfReport) recordAnswer(sent time.Time, usualLimit int) (resumed bool) {
 	if r == nil || r.resumeLimit == 0 || sent.Before(r.resumeAt) {
-		return
+		return false
 	}
 	if r.resumeLimit++; r.resumeLimit >= usualLimit {
 		r.resumeLimit = 0
 	}
+	return r.resumeLimit == 0
 }
 
 // recordPause records that the target asked for a pause. An earlier pause that ends
@@ -166,6 +171,7 @@
 	defer f.mu.Unlock()
 	report := f.selfReports.open(t.boot())
 	t.selfReport = report
+	before := report.reduced()
 	// The target may have been registered anew while the request was under way.
 	current := f.targets[t.ID]
 	if current == nil || current.boot() != t.boot() {
@@ -192,6 +198,9 @@
 		current.recall()
 		f.wakeShard(0)
 	}
+	if report.reduced() != before {
+		f.viewsStale = true
+	}
 }
 
 func (f *Fleet) notify(t *Target, n Notice) {
--- a/internal/process/fleet/selfreport_test.go
+++ b/internal/process/fleet/selfreport_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -202,6 +203,58 @@
 	}
 }
 
+// Guards against all daemons taking up a target at the same moment after a pause.
+func TestEndsOfAPauseAreSpread(t *testing.T) {
+	const daemons = 100
+	tenths := map[time.Duration]int{}
+	for i := range daemons {
+		f := New(Config{Service: "p", Region: "here", Registered: true, Seed: uint64(i)})
+		register(f, start, entry("a", "1", 1, 1))
+		f.SetConnections(20)
+		f.SetDaemons(daemons)
+		f.Plan()
+		f.Heed(start, f.targets["a"], Statement{Pause: 2 * time.Second})
+		late := f.targets["a"].selfReport.resumeAt.Sub(start.Add(2 * time.Second))
+		if late < 0 || late > daemons*resumeSpread {
+			t.Fatalf("a daemon resumes %v after the pause", late)
+		}
+		tenths[late/(daemons*resumeSpread/10)]++
+	}
+	for tenth, count := range tenths {
+		if count > daemons/4 {
+			t.Errorf("%d of %d daemons resume in tenth %d of the spread", count, daemons, tenth)
+		}
+	}
+}
+
+// Guards against a daemon whose few replicas of a shard all leave or pause while others,
+// which it doesn't use, can serve.
+func TestReplicasThatPauseAreReplacedInTheSubset(t *testing.T) {
+	entries := make([]roster.Entry, 8)
+	for i := range entries {
+		entries[i] = entry(strconv.Itoa(i), strconv.Itoa(i), 1, 1)
+	}
+	f, _ := registeredPool(entries...)
+	f.SetDaemons(300)
+	used := slices.Clone(f.Plan().Replicas[0])
+	if len(used) != minSubset {
+		t.Fatalf("%d replicas used", len(used))
+	}
+	f.Heed(start, used[0], Statement{Leaving: true})
+	f.Heed(start, used[1], Statement{Pause: time.Second})
+	if got := f.Plan().Replicas[0]; len(got) != minSubset+2 || !slices.Contains(got, used[1]) {
+		t.Errorf("%d replicas while one leaves and one pauses", len(got))
+	}
+	now := start.Add(time.Minute)
+	for used[1].selfReport.reduced() {
+		used[1].inFlight++
+		f.Finish(now.Add(time.Millisecond), used[1], 0, Success, 0.001, nil)
+	}
+	if got := f.Plan().Replicas[0]; len(got) != minSubset+1 {
+		t.Errorf("%d replicas after the pause", len(got))
+	}
+}
+
 // Guards against a clock step that shortens or lengthens a pause or the drain time.
 func TestSelfReportUsesMonotonicTime(t *testing.T) {
 	f, _ := registeredPool(entry("a", "1", 1, 1))
--- a/internal/process/fleet/view.go
+++ b/internal/process/fleet/view.go
@@ -143,10 +143,15 @@
 }
 
 // highestHashes returns the replicas with the highest hashes of the daemon's
-// name and their address.
+// name and their address. A replica that leaves or pauses has the next one in addition.
 func highestHashes(daemon string, replicas []*Target, keep int) []*Target {
 	weight := func(t *Target) uint64 { return xxhash.Sum64String(daemon + "\x00" + t.Address) }
 	chosen := slices.Clone(replicas)
 	slices.SortFunc(chosen, func(a, b *Target) int { return cmp.Compare(weight(b), weight(a)) })
+	for i := 0; i < keep && keep < len(chosen); i++ {
+		if chosen[i].selfReport.reduced() {
+			keep++
+		}
+	}
 	return chosen[:keep]
 }
--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -44,8 +44,9 @@
 	// rejectRate is the share of requests that are rejected whatever the queue.
 	rejectRate float64
 	// pause delays the work.
-	pause  pauseSchedule
-	random *rand.Rand
+	pause      pauseSchedule
+	random     *rand.Rand
+	statements statements
 }
 
 // testCallerTimeout is how long callers wait.
@@ -192,13 +193,17 @@
 func (fakeDialect) Classify(_ *Request, reply *http1.Reply) Classification {
 	queued, err := strconv.Atoi(reply.Header.Get(headerQueued))
 	load := &wire.Load{Queued: queued}
+	pause, pauseErr := time.ParseDuration(reply.Header.Get(headerPause))
+	leaving := reply.Header.Get(headerLeaving) != ""
 	switch {
+	case pauseErr == nil:
+		return Classification{Outcome: fleet.Shed, Load: load, Leaving: leaving, Pause: pause}
 	case err != nil:
 		return Classification{Outcome: fleet.Corrupt}
 	case reply.Status != http.StatusOK:
 		return Classification{Outcome: fleet.Shed, Load: load}
 	}
-	return Classification{Outcome: fleet.Success, Signature: string(reply.Body), Load: load}
+	return Classification{Outcome: fleet.Success, Signature: string(reply.Body), Load: load, Leaving: leaving}
 }
 
 func (fakeDialect) Merge(_ *tree.Route, parts [][]byte) []byte {
@@ -214,6 +219,8 @@
 	random  *rand.Rand
 	// travel is the time that a message takes between regions.
 	travel time.Duration
+	// connectTime is the time that a request waits for a connection.
+	connectTime time.Duration
 
 	mu      sync.Mutex
 	results []requestResult
@@ -273,11 +280,13 @@
 		targetPools.Configure(&tree.Routes{Pools: map[string]tree.Pool{name: {Name: name, Connections: 26}}})
 		targetPools.Register(time.Now(), name, c.entries[name])
 	}
+	targetPools.SetDrainTimeout(testDrainTimeout)
+	daemon := len(c.daemons)
 	r := &Runner{
 		Pools: targetPools, Dialect: fakeDialect{}, Poison: poison.New(), ResponseTimes: timing.New(),
 		Connect: func(target *fleet.Target) Sender {
 			if target.Local {
-				return c.byID[target.ID]
+				return gatedTarget{fakeTarget: c.byID[target.ID], gate: target, daemon: daemon, connectTime: c.connectTime}
 			}
 			return distantTarget{fakeTarget: c.byID[target.ID], travel: c.travel}
 		},
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -294,6 +294,9 @@
 	}
 }
 
+// reasonDown is the reason of a refusal since too few pools can serve.
+const reasonDown = "too few pools have a target that is up"
+
 // refuseEarly refuses a request that cannot be served because too few shards
 // have a target that is up.
 func (x *exchange) refuseEarly() *Answer {
@@ -307,7 +310,7 @@
 		return nil
 	}
 	return &Answer{
-		Result: NotRun, Reason: "too few pools have a target that is up", RetryAfter: x.retryAfter(now, retryAfterDown), Missing: len(x.poolNames) - up,
+		Result: NotRun, Reason: reasonDown, RetryAfter: x.retryAfter(now, retryAfterDown), Missing: len(x.poolNames) - up,
 	}
 }
 
