--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -38,6 +38,9 @@
 	Tried []*Target
 	// AllowTried allows targets in Tried when no other is left.
 	AllowTried bool
+	// Hedge is true for an attempt beside one in flight. It doesn't use targets that
+	// leave, since another replica is at work.
+	Hedge bool
 	// AvoidDomain is a failure domain to use only when no target in another one is
 	// left.
 	AvoidDomain string
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -172,7 +172,7 @@
 // that they leave are used only if no other can serve.
 func (f *Fleet) pickRegistered(now time.Time, q Query) Choice {
 	choice := f.pickAvailable(now, q, false)
-	if choice.Verdict == Exhausted || choice.Verdict == Lost {
+	if !q.Hedge && (choice.Verdict == Exhausted || choice.Verdict == Lost) {
 		if last := f.pickAvailable(now, q, true); last.Verdict != Lost {
 			return last
 		}
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -22,6 +22,8 @@
 
 // Statement is what one reply of a target says of the target.
 type Statement struct {
+	// Request is the ID of the request that was replied to.
+	Request string
 	// Leaving is true if the target says that it is shutting down.
 	Leaving bool
 	// Pause is how long the target wants no requests from this host, and InvalidPause
@@ -50,8 +52,10 @@
 	Born int64
 	// For is the rest of the drain time, or the length of the pause.
 	For time.Duration
-	// Evidence is the invalid text, for NoticeInvalidPause.
-	Evidence string
+	// Request is the ID of the request whose reply says so; it is empty for
+	// NoticeLeavingRegistration. Invalid is the text of an invalid pause.
+	Request string
+	Invalid string
 }
 
 // boot identifies one process of a target. An address is reused by other targets, and
@@ -180,19 +184,19 @@
 	current.selfReport = report
 	if s.InvalidPause != "" && !report.toldInvalid {
 		report.toldInvalid = true
-		f.notify(t, Notice{Kind: NoticeInvalidPause, For: s.Pause, Evidence: s.InvalidPause})
+		f.notify(t, Notice{Kind: NoticeInvalidPause, For: s.Pause, Request: s.Request, Invalid: s.InvalidPause})
 	}
 	if s.Leaving && !report.leaving() {
 		report.leavingSince = now
 		report.drainedAt = now.Add(max(0, f.drainTimeout-drainMargin))
-		f.notify(t, Notice{Kind: NoticeLeaving, For: report.drainedAt.Sub(now)})
+		f.notify(t, Notice{Kind: NoticeLeaving, For: report.drainedAt.Sub(now), Request: s.Request})
 	}
 	if s.Pause > 0 {
 		began := !report.pausing(now)
 		spread := min(time.Duration(f.sharers)*resumeSpread, maxResumeSpread, s.Pause)
 		report.recordPause(now, s.Pause, time.Duration(f.random.Int64N(int64(spread)+1)))
 		if began {
-			f.notify(t, Notice{Kind: NoticePause, For: s.Pause})
+			f.notify(t, Notice{Kind: NoticePause, For: s.Pause, Request: s.Request})
 		}
 		t.recall()
 		current.recall()
--- a/internal/process/fleet/selfreport_test.go
+++ b/internal/process/fleet/selfreport_test.go
@@ -54,6 +54,9 @@
 	if c := pickNow(f, start, b); c.Target != a {
 		t.Errorf("retry %+v, want the target that leaves", c)
 	}
+	if c := NewGroup([]*Fleet{f}).Pick(start, Query{View: f.Plan(), Tried: []*Target{b}, Hedge: true}); c.Target != nil {
+		t.Errorf("hedge %+v, want none", c)
+	}
 	if len(*notices) != 1 || (*notices)[0].Kind != NoticeLeaving || (*notices)[0].For != testDrainTimeout-drainMargin {
 		t.Errorf("notices %+v", *notices)
 	}
@@ -273,7 +276,7 @@
 	for range 3 {
 		f.Heed(start, f.targets["a"], Statement{InvalidPause: "soon"})
 	}
-	if len(*notices) != 1 || (*notices)[0].Kind != NoticeInvalidPause || (*notices)[0].Evidence != "soon" {
+	if len(*notices) != 1 || (*notices)[0].Kind != NoticeInvalidPause || (*notices)[0].Invalid != "soon" {
 		t.Errorf("notices %+v", *notices)
 	}
 	if !f.targets["a"].Admit(start) {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -228,13 +228,13 @@
 	common := []any{"pool", pool, "target", t.ID, "address", t.Address, "born", notice.Born}
 	switch notice.Kind {
 	case fleet.NoticeLeaving:
-		n.Log.State("target leaves", append(common, "evidence", "its reply", "drainMillis", notice.For.Milliseconds())...)
+		n.Log.State("target leaves", append(common, "evidence", "its reply", "request", notice.Request, "drainMillis", notice.For.Milliseconds())...)
 	case fleet.NoticeLeavingRegistration:
 		n.Log.State("target leaves", append(common, "evidence", "its registration")...)
 	case fleet.NoticePause:
-		n.Log.State("target pauses", append(common, "evidence", "its reply", "pauseMillis", notice.For.Milliseconds())...)
+		n.Log.State("target pauses", append(common, "evidence", "its reply", "request", notice.Request, "pauseMillis", notice.For.Milliseconds())...)
 	case fleet.NoticeInvalidPause:
-		n.Log.State("target asks for a pause that is no sensible time", append(common, "value", notice.Evidence, "pauseMillis", notice.For.Milliseconds())...)
+		n.Log.State("target asks for a pause that is no sensible time", append(common, "request", notice.Request, "value", notice.Invalid, "pauseMillis", notice.For.Milliseconds())...)
 	}
 }
 
--- a/internal/request/gather/hedge.go
+++ b/internal/request/gather/hedge.go
@@ -99,7 +99,7 @@
 			return false
 		}
 	}
-	choice := g.config.Targets.Pick(now, fleet.Query{View: g.config.View, Shard: shard, Tried: s.tried[:s.attempts]})
+	choice := g.config.Targets.Pick(now, fleet.Query{View: g.config.View, Shard: shard, Tried: s.tried[:s.attempts], Hedge: true})
 	if choice.Verdict != fleet.Picked {
 		budget.Refund(now)
 		s.sentAt = now
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -104,7 +104,7 @@
 		r.ResponseTimes.Observe(x.route.Name, a.Target.Region, now.Sub(sent))
 	}
 	x.group.Heed(now, a.Target, a.Shard, fleet.Statement{
-		Leaving: classification.Leaving, Pause: classification.Pause, InvalidPause: classification.InvalidPause,
+		Request: x.request.ID, Leaving: classification.Leaving, Pause: classification.Pause, InvalidPause: classification.InvalidPause,
 	})
 	x.group.Finish(now, a.Target, a.Shard, classification.Outcome, now.Sub(sent).Seconds(), classification.Load)
 	x.trackCrash(now, a.Target, classification.Outcome)
