--- a/internal/process/fleet/doc.go
+++ b/internal/process/fleet/doc.go
@@ -22,6 +22,10 @@
 //		f.Finish(now, choice.Target, shard, fleet.Success, latency, &reply.Load)
 //	}
 //
+// What a reply says of its target goes to Heed before Finish: that the target leaves,
+// or wants no requests for a while. It is kept for that boot of the target, apart from
+// its registration. A Target is the gate of its own requests (Admit).
+//
 // A View is the shard map of one index version. It is immutable, so a request
 // that uses one view never sees another version.
 package fleet
