--- a/internal/request/relay/pause_test.go
+++ b/internal/request/relay/pause_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -249,6 +252,78 @@
 	t.Logf("during: %v, in time %.3f, refusals return %v to %v, slowest %v; after: %.3f", results, share, earliest, latest, slowest, after)
 }
 
+// Guards against targets that are met by all waiting callers at once when their pause ends:
+// the daemons resume spread out, and so do the callers that they have refused.
+func TestCallersComeBackSpreadOutAfterAPause(t *testing.T) {
+	const (
+		callers = 1500
+		pause   = 4 * time.Second
+		bin     = 100 * time.Millisecond
+		bins    = 30
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 300, 4, 4, "a")
+		route := &tree.Route{
+			Name: "r", Idempotent: true, MaxAttempts: 2, Timeout: 2 * time.Second, LatencyTarget: 200 * time.Millisecond,
+			Split: []tree.Share{{Pool: "a", Weight: 1}},
+		}
+		ends := time.Now().Add(pause)
+		for _, f := range c.targets["a"] {
+			f.set(func(f *fakeTarget) { f.statements.pausedUntil = ends })
+		}
+		// All daemons are told before the callers come.
+		for i := range 6 * len(c.daemons) {
+			runUntilServed(c, i, route, 1)
+		}
+		var served atomic.Int64
+		for i := range callers {
+			c.pending.Go(func() {
+				time.Sleep(time.Duration(i) * time.Second / callers)
+				if runUntilServed(c, i, route, 8) {
+					served.Add(1)
+				}
+			})
+		}
+		c.settle()
+		counts := make([]int, bins)
+		for _, f := range c.targets["a"] {
+			for _, arrivals := range f.statements.arrivals {
+				for _, at := range arrivals {
+					if after := at.Sub(ends); after >= 0 && after < bins*bin {
+						counts[after/bin]++
+					}
+				}
+			}
+		}
+		t.Logf("requests in each 100 ms after the pause: %v; %d of %d callers served", counts, served.Load(), callers)
+		if most := slices.Max(counts); most > callers/5 {
+			t.Errorf("%d of %d requests within 100 ms", most, callers)
+		}
+		if served.Load() < callers*98/100 {
+			t.Errorf("%d of %d callers served", served.Load(), callers)
+		}
+	})
+}
+
+// runUntilServed sends a request to one daemon, and again when it was refused and the
+// time that it was told has passed.
+func runUntilServed(c *cluster, number int, route *tree.Route, tries int) bool {
+	for try := range tries {
+		id := fmt.Sprint(number, "-", try)
+		answer := c.daemons[number%len(c.daemons)].Run(context.Background(), &Request{
+			ID: id, Method: http.MethodGet, URI: "/" + id, Header: http.Header{headerID: {id}, headerWork: {"10ms"}},
+			Arrived: time.Now(), Timeout: route.Timeout,
+		}, route)
+		if answer.Result == Passed {
+			return true
+		}
+		if tries > 1 {
+			time.Sleep(answer.RetryAfter)
+		}
+	}
+	return false
+}
+
 // Guards against requests that reach a target after the drain time since it said that it
 // leaves, which only its answers say here, and against a shard that is lost while its
 // last replica may still serve.
