--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -125,28 +125,6 @@
 	}
 }
 
-// distantTarget is a fakeTarget of another region.
-type distantTarget struct {
-	*fakeTarget
-	travel time.Duration
-}
-
-// Do sends the request and its answer over the distance; a cancelled request is
-// still on its way for as long.
-func (d distantTarget) Do(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error) {
-	time.Sleep(d.travel)
-	reply, err := d.fakeTarget.Do(ctx, request, deadline)
-	if ctx.Err() == nil {
-		time.Sleep(d.travel)
-	}
-	return reply, err
-}
-
-// DoOnce is Do.
-func (d distantTarget) DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error) {
-	return d.Do(ctx, request, deadline)
-}
-
 // pauseSchedule is when a target pauses: for the given length once in a period.
 type pauseSchedule struct {
 	length, period time.Duration
@@ -285,10 +263,11 @@
 	r := &Runner{
 		Pools: targetPools, Dialect: fakeDialect{}, Poison: poison.New(), ResponseTimes: timing.New(),
 		Connect: func(target *fleet.Target) Sender {
-			if target.Local {
-				return gatedTarget{fakeTarget: c.byID[target.ID], gate: target, daemon: daemon, connectTime: c.connectTime}
+			gated := gatedTarget{fakeTarget: c.byID[target.ID], gate: target, daemon: daemon, connectTime: c.connectTime}
+			if !target.Local {
+				gated.travel = c.travel
 			}
-			return distantTarget{fakeTarget: c.byID[target.ID], travel: c.travel}
+			return gated
 		},
 	}
 	c.daemons = append(c.daemons, r)
--- a/internal/request/relay/pause_test.go
+++ b/internal/request/relay/pause_test.go
@@ -116,9 +116,12 @@
 	gate        http1.Gate
 	daemon      int
 	connectTime time.Duration
+	// travel is the time that a request and its answer take to a target of another
+	// region.
+	travel time.Duration
 }
 
-// Do sends the request.
+// Do sends the request. A cancelled request is still on its way for as long as any.
 func (g gatedTarget) Do(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error) {
 	withheld := &http1.Error{Op: "send", Kind: http1.KindWithheld, Err: fault.Causef("withheld")}
 	if g.connectTime > 0 {
@@ -133,6 +136,14 @@
 	if !g.gate.Admit(time.Now()) {
 		return nil, withheld
 	}
+	if g.travel > 0 {
+		time.Sleep(g.travel)
+		defer func() {
+			if ctx.Err() == nil {
+				time.Sleep(g.travel)
+			}
+		}()
+	}
 	pause := g.arrive(g.daemon)
 	if pause > 0 {
 		return &http1.Reply{
@@ -359,3 +370,50 @@
 		})
 	}
 }
+
+// Guards against a daemon that gathers for a peer, or an asker that then sends requests
+// itself, passing over what targets have said to it.
+func TestGathersForPeersKeepToWhatTargetsSay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 3 * time.Second
+		route := historyRoute()
+		route.MaxAttempts = 2
+		c := newCluster(t, 0, 3, 8, route.Gather...)
+		assister, asker := c.addDaemon("here", 2), c.addDaemon("away", 2)
+		remote := &fakePeer{runner: assister}
+		asker.RemotePeers = remote
+		c.daemons = []*Runner{asker}
+		ask := func(duration time.Duration) {
+			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				c.ask(route, workTime, testCallerTimeout, false)
+			}
+		}
+		ask(2 * time.Second)
+		began := time.Now()
+		for _, targets := range c.targets {
+			targets[0].set(func(f *fakeTarget) { f.statements.pausedUntil = began.Add(pause) })
+			targets[1].set(func(f *fakeTarget) { f.statements.leavingFrom = began })
+		}
+		ask(pause)
+		// A peer that accepts late makes the asker send its shards itself.
+		remote.acceptDelay.Store(int64(300 * time.Millisecond))
+		ask(testDrainTimeout)
+		c.settle()
+		early, late, told := 0, 0, map[int]int{}
+		for _, targets := range c.targets {
+			early = max(early, targets[0].early())
+			late += targets[1].lateArrivals()
+			for daemon := range targets[1].statements.toldLeaving {
+				told[daemon]++
+			}
+		}
+		served, count := c.shareInTime(func(e *requestResult) bool { return e.arrived.After(began) })
+		t.Logf("%d early, %d late; daemons told by so many targets: %v; %.3f of %d in time", early, late, told, served, count)
+		if early > maxEarly || late > 0 || told[0] == 0 {
+			t.Errorf("%d requests within a pause, %d after the drain time; daemons told: %v", early, late, told)
+		}
+		if served < 0.9 {
+			t.Errorf("%.3f of %d requests served in time", served, count)
+		}
+	})
+}
