Count recalled attempts neither as sent nor as not run

The two parts met here: an attempt that is recalled is taken out of a shard's attempts, and was then subtracted once more as one that had not run, down to 255 of 0.

--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -200,7 +200,7 @@
 	a.ended = true
 	s := &g.shards[a.shard]
 	s.inFlight--
-	if notRun(outcome) {
+	if notRun(outcome) && outcome != fleet.Withheld {
 		s.notRun++
 	}
 	switch {
--- a/internal/request/gather/pools_test.go
+++ b/internal/request/gather/pools_test.go
@@ -239,6 +239,22 @@
 	}
 }
 
+// Guards against a recalled attempt that hides one that has run from a later gather of the
+// same request.
+func TestWithheldAttemptsHideNoSpentOnes(t *testing.T) {
+	g := newPoolFixture(1, 1, nil)
+	step := g.gather.Begin(start)
+	step = g.gather.Ended(start, step.Send[0].ID, fleet.Withheld)
+	if got := g.gather.Spent(); got != 1 {
+		t.Errorf("%d attempts spent while one is in flight", got)
+	}
+	g.targets.lost[0] = true
+	g.gather.Ended(start, step.Send[0].ID, fleet.Withheld)
+	if got := g.gather.Spent(); got != 0 {
+		t.Errorf("%d attempts spent though none was sent", got)
+	}
+}
+
 // Guards against a recalled hedge ending the attempt that it was to help, or its cost.
 func TestWithheldHedgeLeavesTheAttemptInFlight(t *testing.T) {
 	g := newPoolFixture(1, 1, nil)
