--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -116,6 +116,21 @@
 	return ends[shards-1], true
 }
 
+// RetryAfter returns when a caller may retry that needs so many shards, if pauses are all
+// that they lack: when ResumesIn says, and a random time after it, so that callers which
+// are refused together don't come back together.
+func (g *Group) RetryAfter(now time.Time, shards int) (after time.Duration, ok bool) {
+	in, ok := g.ResumesIn(now, shards)
+	if !ok {
+		return 0, false
+	}
+	spread := min(max(in/retrySpreadDivisor, minRetrySpread), maxRetrySpread)
+	f := g.fleets[slices.IndexFunc(g.fleets, func(f *Fleet) bool { return f != nil })]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return in + time.Duration(f.random.Int64N(int64(spread))), true
+}
+
 // HedgeDelay returns a constant. A gather over a group sets its own Delay for
 // each shard instead, since the shards of a group differ.
 func (g *Group) HedgeDelay(time.Time, float64) time.Duration { return initialDelay }
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -18,6 +18,11 @@
 	// resumeAttempts is how many attempts a target gets at once after a pause, until
 	// it answers.
 	resumeAttempts = 1
+	// retrySpreadDivisor divides the time until a pause ends; callers come back spread
+	// over the result after it, within minRetrySpread and maxRetrySpread.
+	retrySpreadDivisor = 4
+	minRetrySpread     = 100 * time.Millisecond
+	maxRetrySpread     = time.Second
 )
 
 // Statement is what one reply of a target says of the target.
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -322,11 +321,10 @@
 	if x.isGather() {
 		needed = max(1, int(math.Ceil(x.route.LeastCoverage*float64(len(x.poolNames)))))
 	}
-	in, ok := x.group.ResumesIn(now, needed)
-	if !ok {
-		return usual
+	if in, ok := x.group.RetryAfter(now, needed); ok {
+		return in
 	}
-	return in + rand.N(min(max(in/retrySpreadDivisor, minRetrySpread), maxRetrySpread))
+	return usual
 }
 
 // nextWake is when the loop has to run again: at the time that the gather asks
--- a/internal/request/relay/pause_test.go
+++ b/internal/request/relay/pause_test.go
@@ -252,7 +252,7 @@
 	if results[most] < count/2 {
 		t.Errorf("results %v, want mostly %s", results, most)
 	}
-	if most == NotRun && (earliest < 0 || latest-earliest < minRetrySpread || slowest > 100*time.Millisecond+3*testConnectTime) {
+	if most == NotRun && (earliest < 0 || latest-earliest < 100*time.Millisecond || slowest > 100*time.Millisecond+3*testConnectTime) {
 		t.Errorf("callers may return from %v to %v after the pause; the slowest refusal took %v", earliest, latest, slowest)
 	}
 	after, count := c.shareInTime(func(e *requestResult) bool { return e.arrived.After(ended.Add(2 * time.Second)) })
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -203,11 +203,6 @@
 	// targets are full, or if none is up.
 	retryAfterFull = 150 * time.Millisecond
 	retryAfterDown = 700 * time.Millisecond
-	// retrySpreadDivisor divides the time until a pause ends; callers come back spread
-	// over the result after it, within minRetrySpread and maxRetrySpread.
-	retrySpreadDivisor = 4
-	minRetrySpread     = 100 * time.Millisecond
-	maxRetrySpread     = time.Second
 )
 
 // Run carries out the request on a route.
