Refuse a scenario of the bench on a tier that is too small for it

Found by trial (KNOWN-RED.txt): SharedRate asks two daemons in turn, LastReplica stops the replicas of two shards; with one of them both panicked. They now say what they need. TestScenarioRefusesTooSmallTier panicked before in both cases ("index out of range", "nil pointer dereference"). Not sought: other scenarios with fewer replicas than they act on.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -130,6 +130,9 @@
 	Plan func(o *Options) *Plan
 	// Defaults replace options that are zero.
 	Defaults Options
+	// MinShards and MinDaemons are the fewest with which the scenario makes sense.
+	MinShards  int
+	MinDaemons int
 }
 
 // Figures are the measurements of one run or of one class of traffic.
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -23,6 +24,9 @@
 // Run runs a scenario for each policy.
 func Run(ctx context.Context, s *Scenario, o Options) (*Report, error) {
 	o = withDefaults(o, s.Defaults)
+	if o.Shards < s.MinShards || o.Daemons < s.MinDaemons {
+		return nil, &Error{Op: s.Name, Kind: KindInvalid, Err: fault.Causef("needs at least %d shards and %d daemons", max(1, s.MinShards), max(1, s.MinDaemons))}
+	}
 	report := &Report{
 		Scenario: s.Name, Seed: o.Seed, Shards: o.Shards, Replicas: o.Replicas, Daemons: o.Daemons,
 		Rate: o.Rate, Seconds: o.Duration.Seconds(),
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -75,7 +75,7 @@
 	},
 	{
 		Name: "LastReplica", Description: "All replicas of two shards are gone.", Defaults: manyShardsDefaults,
-		Plan: lastReplica,
+		Plan: lastReplica, MinShards: lostShards,
 	},
 	{
 		Name: "Overload", Description: "Five callers send three times the capacity; one of them sends 90% of it.", Defaults: fewShardsDefaults,
@@ -124,7 +124,7 @@
 	{
 		Name: "SharedRate", Description: "A caller with a Rate of 30/s sends 80/s to one daemon, then to another.",
 		Defaults: Options{Shards: 4, Replicas: 3, Rate: 80, Daemons: 6, Duration: 16 * time.Second, Policies: []string{PolicyRelay}},
-		Plan:     sharedRate,
+		Plan:     sharedRate, MinDaemons: 2,
 	},
 	{
 		Name: "Chaos", Description: "A random mix of faults that depends only on the seed.", Defaults: chaosDefaults,
@@ -189,6 +189,9 @@
 	return plan
 }
 
+// lostShards is the number of shards that lose all their replicas in LastReplica.
+const lostShards = 2
+
 func lastReplica(o *Options) *Plan {
 	plan := singleService(o, healthyBehaviour)
 	plan.Settings = map[string]map[string]string{"firm.ini": {"LeastCoverage": "0.5"}}
@@ -197,7 +200,7 @@
 			return
 		}
 		for replica := range o.Replicas {
-			for _, x := range s.World.Replica(deployment, service, replica)[:2] {
+			for _, x := range s.World.Replica(deployment, service, replica)[:lostShards] {
 				x.Stop()
 			}
 		}
