--- a/internal/cmd/demo/demo.go
+++ b/internal/cmd/demo/demo.go
@@ -121,9 +121,10 @@
 		{"Salish stock check", salish, caller.Query{Service: "OrderDesk", Text: "blue", Deadline: time.Second}},
 	}
 	for _, p := range requests {
+		start := time.Now()
 		answer, err := p.caller.Search(ctx, p.query)
 		if err != nil {
-			return nil, fmt.Errorf("%s: %w", p.what, err)
+			return nil, fmt.Errorf("%s after %v of %v: %w", p.what, time.Since(start), p.query.Deadline, err)
 		}
 		if err := checkAnswer(w, p.caller.Deployment, p.query, answer); err != nil {
 			return nil, fmt.Errorf("%s: %w", p.what, err)
--- a/internal/cmd/demo/opaque.go
+++ b/internal/cmd/demo/opaque.go
@@ -75,7 +75,7 @@
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil || response.StatusCode != http.StatusOK {
-		return nil, nil, fault.Causef("status %d, body %s, error %v", response.StatusCode, body, err)
+		return nil, nil, fault.Causef("status %d, body %s, error %v after %v of %v", response.StatusCode, body, err, time.Since(start), opaqueTimeout)
 	}
 	return body, &opaqueAnswer{
 		Text: string(body), Coverage: response.Header.Get(wire.HeaderCoverage), LatencyMillis: time.Since(start).Seconds() * 1000,
