Repeat the message in the test of a restarted peer

Shown now: a handshake of over a second loses the one message that the test sent. That is what Send promises: daemons send heartbeats again and again, so the test is at fault. Now it does the same, also with a successor that is mute for 1.5 s.

--- a/internal/conn/link/link_test.go
+++ b/internal/conn/link/link_test.go
@@ -49,37 +49,68 @@
 	}
 }
 
-// Guards against sending to a restarted daemon over the connection that its earlier
-// process had at the same address.
-func TestRestartedPeerIsReached(t *testing.T) {
-	a, _ := startLink(t, "127.0.0.1:0", func(l *Link) {
-		l.SendFailed = func(address string, _ Type, err error) { t.Logf("send to %s failed: %v", address, err) }
-	})
-	b, received := startLink(t, "127.0.0.1:0")
-	a.Send(b.Address, Heartbeat, []byte("first"))
-	if !waitForMessage(received, "first", 10*time.Second) {
-		t.Fatal("the first message was not received")
-	}
-	address := b.Address
-	// Simulate a crash: the socket closes without notice to the peers.
-	if err := b.socket.Close(); err != nil {
-		t.Fatal(err)
+// muteSocket drops the packets that it sends until a time.
+type muteSocket struct {
+	net.PacketConn
+	until time.Time
+}
+
+func (s *muteSocket) WriteTo(data []byte, to net.Addr) (int, error) {
+	if time.Now().Before(s.until) {
+		return len(data), nil
 	}
-	successor, received := startLink(t, address)
-	a.Renew(address, successor.Keys.Fingerprint())
-	a.Send(address, Heartbeat, []byte("second"))
-	if !waitForMessage(received, "second", 10*time.Second) {
-		t.Error("the restarted daemon was not reached")
+	return s.PacketConn.WriteTo(data, to)
+}
+
+// sendRepeatedly sends a message again and again, as daemons do with heartbeats, until it
+// is received. It reports false if that takes longer than the timeout.
+func sendRepeatedly(l *Link, address, message string, received chan string, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); time.Now().Before(end); {
+		l.Send(address, Heartbeat, []byte(message))
+		if waitForMessage(received, message, handshakeTimeout/4) {
+			return true
+		}
 	}
-	p := a.peer(address)
-	p.mu.Lock()
-	before := p.conn
-	p.mu.Unlock()
-	a.Renew(address, successor.Keys.Fingerprint())
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != before {
-		t.Error("a connection to the daemon itself was dropped")
+	return false
+}
+
+// Guards against sending to a restarted daemon over the connection that its earlier
+// process had at the same address. A message whose handshake takes longer than
+// handshakeTimeout is lost, the next one must arrive.
+func TestRestartedPeerIsReached(t *testing.T) {
+	const timeout = 10 * time.Second
+	for name, mute := range map[string]time.Duration{"at once": 0, "after a slow handshake": handshakeTimeout * 3 / 2} {
+		t.Run(name, func(t *testing.T) {
+			a, _ := startLink(t, "127.0.0.1:0", func(l *Link) {
+				l.SendFailed = func(address string, _ Type, err error) { t.Logf("send to %s failed: %v", address, err) }
+			})
+			b, received := startLink(t, "127.0.0.1:0")
+			if !sendRepeatedly(a, b.Address, "first", received, timeout) {
+				t.Fatal("the first message was not received")
+			}
+			address := b.Address
+			// Simulate a crash: the socket closes without notice to the peers.
+			if err := b.socket.Close(); err != nil {
+				t.Fatal(err)
+			}
+			successor, received := startLink(t, address, func(l *Link) {
+				l.WrapSocket = func(socket net.PacketConn) net.PacketConn { return &muteSocket{socket, time.Now().Add(mute)} }
+			})
+			a.Renew(address, successor.Keys.Fingerprint())
+			if !sendRepeatedly(a, address, "second", received, timeout) {
+				t.Error("the restarted daemon was not reached")
+			}
+			p := a.peer(address)
+			p.mu.Lock()
+			before := p.conn
+			p.mu.Unlock()
+			a.Renew(address, successor.Keys.Fingerprint())
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if p.conn != before {
+				t.Error("a connection to the daemon itself was dropped")
+			}
+		})
 	}
 }
 
