Refuse a large body as not run while the operator's limits are unknown

Cause: until the limits are known, the bound for reading a body was taken for the operator's. TestLargeBodyBeforeLimitsAreKnown failed with 413 before.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -49,6 +49,9 @@
 	// maxHeaderBytes bounds its size until the operator's limits are known.
 	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
+	// unknownLimitsRetryAfter is when a caller may retry a request whose body is larger
+	// than maxHeaderBytes, while the operator's limits are unknown.
+	unknownLimitsRetryAfter = 200 * time.Millisecond
 	// defaultWriteTimeout is how long a caller may take to read an answer.
 	defaultWriteTimeout = 90 * time.Second
 )
@@ -119,9 +122,15 @@
 		s.write(w, request, s.Refuse(request))
 		return
 	}
-	body, status := s.readBody(w, r)
+	limits := s.Limits()
+	body, status := readBody(w, r, limits)
 	if status != 0 {
 		w.Header().Set("Connection", "close")
+		if limits == nil && status == http.StatusRequestEntityTooLarge {
+			// The operator's limits may allow it.
+			s.write(w, request, &relay.Answer{Result: relay.NotRun, Reason: "no settings yet", RetryAfter: unknownLimitsRetryAfter})
+			return
+		}
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
@@ -152,13 +161,14 @@
 	}
 }
 
-// readBody reads the whole body, or returns the status of a refusal.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) (body []byte, status int) {
+// readBody reads the whole body, or returns the status of a refusal. Limits is nil while
+// the operator's limits are unknown.
+func readBody(w http.ResponseWriter, r *http.Request, limits *tree.Limits) (body []byte, status int) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, 0
 	}
 	maxBytes := int64(maxHeaderBytes)
-	if limits := s.Limits(); limits != nil {
+	if limits != nil {
 		maxBytes = limits.BodyBytes
 		// If the deadline cannot be set, the body is read without one.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(max(limits.HeaderTimeout, headerTimeout)))
--- a/internal/conn/edge/edge_test.go
+++ b/internal/conn/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -85,3 +86,36 @@
 		}
 	}
 }
+
+// Guards against a final refusal of a proper body by a daemon that does not know the
+// operator's limits yet.
+func TestLargeBodyBeforeLimitsAreKnown(t *testing.T) {
+	s := &edge.Server{
+		Address: "127.0.0.1:0", Codec: resultCodec{}, Limits: func() *tree.Limits { return nil },
+		WriteFailed: func(_ *relay.Request, err error) { t.Error(err) },
+		Serve: func(context.Context, *relay.Request) *relay.Answer {
+			t.Error("a request was served without its body")
+			return &relay.Answer{Result: relay.Passed}
+		},
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	response, err := http.Post("http://"+s.Address, "", strings.NewReader(strings.Repeat("x", 100<<10)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if body, _ := io.ReadAll(response.Body); string(body) != string(relay.NotRun) {
+		t.Errorf("status %d, %s", response.StatusCode, body)
+	}
+}
+
+// resultCodec writes the result of an answer.
+type resultCodec struct{ codec }
+
+func (resultCodec) Write(w http.ResponseWriter, _ *relay.Request, answer *relay.Answer) error {
+	_, err := io.WriteString(w, string(answer.Result))
+	return err
+}
