--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -32,12 +32,16 @@
 
 // Call is one request and how it ended.
 type Call struct {
-	ID   string
-	Sent time.Time
+	ID      string
+	Address string
+	Sent    time.Time
 	// Ended is when the answer was read or the connection ended.
 	Ended  time.Time
 	Status int
 	Header http.Header
+	Body   []byte
+	// Extra is set if bytes follow the answer.
+	Extra bool
 	// Err is set if there is no complete answer.
 	Err error
 }
@@ -46,7 +50,11 @@
 type Crowd struct {
 	// Address is the "ip:port" of the daemon.
 	Address string
-	Callers int
+	// Pick, if set, returns the address for each connection instead.
+	Pick func(random *rand.Rand) string
+	// Requests is the number of requests on a connection; 0 means until the daemon closes it.
+	Requests int
+	Callers  int
 	// Pause is the mean time between an answer and the next request of a caller.
 	Pause time.Duration
 	// Idle is the time between opening a connection and the first request on it.
@@ -93,7 +101,11 @@
 
 // useConnection sends requests over one connection until the daemon closes it.
 func (c *Crowd) useConnection(random *rand.Rand) {
-	conn, err := net.DialTimeout("tcp", c.Address, dialTimeout)
+	address := c.Address
+	if c.Pick != nil {
+		address = c.Pick(random)
+	}
+	conn, err := net.DialTimeout("tcp", address, dialTimeout)
 	if err != nil {
 		c.wait(redialDelay)
 		return
@@ -103,13 +115,13 @@
 		return
 	}
 	reader := bufio.NewReader(conn)
-	for open := true; open; {
-		var call Call
-		call, open = c.send(conn, reader)
+	for count := 1; ; count++ {
+		call, open := c.send(conn, reader)
+		call.Address = address
 		c.mu.Lock()
 		c.calls = append(c.calls, call)
 		c.mu.Unlock()
-		if !c.wait(time.Duration((0.5 + random.Float64()) * float64(c.Pause))) {
+		if !c.wait(time.Duration((0.5+random.Float64())*float64(c.Pause))) || !open || count == c.Requests {
 			return
 		}
 	}
@@ -134,6 +146,7 @@
 	}
 	defer response.Body.Close()
 	call.Status, call.Header = response.StatusCode, response.Header
-	_, call.Err = io.Copy(io.Discard, response.Body)
+	call.Body, call.Err = io.ReadAll(response.Body)
+	call.Extra = reader.Buffered() > 0
 	return call, call.Err == nil && !response.Close
 }
