--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -13,10 +13,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -42,8 +44,9 @@
 	Body   []byte
 	// Extra is set if bytes follow the answer.
 	Extra bool
-	// Err is set if there is no complete answer.
-	Err error
+	// Err is set if there is no complete answer, and Left if that is since the caller left.
+	Err  error
+	Left bool
 }
 
 // Crowd simulates the callers. Exported fields are set before Start.
@@ -54,6 +57,9 @@
 	Pick func(random *rand.Rand) string
 	// Requests is the number of requests on a connection; 0 means until the daemon closes it.
 	Requests int
+	// Patience, if set, is the mean time after which a caller closes its connection without
+	// an answer.
+	Patience time.Duration
 	Callers  int
 	// Pause is the mean time between an answer and the next request of a caller.
 	Pause time.Duration
@@ -116,7 +122,11 @@
 	}
 	reader := bufio.NewReader(conn)
 	for count := 1; ; count++ {
-		call, open := c.send(conn, reader)
+		timeout := answerTimeout
+		if c.Patience > 0 {
+			timeout = time.Duration(2 * random.Float64() * float64(c.Patience))
+		}
+		call, open := c.send(conn, reader, timeout)
 		call.Address = address
 		c.mu.Lock()
 		c.calls = append(c.calls, call)
@@ -129,11 +139,14 @@
 
 // send sends a request and reads its answer. Open is false if the connection has ended
 // or the daemon will close it.
-func (c *Crowd) send(conn net.Conn, reader *bufio.Reader) (call Call, open bool) {
+func (c *Crowd) send(conn net.Conn, reader *bufio.Reader, timeout time.Duration) (call Call, open bool) {
 	id, request := c.Request()
 	call = Call{ID: id, Sent: time.Now()}
-	defer func() { call.Ended = time.Now() }()
-	if call.Err = conn.SetDeadline(call.Sent.Add(answerTimeout)); call.Err != nil {
+	defer func() {
+		call.Ended = time.Now()
+		call.Left = c.Patience > 0 && errors.Is(call.Err, os.ErrDeadlineExceeded)
+	}()
+	if call.Err = conn.SetDeadline(call.Sent.Add(timeout)); call.Err != nil {
 		return call, false
 	}
 	if call.Err = request.Write(conn); call.Err != nil {
