Soak: count an unanswered request that has not run only on a connection that carried an answer

Rule LOST speaks of requests that a process has read. Requests that have run are judged as before, on whatever connection.

--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -42,6 +42,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Reused is set if the connection has carried an answer before.
+	Reused bool
 	// Extra is set if bytes follow the answer.
 	Extra bool
 	// Err is set if there is no complete answer, and Left if that is since the caller left.
@@ -127,7 +129,7 @@
 			timeout = time.Duration(2 * random.Float64() * float64(c.Patience))
 		}
 		call, open := c.send(conn, reader, timeout)
-		call.Address = address
+		call.Address, call.Reused = address, count > 1
 		c.mu.Lock()
 		c.calls = append(c.calls, call)
 		c.mu.Unlock()
