Give each daemon process of the tests its own address and authority file

Now each daemon has a file of its own. - A free port was taken before its daemon listened. Now each has a loopback IP of its own, as in platform/host. - When a daemon was not ready the others' logs were missing. Now all are printed, from a buffer that may be read while a daemon writes. - TestTermStopsGracefullyUnderLoad demanded 50 searches in about 0.7 s and, if only these were missing, indexed an empty list.

--- a/cmd/magnoliarelay/main_test.go
+++ b/cmd/magnoliarelay/main_test.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -58,27 +57,37 @@
 	listen    []string
 	links     []string
 	processes []*exec.Cmd
-	logs      []*bytes.Buffer
+	logs      []*logBuffer
 	// passedOn holds the queries that have arrived at a searcher.
 	passedOn *sync.Map
 }
 
-func freeAddress(t testing.TB, network string) string {
-	t.Helper()
-	if network == "udp" {
-		socket, err := net.ListenPacket("udp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer socket.Close()
-		return socket.LocalAddr().String()
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
+// logBuffer is a buffer that a daemon writes to while the test reads it.
+type logBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// daemonsStarted counts the daemons that got an IP address of their own.
+var daemonsStarted atomic.Int64
+
+// newIP returns a loopback address that no other daemon of this or another test process
+// has, so that its ports are free.
+func newIP() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>8%100, pid%256, 1+daemonsStarted.Add(1)%250)
 }
 
 func startTier(t testing.TB, daemons int, proxied bool, settings tree.Files) *tier {
@@ -106,10 +115,11 @@
 	}
 	r := &tier{t: t, world: w, directory: t.TempDir(), passedOn: passedOn}
 	for i := range daemons {
-		r.listen = append(r.listen, freeAddress(t, "tcp"))
-		r.links = append(r.links, freeAddress(t, "udp"))
+		ip := newIP()
+		r.listen = append(r.listen, ip+":7080")
+		r.links = append(r.links, ip+":7100")
 		r.processes = append(r.processes, nil)
-		r.logs = append(r.logs, &bytes.Buffer{})
+		r.logs = append(r.logs, &logBuffer{})
 		r.start(i)
 	}
 	for i := range daemons {
@@ -122,7 +132,9 @@
 	r.t.Helper()
 	name := fmt.Sprintf("d%d", i)
 	k := &keys.Keys{
-		Certificate: filepath.Join(r.directory, name+".pem"), Key: filepath.Join(r.directory, name+".key"), Authority: filepath.Join(r.directory, "authority.pem"),
+		Certificate: filepath.Join(r.directory, name+".pem"), Key: filepath.Join(r.directory, name+".key"),
+		// A file that daemons share would be written again while an earlier one reads it.
+		Authority: filepath.Join(r.directory, name+"-authority.pem"),
 	}
 	if err := r.world.Authority().Write(k, name); err != nil {
 		r.t.Fatal(err)
@@ -177,7 +189,16 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
-	r.t.Fatalf("daemon %d does not list %d daemons:\n%s", i, count, r.logs[i].String())
+	r.t.Fatalf("daemon %d does not list %d daemons:\n%s", i, count, r.allLogs())
+}
+
+// allLogs returns the logs of all daemons.
+func (r *tier) allLogs() string {
+	var b strings.Builder
+	for i, log := range r.logs {
+		fmt.Fprintf(&b, "daemon %d, %s:\n%s", i, r.links[i], log.String())
+	}
+	return b.String()
 }
 
 // load runs searches until stop is called, which returns their number and errors.
@@ -222,7 +243,7 @@
 	time.Sleep(300 * time.Millisecond)
 	queries, failures := stop()
 	if len(failures) > 0 || queries < 50 {
-		t.Errorf("%d of %d searches failed: %v", len(failures), queries, failures[0])
+		t.Errorf("%d of %d searches failed: %v\n%s", len(failures), queries, failures, r.allLogs())
 	}
 }
 
