Find a stopping server quiet by polls in a row, not by time alone

Cause: a process that got no processor for a second took that second for one without requests, and closed its listener while connections waited to be accepted. Now four polls in a row have to find none, which takes 60 ms, so that what waits is accepted first. TestStopAcceptsConnectionsThatWait failed before.

--- a/internal/conn/drain/drain.go
+++ b/internal/conn/drain/drain.go
@@ -60,6 +60,10 @@
 	// refuses further ones.
 	quietPeriod  = 300 * time.Millisecond
 	pollInterval = 20 * time.Millisecond
+	// minQuietPolls is the number of polls in a row that must find no request. After a
+	// time without a processor the first poll may come before connections that wait are
+	// accepted.
+	minQuietPolls = 4
 	// AnswerTime is the maximum time that Stop takes after its context has ended, for
 	// the answers to requests that it interrupts.
 	AnswerTime = 250 * time.Millisecond
@@ -208,10 +212,16 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
 		defer cancel()
 	}
+	polls := 0
 	wait(ctx, func() bool {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		return len(d.requests) == 0 && time.Since(d.lastBegin) >= quietPeriod
+		if len(d.requests) > 0 || time.Since(d.lastBegin) < quietPeriod {
+			polls = 0
+			return false
+		}
+		polls++
+		return polls >= minQuietPolls
 	})
 }
 
--- a/internal/conn/drain/drain_test.go
+++ b/internal/conn/drain/drain_test.go
@@ -234,12 +234,20 @@
 	conns  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
+	// delay is how long a connection waits to be accepted.
+	delay time.Duration
 }
 
 func (p *pipes) Accept() (net.Conn, error) {
 	select {
 	case conn := <-p.conns:
-		return conn, nil
+		select {
+		case <-time.After(p.delay):
+			return conn, nil
+		case <-p.closed:
+			_ = conn.Close()
+			return nil, net.ErrClosed
+		}
 	case <-p.closed:
 		return nil, net.ErrClosed
 	}
@@ -287,3 +295,23 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a stop that takes a time in which its process got no processor for one
+// without requests, and closes the listener while connections wait to be accepted.
+func TestStopAcceptsConnectionsThatWait(t *testing.T) {
+	s := &server{}
+	listener := &pipes{conns: make(chan net.Conn), closed: make(chan struct{}), delay: 30 * time.Millisecond}
+	web := &http.Server{Handler: http.HandlerFunc(s.handle), ReadHeaderTimeout: time.Second}
+	s.Attach(web, listener)
+	go func() { _ = web.Serve(listener) }()
+	client, conn := net.Pipe()
+	listener.conns <- conn
+	status := make(chan int, 1)
+	go func() { status <- (&connection{Conn: client, reader: bufio.NewReader(client)}).get() }()
+	if _, err := stop(s, 10*time.Second); err != nil {
+		t.Error(err)
+	}
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+}
