Check the store at once when another follower has lost it

The store had turned away, without a word, the followers of all three data centres. The leader noticed after 1.5 s, and the others only at the end of their waits of 5 s; the daemons that still reached the store followed it no sooner.

Cause: a follower believed that a wait without changes was a store without changes. Now the loss of the store by any daemon makes the waiting followers ask it something that it answers at once.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -93,6 +93,8 @@
 	leaderWaitTimeout = time.Second
 	// followerWaitTimeout is how long a call of any other follower waits for changes.
 	followerWaitTimeout = 5 * time.Second
+	// minWaitTimeout is the wait of a call that only checks whether the store answers.
+	minWaitTimeout = time.Millisecond
 	// waitSlack is how much longer than its wait a call may take.
 	waitSlack = 400 * time.Millisecond
 	// batchDelay is the pause after a call that returned changes, so that the next
@@ -229,9 +231,51 @@
 	if _, leader := f.followers(time.Now()); leader == f.Table.Self(time.Now()).Name {
 		wait = leaderWaitTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+waitSlack)
+	waiting, cancel := context.WithTimeout(ctx, wait+waitSlack)
 	defer cancel()
-	return f.Source.Follow(ctx, revision, wait)
+	waiting, interrupt := context.WithCancelCause(waiting)
+	defer interrupt(nil)
+	go f.interruptOnLoss(waiting, interrupt)
+	changes, err := f.Source.Follow(waiting, revision, wait)
+	if err == nil || !errors.Is(context.Cause(waiting), errOtherLost) {
+		return changes, err
+	}
+	// The store may turn several daemons away without a word, so this one asks it
+	// something that it answers at once.
+	ctx, cancelCheck := context.WithTimeout(ctx, waitSlack)
+	defer cancelCheck()
+	return f.Source.Follow(ctx, revision, minWaitTimeout)
+}
+
+// errOtherLost is the cause for which a wait for changes ends when another daemon has
+// lost the store.
+var errOtherLost = fault.Causef("another daemon has lost the store")
+
+// interruptOnLoss interrupts a wait for changes when another daemon loses the store,
+// until ctx ends.
+func (f *Feed) interruptOnLoss(ctx context.Context, interrupt context.CancelCauseFunc) {
+	known := f.othersWithoutStore(time.Now())
+	for sleep.For(ctx, electionInterval) {
+		lost := f.othersWithoutStore(time.Now())
+		for name := range lost {
+			if !known[name] {
+				interrupt(errOtherLost)
+				return
+			}
+		}
+		known = lost
+	}
+}
+
+// othersWithoutStore returns the names of the other daemons that can't reach the store.
+func (f *Feed) othersWithoutStore(now time.Time) map[string]bool {
+	names := map[string]bool{}
+	for _, m := range f.Table.All(now) {
+		if m.StoreLost && m.Name != f.Table.Name() {
+			names[m.Name] = true
+		}
+	}
+	return names
 }
 
 // leaderKey is the key of the rendezvous hashing that chooses the leader.
