--- a/internal/process/fleet/doc.go
+++ b/internal/process/fleet/doc.go
@@ -22,7 +22,7 @@
 //		f.Finish(now, choice.Target, shard, fleet.Success, latency, &reply.Load)
 //	}
 //
-// What a reply says of its target goes to Heed before Finish: that the target leaves,
+// What a reply says of its target goes to RecordStatement before Finish: that the target leaves,
 // or wants no requests for a while. It is kept for that boot of the target, apart from
 // its registration. A Target is the gate of its own requests (Admit).
 //
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -91,9 +91,9 @@
 	g.fleets[shard].Finish(now, t, 0, outcome, latency, load)
 }
 
-// Heed records what a target's reply to an attempt for the shard says of the target.
-func (g *Group) Heed(now time.Time, t *Target, shard int, s Statement) {
-	g.fleets[shard].Heed(now, t, s)
+// RecordStatement records what a target's reply to an attempt for the shard says of the target.
+func (g *Group) RecordStatement(now time.Time, t *Target, shard int, s Statement) {
+	g.fleets[shard].RecordStatement(now, t, s)
 }
 
 // ResumesIn returns the time until so many shards have an available target, if pauses
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -171,8 +171,8 @@
 	f.drainTimeout = timeout
 }
 
-// Heed records what a reply of a target says of the target.
-func (f *Fleet) Heed(now time.Time, t *Target, s Statement) {
+// RecordStatement records what a reply of a target says of the target.
+func (f *Fleet) RecordStatement(now time.Time, t *Target, s Statement) {
 	if !s.Leaving && s.Pause <= 0 && s.InvalidPause == "" {
 		return
 	}
--- a/internal/process/fleet/selfreport_test.go
+++ b/internal/process/fleet/selfreport_test.go
@@ -40,8 +40,8 @@
 func TestLeavingTargetIsTheLastChoice(t *testing.T) {
 	f, notices := registeredPool(entry("a", "1", 1, 1), entry("b", "2", 1, 1))
 	a, b := f.targets["a"], f.targets["b"]
-	f.Heed(start, a, Statement{Leaving: true})
-	f.Heed(start.Add(time.Second), a, Statement{Leaving: true})
+	f.RecordStatement(start, a, Statement{Leaving: true})
+	f.RecordStatement(start.Add(time.Second), a, Statement{Leaving: true})
 	register(f, start, entry("a", "1", 1, 9), entry("b", "2", 1, 1))
 	for range 100 {
 		if c := pickNow(f, start); c.Target == a || c.Verdict == Lost {
@@ -84,34 +84,34 @@
 		admitted bool
 	}{
 		{"lapsed and back", func(f *Fleet, old *Target) {
-			f.Heed(start, old, leave)
+			f.RecordStatement(start, old, leave)
 			register(f, start)
 			register(f, start, entry("a", "1", 1, 7))
 		}, false},
 		{"said after the registration lapsed", func(f *Fleet, old *Target) {
 			register(f, start)
-			f.Heed(start, old, leave)
+			f.RecordStatement(start, old, leave)
 			register(f, start, entry("a", "1", 1, 7))
 		}, false},
 		{"said after the registration came back", func(f *Fleet, old *Target) {
 			register(f, start)
 			register(f, start, entry("a", "1", 1, 7))
-			f.Heed(start, old, leave)
+			f.RecordStatement(start, old, leave)
 		}, false},
 		{"new boot with the same ID and address", func(f *Fleet, old *Target) {
-			f.Heed(start, old, leave)
+			f.RecordStatement(start, old, leave)
 			register(f, start, entry("a", "1", 2, 7))
 		}, true},
 		{"late answer of the old boot", func(f *Fleet, old *Target) {
 			register(f, start, entry("a", "1", 2, 7))
-			f.Heed(start, old, leave)
+			f.RecordStatement(start, old, leave)
 		}, true},
 		{"another target with the address", func(f *Fleet, old *Target) {
-			f.Heed(start, old, leave)
+			f.RecordStatement(start, old, leave)
 			register(f, start, entry("other", "1", 1, 7))
 		}, true},
 		{"the same boot at another address", func(f *Fleet, old *Target) {
-			f.Heed(start, old, leave)
+			f.RecordStatement(start, old, leave)
 			register(f, start, entry("a", "2", 1, 7))
 		}, true},
 	}
@@ -134,11 +134,11 @@
 // Guards against memory that grows with each target that has ever left.
 func TestSelfReportsAreBounded(t *testing.T) {
 	f, _ := registeredPool(entry("a", "1", 1, 1))
-	f.Heed(start, f.targets["a"], Statement{Leaving: true})
+	f.RecordStatement(start, f.targets["a"], Statement{Leaving: true})
 	for i := range 3 * maxSelfReports {
 		id := strconv.Itoa(i)
 		register(f, start, entry("a", "1", 1, 1), entry(id, id, 1, 1))
-		f.Heed(start, f.targets[id], Statement{Leaving: true})
+		f.RecordStatement(start, f.targets[id], Statement{Leaving: true})
 	}
 	if got := len(f.selfReports.byBoot); got != maxSelfReports || len(f.selfReports.oldest) != got {
 		t.Errorf("%d reports, %d boots, want %d", got, len(f.selfReports.oldest), maxSelfReports)
@@ -160,8 +160,8 @@
 	}
 	g.Wait(start, Query{View: g.View}, 0, func(int) { woken = true })
 	said := start.Add(10 * time.Millisecond)
-	f.Heed(said, a, Statement{Pause: 2 * time.Second})
-	f.Heed(said, a, Statement{Pause: time.Second})
+	f.RecordStatement(said, a, Statement{Pause: 2 * time.Second})
+	f.RecordStatement(said, a, Statement{Pause: time.Second})
 	f.Finish(said, a, 0, Shed, 0.01, nil)
 	f.Finish(said, a, 0, Failed, 0.01, nil)
 	select {
@@ -216,7 +216,7 @@
 		f.SetConnections(20)
 		f.SetDaemons(daemons)
 		f.Plan()
-		f.Heed(start, f.targets["a"], Statement{Pause: 2 * time.Second})
+		f.RecordStatement(start, f.targets["a"], Statement{Pause: 2 * time.Second})
 		late := f.targets["a"].selfReport.resumeAt.Sub(start.Add(2 * time.Second))
 		if late < 0 || late > daemons*resumeSpread {
 			t.Fatalf("a daemon resumes %v after the pause", late)
@@ -243,8 +243,8 @@
 	if len(used) != minSubset {
 		t.Fatalf("%d replicas used", len(used))
 	}
-	f.Heed(start, used[0], Statement{Leaving: true})
-	f.Heed(start, used[1], Statement{Pause: time.Second})
+	f.RecordStatement(start, used[0], Statement{Leaving: true})
+	f.RecordStatement(start, used[1], Statement{Pause: time.Second})
 	if got := f.Plan().Replicas[0]; len(got) != minSubset+2 || !slices.Contains(got, used[1]) {
 		t.Errorf("%d replicas while one leaves and one pauses", len(got))
 	}
@@ -262,7 +262,7 @@
 func TestSelfReportUsesMonotonicTime(t *testing.T) {
 	f, _ := registeredPool(entry("a", "1", 1, 1))
 	a := f.targets["a"]
-	f.Heed(time.Now(), a, Statement{Leaving: true, Pause: time.Second})
+	f.RecordStatement(time.Now(), a, Statement{Leaving: true, Pause: time.Second})
 	for name, at := range map[string]time.Time{"resume": a.selfReport.resumeAt, "drained": a.selfReport.drainedAt} {
 		if !strings.Contains(at.String(), " m=") {
 			t.Errorf("%s at %v has no monotonic time", name, at)
@@ -274,7 +274,7 @@
 func TestInvalidPauseIsToldOnce(t *testing.T) {
 	f, notices := registeredPool(entry("a", "1", 1, 1))
 	for range 3 {
-		f.Heed(start, f.targets["a"], Statement{InvalidPause: "soon"})
+		f.RecordStatement(start, f.targets["a"], Statement{InvalidPause: "soon"})
 	}
 	if len(*notices) != 1 || (*notices)[0].Kind != NoticeInvalidPause || (*notices)[0].Invalid != "soon" {
 		t.Errorf("notices %+v", *notices)
@@ -292,8 +292,8 @@
 		if i == 0 {
 			continue
 		}
-		fleets[i].Heed(start, fleets[i].targets["a"], Statement{Pause: time.Duration(i) * time.Second})
-		fleets[i].Heed(start, fleets[i].targets["b"], Statement{Pause: 10 * time.Second})
+		fleets[i].RecordStatement(start, fleets[i].targets["a"], Statement{Pause: time.Duration(i) * time.Second})
+		fleets[i].RecordStatement(start, fleets[i].targets["b"], Statement{Pause: 10 * time.Second})
 	}
 	g := NewGroup(fleets)
 	for shards, want := range []time.Duration{0, 0, time.Second, 2 * time.Second} {
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -103,7 +103,7 @@
 	if classification.Outcome == fleet.Success {
 		r.ResponseTimes.Observe(x.route.Name, a.Target.Region, now.Sub(sent))
 	}
-	x.group.Heed(now, a.Target, a.Shard, fleet.Statement{
+	x.group.RecordStatement(now, a.Target, a.Shard, fleet.Statement{
 		Request: x.request.ID, Leaving: classification.Leaving, Pause: classification.Pause, InvalidPause: classification.InvalidPause,
 	})
 	x.group.Finish(now, a.Target, a.Shard, classification.Outcome, now.Sub(sent).Seconds(), classification.Load)
