Log what tells a deadly request from others at a crashed target

The line on a suspected crash did not say why a request was not quarantined, and no line told which request's connection broke. Both now show, so that the hypotheses of the incident of deadly requests can be told apart by the log: the fingerprint in 'attempt failed', and losses, domains, success and mass failure in 'a request may have crashed its target'.

--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -162,6 +162,29 @@
 	return r.suspects[fingerprint].quarantinedAt.Add(quarantineDuration).Sub(now), true
 }
 
+// Assessment is what a register holds against a query, for the log.
+type Assessment struct {
+	// Losses is the number of targets lost while they ran the query, in Domains failure
+	// domains.
+	Losses  int
+	Domains int
+	// Succeeded is true if the query has succeeded recently, and MassFailure if so many
+	// other targets were lost that a failure of the surroundings is more likely.
+	Succeeded   bool
+	MassFailure bool
+}
+
+// Assess returns what the register holds against a query.
+func (r *Register) Assess(now time.Time, q Query) Assessment {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := Assessment{Succeeded: r.hasSucceeded(q), MassFailure: r.massFailure(now, q.Fingerprint)}
+	if s := r.suspects[q.Fingerprint]; s != nil {
+		a.Losses, a.Domains = len(s.losses), s.domainCount()
+	}
+	return a
+}
+
 // Count returns the number of quarantined queries.
 func (r *Register) Count(now time.Time) int {
 	r.mu.Lock()
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -113,7 +113,7 @@
 	case fleet.Success, fleet.Cancelled, fleet.Withheld:
 	default:
 		r.Log.Failure(x.request.ID, "attempt failed", "pool", x.poolNames[a.Shard], "target", a.Target.ID, "address", a.Target.Address,
-			"outcome", classification.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "error", err)
+			"outcome", classification.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "fingerprint", x.fingerprint, "error", err)
 	}
 	x.mu.Lock()
 	if u := x.inFlight[a.ID]; u != nil {
@@ -150,8 +150,11 @@
 		if !found {
 			return
 		}
-		quarantined := r.Poison.Lost(now, poison.Query{Fingerprint: fingerprint}, poison.Loss{Target: t.ID, Domain: t.ID})
-		r.Log.State("a request may have crashed its target", "target", t.ID, "fingerprint", fingerprint, "held", quarantined)
+		query := poison.Query{Fingerprint: fingerprint}
+		quarantined := r.Poison.Lost(now, query, poison.Loss{Target: t.ID, Domain: t.ID})
+		a := r.Poison.Assess(now, query)
+		r.Log.State("a request may have crashed its target", "target", t.ID, "fingerprint", fingerprint, "held", quarantined,
+			"losses", a.Losses, "domains", a.Domains, "succeeded", a.Succeeded, "massFailure", a.MassFailure)
 		if r.OnSuspectedCrash != nil {
 			r.OnSuspectedCrash()
 		}
