Blame every request that a target was running when it crashed

Cause: evidence of a crash was a broken connection and then a refused one, at the same daemon, for the same target ID within 3 s, and one request was remembered for each target, the last whose connection broke. So a crash that no later attempt met counted nowhere, and one that cut several requests was blamed on any of them.

Package crash keeps every attempt at a boot of a target that is in flight or has ended without an answer. A broken connection is followed by a probe, whose connection serves the next request. The end of a boot is learnt from a refused connection, from another process at the address, or from the registrations; all these attempts are blamed for it.

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -87,6 +87,8 @@
 	// maxMismatchedReplies bounds the replies to other requests that are skipped
 	// before the expected one.
 	maxMismatchedReplies = 3
+	// probeTimeout bounds a probe; a target that takes longer has not refused it.
+	probeTimeout = time.Second
 	// minIdleTimeout is used if the target closes idle connections within a second.
 	minIdleTimeout = 300 * time.Millisecond
 )
--- a/internal/conn/http1/pool.go
+++ b/internal/conn/http1/pool.go
@@ -69,6 +69,9 @@
 	return g.Pool.do(ctx, request, deadline, maxUnsafeIdle, g.Gate)
 }
 
+// Probe is Pool.Probe.
+func (g Gated) Probe(ctx context.Context) error { return g.Pool.Probe(ctx) }
+
 // errWithheld is the error of a request that the gate did not admit.
 var errWithheld = &Error{Op: "send", Kind: KindWithheld, Err: fault.Causef("the target takes no requests now")}
 
@@ -92,6 +95,19 @@
 	return p.do(ctx, request, deadline, maxUnsafeIdle, openGate{})
 }
 
+// Probe opens a connection to the target, for the next request, to find out whether the
+// target still listens.
+func (p *Pool) Probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c, err := p.open(ctx, time.Now().Add(probeTimeout), openGate{})
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 // do reuses only connections that have been idle for at most maxIdle.
 func (p *Pool) do(ctx context.Context, request *http.Request, deadline time.Time, maxIdle time.Duration, gate Gate) (*Reply, error) {
 	requestID := ""
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -59,8 +59,7 @@
 		t := f.targets[e.ID]
 		if t == nil || t.born != e.Born || t.Address != e.Address {
 			if t != nil {
-				t.state = StateLeaving
-				gone = append(gone, t.ID)
+				gone = append(gone, f.remove(t))
 			}
 			t = f.newRegistered(now, e, regionOf(e.DataCentre))
 			f.targets[e.ID] = t
@@ -71,9 +70,8 @@
 	}
 	for id, t := range f.targets {
 		if !listed[id] {
-			t.state = StateLeaving
+			gone = append(gone, f.remove(t))
 			delete(f.targets, id)
-			gone = append(gone, id)
 			f.viewsStale = true
 		}
 	}
@@ -85,6 +83,15 @@
 	return gone
 }
 
+// remove ends the use of a registered target and returns its ID.
+func (f *Fleet) remove(t *Target) string {
+	if f.config.OnLost != nil && t.state != StateLeaving && !t.selfReport.leaving() {
+		f.config.OnLost(t)
+	}
+	t.state = StateLeaving
+	return t.ID
+}
+
 func (f *Fleet) newRegistered(now time.Time, e *roster.Entry, region string) *Target {
 	t := &Target{
 		ID: e.ID, Address: e.Address, Region: region, DataCentre: e.DataCentre, Rack: e.ID,
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strconv"
 	"time"
 )
 
@@ -73,6 +74,9 @@
 
 func (t *Target) boot() boot { return boot{id: t.ID, born: t.born, address: t.Address} }
 
+// BootID identifies the process of the target.
+func (t *Target) BootID() string { return t.ID + "@" + t.Address + "#" + strconv.FormatInt(t.born, 10) }
+
 // selfReport is what one boot of a target has said of itself in its replies to this
 // daemon. Registrations don't change it.
 type selfReport struct {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -203,6 +203,7 @@
 			n.Log.State("target state changed", "pool", pool, "target", t.ID, "address", t.Address, "state", state, "why", why)
 		},
 		OnNotice: n.reportNotice, OnKept: func(why fleet.NoticeKind) { n.Meter.CountDecision("KeepFromTarget" + string(why)) },
+		OnLost:       func(t *fleet.Target) { n.runner.TargetEnded(t) },
 		DrainTimeout: n.Setup.DrainTimeout,
 	}
 	n.Pools.SetSharers(1, 1, n.allocator.Fraction(mono.Now(), 1, true))
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/crash"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
-	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 )
 
@@ -90,6 +90,8 @@
 	if !x.route.Idempotent {
 		send = sender.DoOnce
 	}
+	trace := crash.Attempt{ID: r.attemptIDs.Add(1), Fingerprint: x.fingerprint, Sent: sent}
+	r.crashes.Sent(sent, a.Target.BootID(), trace)
 	reply, err := send(ctx, request, x.schedule.deadline)
 	now := time.Now()
 	classification := Classification{Outcome: outcomeOf(ctx, err)}
@@ -107,7 +109,7 @@
 		Request: x.request.ID, Leaving: classification.Leaving, Pause: classification.Pause, InvalidPause: classification.InvalidPause,
 	})
 	x.group.Finish(now, a.Target, a.Shard, classification.Outcome, now.Sub(sent).Seconds(), classification.Load)
-	x.trackCrash(now, a.Target, classification.Outcome)
+	r.trackCrash(now, a.Target, sender, trace, classification.Outcome, err)
 	x.reportLostAnswer(a, classification.Outcome)
 	switch classification.Outcome {
 	case fleet.Success, fleet.Cancelled, fleet.Withheld:
@@ -138,33 +140,6 @@
 	}
 }
 
-// trackCrash collects evidence that a request crashes the targets that run it: a
-// broken connection, followed by a refused one.
-func (x *exchange) trackCrash(now time.Time, t *fleet.Target, outcome fleet.Outcome) {
-	r := x.runner
-	switch outcome {
-	case fleet.Broken, fleet.Crowded:
-		r.crashes.recordBroken(now, t.ID, x.fingerprint)
-	case fleet.Refused:
-		fingerprint, found := r.crashes.takeSuspect(now, t.ID)
-		if !found {
-			return
-		}
-		query := poison.Query{Fingerprint: fingerprint}
-		quarantined := r.Poison.Lost(now, query, poison.Loss{Target: t.ID, Domain: t.ID})
-		a := r.Poison.Assess(now, query)
-		r.Log.State("a request may have crashed its target", "target", t.ID, "fingerprint", fingerprint, "held", quarantined,
-			"losses", a.Losses, "domains", a.Domains, "succeeded", a.Succeeded, "massFailure", a.MassFailure)
-		if r.OnSuspectedCrash != nil {
-			r.OnSuspectedCrash()
-		}
-	case fleet.Success:
-		r.crashes.forget(t.ID)
-		r.Poison.Succeeded(now, poison.Query{Fingerprint: x.fingerprint})
-	default:
-	}
-}
-
 func outcomeOf(ctx context.Context, err error) fleet.Outcome {
 	if err == nil {
 		return fleet.Success
--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -64,6 +64,9 @@
 	change(f)
 }
 
+// Probe finds the target listening.
+func (f *fakeTarget) Probe(context.Context) error { return nil }
+
 // Do runs a request for the time that its header asks for.
 func (f *fakeTarget) Do(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error) {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
@@ -270,6 +273,7 @@
 			return gated
 		},
 	}
+	targetPools.OnLost = r.TargetEnded
 	c.daemons = append(c.daemons, r)
 	return r
 }
--- a/internal/request/relay/crash_test.go
+++ b/internal/request/relay/crash_test.go
@@ -162,6 +162,21 @@
 	return m.Do(ctx, request, deadline)
 }
 
+// Probe finds out whether the target listens.
+func (m *mortalTarget) Probe(ctx context.Context) error {
+	m.tier.mu.Lock()
+	down := time.Now().Before(m.downUntil)
+	m.tier.mu.Unlock()
+	switch {
+	case down && m.tier.plan.silent:
+		_, err := unanswered(ctx, time.Now().Add(time.Second))
+		return err
+	case down:
+		return &http1.Error{Op: "connect", Kind: http1.KindNotSent, Err: syscall.ECONNREFUSED}
+	}
+	return nil
+}
+
 // crash ends a target's process and starts the next one later.
 func (t *mortalTier) crash(m *mortalTarget, deadly bool) {
 	t.mu.Lock()
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -14,10 +14,11 @@
 import (
 	"context"
 	"net/http"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/crash"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/logger"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
@@ -131,6 +132,8 @@
 	Do(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error)
 	// DoOnce is Do for a request that must not be sent again.
 	DoOnce(ctx context.Context, request *http.Request, deadline time.Time) (*http1.Reply, error)
+	// Probe connects to the target to find out whether it still listens.
+	Probe(ctx context.Context) error
 }
 
 // Runner runs requests. Exported fields are set before Run.
@@ -155,7 +158,8 @@
 	RemotePeers RemotePeers
 
 	splits         splits
-	crashes        crashTracker
+	crashes        crash.Tracker
+	attemptIDs     atomic.Uint64
 	callerTimeouts callerTimeouts
 	roundTrips     roundTrips
 }
@@ -223,49 +227,3 @@
 	answer.ExtraAttempts = x.gather.Attempts() - x.gather.Sent()
 	return answer
 }
-
-// crashTracker remembers for each target the request that was running when a
-// connection broke, until the target shows whether it crashed.
-type crashTracker struct {
-	mu     sync.Mutex
-	broken map[string]brokenRequest
-}
-
-type brokenRequest struct {
-	fingerprint uint64
-	at          time.Time
-}
-
-// crashWindow is how soon after a broken connection a refused one shows that the
-// target crashed, and maxTrackedCrashes bounds the targets remembered.
-const (
-	crashWindow       = 3 * time.Second
-	maxTrackedCrashes = 1024
-)
-
-// recordBroken records that a connection broke while the target ran a request.
-func (c *crashTracker) recordBroken(now time.Time, target string, fingerprint uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.broken == nil || len(c.broken) >= maxTrackedCrashes {
-		c.broken = map[string]brokenRequest{}
-	}
-	c.broken[target] = brokenRequest{fingerprint: fingerprint, at: now}
-}
-
-// takeSuspect returns and forgets the request that was running when the target's
-// connection broke. Found is false unless that was within crashWindow.
-func (c *crashTracker) takeSuspect(now time.Time, target string) (fingerprint uint64, found bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	b, found := c.broken[target]
-	delete(c.broken, target)
-	return b.fingerprint, found && now.Sub(b.at) < crashWindow
-}
-
-// forget drops the record of a target that has answered, since it is still up.
-func (c *crashTracker) forget(target string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.broken, target)
-}
