Quarantine on repeated losses, and tell all daemons of what clears a suspicion

Cause: the register took three other targets lost within 2 s for a failure of the surroundings, and withheld the quarantine for as long as that went on; the deadly request itself causes such losses under other fingerprints. One success exempted a request for five minutes. Losses were told to other daemons, what cleared them was not, and the 16 suspects of a heartbeat were any of them.

Now a quarantine needs a loss of an attempt that was sent after another loss. Ambiguous evidence (other requests at the target, mass failure, an earlier success) raises the number of targets from two to three, and withholds nothing. A success clears the losses before it, at all daemons by heartbeat. A request that is known to have succeeded is held for 2 s at first, five times longer each time. Heartbeats carry quarantined suspects first, then the newest.

TestAmbiguousLossesNeedRepetition, TestSuccessClearsTheSuspicionOfOtherDaemons, TestQuarantinedQueriesAreToldFirst.

--- a/internal/process/crash/crash.go
+++ b/internal/process/crash/crash.go
@@ -69,7 +69,7 @@
 	// when it ended.
 	atEnd     []uint64
 	checkedAt time.Time
-	usedAt     time.Time
+	usedAt    time.Time
 }
 
 type unanswered struct {
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -13,13 +13,21 @@
 //	r.Succeeded(now, q)
 //
 // A fingerprint is quarantined once two targets in two failure domains, or three
-// targets in one domain, were lost while they ran it, unless so many other targets
-// were lost at the same time that a failed rack or switch is the more likely cause.
-// A single success at any target clears the suspicion, since a query of death never
-// succeeds. Counting failure domains as well as targets follows KIP-1290.
+// targets in one domain, were lost while they ran it, and one of the losses is of an
+// attempt that was sent after another loss: what fails at the same time has one cause,
+// which may be another one. Three targets are needed if the evidence is ambiguous: if
+// the targets were running other queries as well, if so many other targets were lost at
+// the same time that a failed rack or switch is the more likely cause, or if the query
+// has succeeded lately. Ambiguity delays a quarantine and never prevents it.
+//
+// A success at any target clears the suspicion at all daemons, since a query of death
+// never succeeds. Counting failure domains as well as targets follows KIP-1290.
 package poison
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,8 +43,16 @@
 	lossesSameDomain = 3
 	// lossLifetime is how long a loss counts.
 	lossLifetime = 10 * time.Minute
-	// quarantineDuration is how long a quarantine lasts.
+	// quarantineDuration is how long a quarantine lasts. That of a query that has
+	// succeeded lately lasts for minQuarantine at first, and quarantineGrowth times longer
+	// each time that the query is at fault again.
 	quarantineDuration = 10 * time.Minute
+	minQuarantine      = 2 * time.Second
+	quarantineGrowth   = 5
+	// maxLosses bounds the losses that are kept of one query.
+	maxLosses = 4
+	// clearLifetime is how long the other daemons are told of a cleared suspicion.
+	clearLifetime = 30 * time.Second
 	// massFailureLosses is the number of targets lost under other queries within
 	// massFailureWindow from which a failed rack or switch is suspected instead of the
 	// query.
@@ -55,6 +71,12 @@
 	Target string
 	// Domain is the failure domain of the target.
 	Domain string
+	// RanMillis is how long the target had had the query, and AgeMillis the time since
+	// the loss.
+	RanMillis int64
+	AgeMillis int64
+	// Shared is true if the target was running other queries as well.
+	Shared bool
 }
 
 // Query is one query at one index version: a query that is harmless at one version
@@ -68,15 +90,33 @@
 type Entry struct {
 	Query  Query
 	Losses []Loss
-	// AgeMillis is the time since the newest loss.
+	// AgeMillis is the time since the newest loss, or since the success if Cleared.
 	AgeMillis int64
+	// Cleared is true if the query has succeeded since its losses.
+	Cleared bool
 }
 
 type suspect struct {
-	version       uint64
-	losses        []Loss
-	newestLoss    time.Time
+	version    uint64
+	losses     []loss
+	newestLoss time.Time
+	// clearedAt is when the query last succeeded while it was suspected.
+	clearedAt     time.Time
 	quarantinedAt time.Time
+	duration      time.Duration
+}
+
+// loss is a Loss with its times.
+type loss struct {
+	Loss
+	sent time.Time
+	at   time.Time
+}
+
+// success is the last success of a query.
+type success struct {
+	version uint64
+	at      time.Time
 }
 
 // Register holds the suspect queries of one daemon and the queries that succeeded
@@ -85,10 +125,10 @@
 	mu           sync.Mutex
 	suspects     map[uint64]*suspect
 	recentLosses []recentLoss
-	// succeeded maps a fingerprint to the index version at which the query succeeded;
-	// succeededBefore is the previous generation of that map.
-	succeeded       map[uint64]uint64
-	succeededBefore map[uint64]uint64
+	// succeeded maps a fingerprint to the last success of the query; succeededBefore is
+	// the previous generation of that map.
+	succeeded       map[uint64]success
+	succeededBefore map[uint64]success
 	rotatedAt       time.Time
 }
 
@@ -102,8 +142,8 @@
 func New() *Register {
 	return &Register{
 		suspects:        map[uint64]*suspect{},
-		succeeded:       map[uint64]uint64{},
-		succeededBefore: map[uint64]uint64{},
+		succeeded:       map[uint64]success{},
+		succeededBefore: map[uint64]success{},
 	}
 }
 
@@ -120,29 +160,43 @@
 }
 
 // Lost records a loss and reports whether the query is now quarantined.
-func (r *Register) Lost(now time.Time, q Query, loss Loss) bool {
+func (r *Register) Lost(now time.Time, q Query, l Loss) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.forgetLosses(now)
-	r.recentLosses = append(r.recentLosses, recentLoss{at: now, target: loss.Target, fingerprint: q.Fingerprint})
-	if r.hasSucceeded(q) {
-		return false
-	}
-	r.record(now, now, q, []Loss{loss})
+	r.recentLosses = append(r.recentLosses, recentLoss{at: now, target: l.Target, fingerprint: q.Fingerprint})
+	r.record(now, q, []Loss{l})
 	return r.checkQuarantine(now, q.Fingerprint)
 }
 
 // Succeeded clears the suspicion of a query and remembers for some minutes that it
-// is harmless.
-func (r *Register) Succeeded(now time.Time, q Query) {
+// succeeded. It reports whether there was a suspicion.
+func (r *Register) Succeeded(now time.Time, q Query) (cleared bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.suspects, q.Fingerprint)
+	if s := r.suspects[q.Fingerprint]; s != nil {
+		cleared = s.clear(now)
+	}
 	if now.Sub(r.rotatedAt) > successLifetime || len(r.succeeded) >= maxSuccesses {
-		r.succeededBefore, r.succeeded = r.succeeded, make(map[uint64]uint64, len(r.succeeded))
+		r.succeededBefore, r.succeeded = r.succeeded, make(map[uint64]success, len(r.succeeded))
 		r.rotatedAt = now
 	}
-	r.succeeded[q.Fingerprint] = q.Version
+	r.succeeded[q.Fingerprint] = success{version: q.Version, at: now}
+	return cleared
+}
+
+// clear drops the losses up to the time of a success, and reports whether there were
+// any.
+func (s *suspect) clear(at time.Time) bool {
+	if at.After(s.clearedAt) {
+		s.clearedAt = at
+	}
+	before := len(s.losses)
+	s.losses = slices.DeleteFunc(slices.Clone(s.losses), func(l loss) bool { return !l.at.After(at) })
+	if len(s.losses) == 0 {
+		s.quarantinedAt = time.Time{}
+	}
+	return len(s.losses) < before
 }
 
 // HasSucceeded reports whether the query succeeded recently, so that it needs no canary.
@@ -159,7 +213,8 @@
 	if !r.checkQuarantine(now, fingerprint) {
 		return 0, false
 	}
-	return r.suspects[fingerprint].quarantinedAt.Add(quarantineDuration).Sub(now), true
+	s := r.suspects[fingerprint]
+	return s.quarantinedAt.Add(s.duration).Sub(now), true
 }
 
 // Assessment is what a register holds against a query, for the log.
@@ -191,15 +246,15 @@
 	defer r.mu.Unlock()
 	count := 0
 	for _, s := range r.suspects {
-		if !s.quarantinedAt.IsZero() && now.Sub(s.quarantinedAt) < quarantineDuration {
+		if s.quarantined(now) {
 			count++
 		}
 	}
 	return count
 }
 
-// Merge takes over the suspects of another daemon and reports whether any loss was
-// new.
+// Merge takes over the suspects of another daemon and reports whether other daemons
+// should hear of a change.
 func (r *Register) Merge(now time.Time, entries []Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -207,10 +262,16 @@
 	for i := range entries {
 		e := &entries[i]
 		age := time.Duration(e.AgeMillis) * time.Millisecond
-		if age < 0 || age > lossLifetime || r.hasSucceeded(e.Query) {
+		if age < 0 || age > lossLifetime {
 			continue
 		}
-		if r.record(now, now.Add(-age), e.Query, e.Losses) {
+		if e.Cleared {
+			if s := r.suspects[e.Query.Fingerprint]; s != nil && s.clear(now.Add(-age)) {
+				changed = true
+			}
+			continue
+		}
+		if r.record(now, e.Query, agedLosses(e)) {
 			changed = true
 		}
 		r.checkQuarantine(now, e.Query.Fingerprint)
@@ -218,28 +279,77 @@
 	return changed
 }
 
-// Entries lists at most limit suspects for the other daemons.
+// agedLosses returns the losses of an entry, the newest of them as old as the entry.
+func agedLosses(e *Entry) []Loss {
+	losses := slices.Clone(e.Losses)
+	youngest := int64(math.MaxInt64)
+	for i := range losses {
+		youngest = min(youngest, losses[i].AgeMillis)
+	}
+	for i := range losses {
+		losses[i].AgeMillis += max(0, e.AgeMillis-youngest)
+	}
+	return losses
+}
+
+// Entries lists at most limit suspects for the other daemons: first those that are
+// quarantined, then those that changed last.
 func (r *Register) Entries(now time.Time, limit int) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var entries []Entry
+	type candidate struct {
+		fingerprint uint64
+		*suspect
+	}
+	var candidates []candidate
 	for fingerprint, s := range r.suspects {
-		if now.Sub(s.newestLoss) > lossLifetime {
+		switch {
+		case len(s.losses) > 0 && now.Sub(s.newestLoss) <= lossLifetime, len(s.losses) == 0 && now.Sub(s.clearedAt) <= clearLifetime:
+			candidates = append(candidates, candidate{fingerprint, s})
+		default:
 			delete(r.suspects, fingerprint)
-			continue
 		}
-		if len(entries) < limit {
-			age := now.Sub(s.newestLoss).Milliseconds()
-			entries = append(entries, Entry{Query: Query{Fingerprint: fingerprint, Version: s.version}, Losses: s.losses, AgeMillis: age})
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch held := a.quarantined(now); {
+		case held != b.quarantined(now) && held:
+			return -1
+		case held != b.quarantined(now):
+			return 1
 		}
+		return cmp.Or(b.changedAt().Compare(a.changedAt()), cmp.Compare(a.fingerprint, b.fingerprint))
+	})
+	entries := make([]Entry, 0, min(limit, len(candidates)))
+	for _, c := range candidates[:min(limit, len(candidates))] {
+		entries = append(entries, c.entry(now, c.fingerprint))
 	}
 	return entries
 }
 
-// record adds the losses that are not known yet and reports whether there were any.
-func (r *Register) record(now, lostAt time.Time, q Query, losses []Loss) bool {
+// changedAt is when the suspect last changed.
+func (s *suspect) changedAt() time.Time {
+	if len(s.losses) == 0 {
+		return s.clearedAt
+	}
+	return s.newestLoss
+}
+
+func (s *suspect) entry(now time.Time, fingerprint uint64) Entry {
+	e := Entry{
+		Query: Query{Fingerprint: fingerprint, Version: s.version}, AgeMillis: now.Sub(s.changedAt()).Milliseconds(), Cleared: len(s.losses) == 0,
+	}
+	for _, l := range s.losses {
+		l.AgeMillis = now.Sub(l.at).Milliseconds()
+		e.Losses = append(e.Losses, l.Loss)
+	}
+	return e
+}
+
+// record adds the losses that are not known yet and reports whether there were any. A
+// loss before the query's last success at this daemon clears itself.
+func (r *Register) record(now time.Time, q Query, losses []Loss) bool {
 	s := r.suspects[q.Fingerprint]
-	if s == nil || now.Sub(s.newestLoss) > lossLifetime {
+	if s == nil || len(s.losses) > 0 && now.Sub(s.newestLoss) > lossLifetime {
 		if len(r.suspects) >= maxSuspects {
 			r.evict()
 		}
@@ -247,17 +357,39 @@
 		r.suspects[q.Fingerprint] = s
 	}
 	s.version = q.Version
-	added := false
-	for _, loss := range losses {
-		if len(s.losses) < lossesSameDomain && !s.hasTarget(loss.Target) {
-			s.losses = append(s.losses[:len(s.losses):len(s.losses)], loss)
-			added = true
+	succeeded, _ := r.lastSuccess(q)
+	changed := false
+	for _, l := range losses {
+		at := now.Add(-time.Duration(l.AgeMillis) * time.Millisecond)
+		switch {
+		case !at.After(s.clearedAt):
+		case !at.After(succeeded):
+			s.clearedAt, changed = succeeded, true
+		case s.add(loss{Loss: l, sent: at.Add(-time.Duration(l.RanMillis) * time.Millisecond), at: at}):
+			changed = true
 		}
 	}
-	if added && lostAt.After(s.newestLoss) {
-		s.newestLoss = lostAt
+	return changed
+}
+
+// add records a loss and reports whether it adds evidence. Beyond maxLosses, one that was
+// sent later replaces the last.
+func (s *suspect) add(l loss) bool {
+	last := len(s.losses) - 1
+	switch {
+	case s.hasTarget(l.Target):
+		return false
+	case len(s.losses) < maxLosses:
+		s.losses = append(s.losses[:len(s.losses):len(s.losses)], l)
+	case l.sent.After(s.losses[last].sent):
+		s.losses = append(s.losses[:last:last], l)
+	default:
+		return false
+	}
+	if l.at.After(s.newestLoss) {
+		s.newestLoss = l.at
 	}
-	return added
+	return true
 }
 
 // evict drops one suspect, if possible one that is not quarantined.
@@ -276,20 +408,56 @@
 // if the losses suffice.
 func (r *Register) checkQuarantine(now time.Time, fingerprint uint64) bool {
 	s := r.suspects[fingerprint]
-	if s == nil {
+	if s == nil || len(s.losses) == 0 {
+		return false
+	}
+	if s.quarantined(now) {
+		return true
+	}
+	if !s.quarantinedAt.IsZero() && !s.newestLoss.After(s.quarantinedAt) {
+		// The quarantine that these losses led to is over.
 		return false
 	}
-	if !s.quarantinedAt.IsZero() {
-		return now.Sub(s.quarantinedAt) < quarantineDuration
+	_, succeeded := r.lastSuccess(Query{Fingerprint: fingerprint, Version: s.version})
+	needed := lossesToQuarantine
+	if succeeded || s.shared() || r.massFailure(now, fingerprint) {
+		needed = lossesSameDomain
 	}
-	enough := len(s.losses) >= lossesSameDomain || len(s.losses) >= lossesToQuarantine && s.domainCount() >= lossesToQuarantine
-	if !enough || now.Sub(s.newestLoss) > lossLifetime || r.massFailure(now, fingerprint) {
+	enough := len(s.losses) >= lossesSameDomain || len(s.losses) >= needed && s.domainCount() >= needed
+	if !enough || !s.repeated() || now.Sub(s.newestLoss) > lossLifetime {
 		return false
 	}
+	if succeeded {
+		s.duration = min(quarantineDuration, max(minQuarantine, s.duration*quarantineGrowth))
+	} else {
+		s.duration = quarantineDuration
+	}
 	s.quarantinedAt = now
 	return true
 }
 
+func (s *suspect) quarantined(now time.Time) bool {
+	return !s.quarantinedAt.IsZero() && now.Sub(s.quarantinedAt) < s.duration
+}
+
+// repeated reports whether a target was lost to an attempt that was sent after the
+// loss of another target.
+func (s *suspect) repeated() bool {
+	for _, first := range s.losses {
+		for _, second := range s.losses {
+			if first.Target != second.Target && !second.sent.Before(first.at) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// shared reports whether the targets were running other queries as well.
+func (s *suspect) shared() bool {
+	return slices.ContainsFunc(s.losses, func(l loss) bool { return l.Shared })
+}
+
 // massFailure reports whether so many targets were lost just now under other
 // queries that this query is probably not the cause.
 func (r *Register) massFailure(now time.Time, fingerprint uint64) bool {
@@ -319,11 +487,18 @@
 }
 
 func (r *Register) hasSucceeded(q Query) bool {
-	if version, ok := r.succeeded[q.Fingerprint]; ok && version == q.Version {
-		return true
+	_, ok := r.lastSuccess(q)
+	return ok
+}
+
+// lastSuccess returns when the query last succeeded at its index version.
+func (r *Register) lastSuccess(q Query) (at time.Time, ok bool) {
+	for _, generation := range []map[uint64]success{r.succeeded, r.succeededBefore} {
+		if last, found := generation[q.Fingerprint]; found && last.version == q.Version {
+			return last.at, true
+		}
 	}
-	version, ok := r.succeededBefore[q.Fingerprint]
-	return ok && version == q.Version
+	return time.Time{}, false
 }
 
 func (s *suspect) hasTarget(target string) bool {
--- a/internal/process/poison/poison_test.go
+++ b/internal/process/poison/poison_test.go
@@ -150,3 +150,159 @@
 		t.Errorf("%d losses are remembered, want that of the last minute", len(r.recentLosses))
 	}
 }
+
+// sentAgo returns a loss of an attempt that the target had had for the given time.
+func sentAgo(target string, ran time.Duration, shared bool) Loss {
+	return Loss{Target: target, Domain: target, RanMillis: ran.Milliseconds(), Shared: shared}
+}
+
+// Guards against quarantines of harmless requests that were running beside a deadly one,
+// and against a deadly one that is not quarantined because of them.
+func TestAmbiguousLossesNeedRepetition(t *testing.T) {
+	const ran = 20 * time.Millisecond
+	q := Query{Fingerprint: 1, Version: 7}
+	tests := []struct {
+		name string
+		do   func(r *Register) (now time.Time)
+		want bool
+	}{
+		{"attempts that were sent together", func(r *Register) time.Time {
+			r.Lost(start, q, sentAgo("a", ran, false))
+			r.Lost(start.Add(time.Millisecond), q, sentAgo("b", ran, false))
+			r.Lost(start.Add(2*time.Millisecond), q, sentAgo("c", ran, false))
+			return start.Add(time.Second)
+		}, false},
+		{"an attempt that was sent after a loss", func(r *Register) time.Time {
+			r.Lost(start, q, sentAgo("a", ran, false))
+			r.Lost(start.Add(ran), q, sentAgo("b", ran, false))
+			return start.Add(ran)
+		}, true},
+		{"two targets that ran other requests as well", func(r *Register) time.Time {
+			r.Lost(start, q, sentAgo("a", ran, true))
+			r.Lost(start.Add(time.Second), q, sentAgo("b", ran, true))
+			return start.Add(time.Second)
+		}, false},
+		{"three targets that ran other requests as well", func(r *Register) time.Time {
+			r.Lost(start, q, sentAgo("a", ran, true))
+			r.Lost(start.Add(time.Millisecond), q, sentAgo("b", ran, true))
+			r.Lost(start.Add(time.Second), q, sentAgo("c", ran, true))
+			return start.Add(time.Second)
+		}, true},
+		{"targets that are lost under other queries all the while", func(r *Register) time.Time {
+			now := start
+			for i := range 30 {
+				now = start.Add(time.Duration(i) * 100 * time.Millisecond)
+				r.Lost(now, Query{Fingerprint: uint64(100 + i)}, sentAgo(fmt.Sprint("t", i), ran, false))
+				if i%10 == 0 {
+					r.Lost(now, q, sentAgo(fmt.Sprint("own", i), ran, false))
+				}
+			}
+			return now
+		}, true},
+		{"two losses after a success", func(r *Register) time.Time {
+			r.Succeeded(start, q)
+			r.Lost(start.Add(time.Second), q, sentAgo("a", ran, false))
+			r.Lost(start.Add(2*time.Second), q, sentAgo("b", ran, false))
+			return start.Add(2 * time.Second)
+		}, false},
+		{"three losses after a success", func(r *Register) time.Time {
+			r.Succeeded(start, q)
+			for i, target := range []string{"a", "b", "c"} {
+				r.Lost(start.Add(time.Duration(i+1)*time.Second), q, sentAgo(target, ran, false))
+			}
+			return start.Add(3 * time.Second)
+		}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := New()
+			now := tt.do(r)
+			if _, quarantined := r.Quarantined(now, q.Fingerprint); quarantined != tt.want {
+				t.Errorf("quarantined: %v, want %v", quarantined, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against a request that is refused for minutes by mistake although it is known
+// to be harmless, and against one that has become deadly and is tried again too often.
+func TestQuarantinesOfKnownQueriesGrow(t *testing.T) {
+	r := New()
+	q := Query{Fingerprint: 1}
+	r.Succeeded(start, q)
+	now := start
+	for round, want := range []time.Duration{2 * time.Second, 10 * time.Second, 50 * time.Second} {
+		losses := lossesSameDomain
+		if round > 0 {
+			losses = 1
+		}
+		for i := range losses {
+			now = now.Add(10 * time.Millisecond)
+			r.Lost(now, q, sentAgo(fmt.Sprint(now, i), time.Millisecond, false))
+		}
+		if left, quarantined := r.Quarantined(now, 1); !quarantined || left != want {
+			t.Fatalf("quarantined: %v, for %v, want %v", quarantined, left, want)
+		}
+		now = now.Add(want)
+		if _, quarantined := r.Quarantined(now, 1); quarantined {
+			t.Fatalf("still quarantined after %v", want)
+		}
+	}
+}
+
+// Guards against daemons that hold a request back although another one has seen it
+// succeed.
+func TestSuccessClearsTheSuspicionOfOtherDaemons(t *testing.T) {
+	q := Query{Fingerprint: 1}
+	tests := []struct {
+		name      string
+		succeedAt time.Time
+		want      bool
+	}{
+		{"before the losses", start.Add(-time.Second), true},
+		{"after the losses, before they are told", start.Add(3 * time.Second), false},
+		{"after they are told", start.Add(5 * time.Second), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			suspicious, other := New(), New()
+			succeed := func(now time.Time) {
+				if now.Equal(tt.succeedAt) {
+					other.Succeeded(now, q)
+				}
+			}
+			succeed(start.Add(-time.Second))
+			for i, target := range []string{"a", "b", "c"} {
+				suspicious.Lost(start.Add(time.Duration(i)*time.Second), q, sentAgo(target, time.Millisecond, false))
+			}
+			succeed(start.Add(3 * time.Second))
+			told := start.Add(4 * time.Second)
+			other.Merge(told, suspicious.Entries(told, 16))
+			succeed(start.Add(5 * time.Second))
+			now := start.Add(6 * time.Second)
+			suspicious.Merge(now, other.Entries(now, 16))
+			if _, quarantined := suspicious.Quarantined(now, 1); quarantined != tt.want {
+				t.Errorf("quarantined: %v, want %v", quarantined, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against heartbeats that carry other suspects than those that matter.
+func TestQuarantinedQueriesAreToldFirst(t *testing.T) {
+	r := New()
+	for i, target := range []string{"a", "b"} {
+		r.Lost(start.Add(time.Duration(i)*time.Second), Query{Fingerprint: 1}, sentAgo(target, time.Millisecond, false))
+	}
+	now := start.Add(10 * time.Second)
+	for i := range 100 {
+		r.Lost(now.Add(time.Duration(i)*time.Millisecond), Query{Fingerprint: uint64(i + 2)}, sentAgo(fmt.Sprint(i), time.Millisecond, false))
+	}
+	entries := r.Entries(now.Add(time.Second), 3)
+	want := []uint64{1, 101, 100}
+	for i, fingerprint := range want {
+		if i >= len(entries) || entries[i].Query.Fingerprint != fingerprint {
+			t.Fatalf("entries %+v, want the fingerprints %v", entries, want)
+		}
+	}
+}
--- a/internal/request/relay/crash.go
+++ b/internal/request/relay/crash.go
@@ -45,7 +45,9 @@
 		r.recordUnanswered(now, t, a)
 	case fleet.Success:
 		r.crashes.Answered(now, boot, a)
-		r.Poison.Succeeded(now, poison.Query{Fingerprint: a.Fingerprint})
+		if r.Poison.Succeeded(now, poison.Query{Fingerprint: a.Fingerprint}) && r.OnSuspectedCrash != nil {
+			r.OnSuspectedCrash()
+		}
 	case fleet.Failed, fleet.Shed:
 		r.crashes.Answered(now, boot, a)
 	default:
@@ -91,7 +93,9 @@
 // recordLoss records that a request may have crashed its target.
 func (r *Runner) recordLoss(now time.Time, t *fleet.Target, blamed crash.Blamed) {
 	query := poison.Query{Fingerprint: blamed.Fingerprint}
-	quarantined := r.Poison.Lost(now, query, poison.Loss{Target: t.BootID(), Domain: t.ID})
+	quarantined := r.Poison.Lost(now, query, poison.Loss{
+		Target: t.BootID(), Domain: t.ID, RanMillis: now.Sub(blamed.Sent).Milliseconds(), Shared: blamed.Shared,
+	})
 	a := r.Poison.Assess(now, query)
 	r.Log.State("a request may have crashed its target", "target", t.ID, "fingerprint", blamed.Fingerprint, "shared", blamed.Shared,
 		"held", quarantined, "losses", a.Losses, "domains", a.Domains, "succeeded", a.Succeeded, "massFailure", a.MassFailure)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -146,7 +146,8 @@
 	// ResponseTimes learns the usual response times of targets.
 	ResponseTimes *timing.Tracker
 	Log           *logger.Log
-	// OnSuspectedCrash, if set, is called when a request may have crashed a target.
+	// OnSuspectedCrash, if set, is called when a request may have crashed a target, and
+	// when one that was suspected has succeeded.
 	OnSuspectedCrash func()
 	// OnStalledTarget, if set, is called when a target is late to answer. Since is how
 	// long an attempt at the target may take before it is late.
