Do not take a rejected request for a harmless one

Cause: for a request to a single pool a reply of 4xx is passed on as a success, and so cleared the suspicion, although a target may send it without running the request. Only a target's own success clears it now.

Evidence: TestRejectionClearsNoSuspicion fails before.

--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -97,10 +97,13 @@
 	classification := Classification{Outcome: outcomeOf(ctx, err)}
 	if err == nil {
 		classification = r.Dialect.Classify(x.request, reply)
-		if classification.Outcome == fleet.Failed && !x.isGather() && reply.Status < http.StatusInternalServerError {
-			// The request is at fault, so another target would reply the same.
-			classification.Outcome = fleet.Success
-		}
+	}
+	// A reply of 4xx may come without the request having run, so it is no proof that the
+	// request is harmless.
+	evidence := classification.Outcome
+	if err == nil && classification.Outcome == fleet.Failed && !x.isGather() && reply.Status < http.StatusInternalServerError {
+		// The request is at fault, so another target would reply the same.
+		classification.Outcome = fleet.Success
 	}
 	if classification.Outcome == fleet.Success {
 		r.ResponseTimes.Observe(x.route.Name, a.Target.Region, now.Sub(sent))
@@ -109,7 +112,7 @@
 		Request: x.request.ID, Leaving: classification.Leaving, Pause: classification.Pause, InvalidPause: classification.InvalidPause,
 	})
 	x.group.Finish(now, a.Target, a.Shard, classification.Outcome, now.Sub(sent).Seconds(), classification.Load)
-	r.trackCrash(now, a.Target, sender, trace, classification.Outcome, err)
+	r.trackCrash(now, a.Target, sender, trace, evidence, err)
 	x.reportLostAnswer(a, classification.Outcome)
 	switch classification.Outcome {
 	case fleet.Success, fleet.Cancelled, fleet.Withheld:
--- a/internal/request/relay/crash_test.go
+++ b/internal/request/relay/crash_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/pools"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -411,3 +412,30 @@
 		}
 	}
 }
+
+// Guards against a deadly request that counts as harmless since a target rejected it
+// unread, with a status that is passed on to the caller.
+func TestRejectionClearsNoSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tier := newMortalTier(t, 1, crashPlan{earlyRejections: 1}, "s00")
+		route := &tree.Route{
+			Name: "single", Idempotent: true, MaxAttempts: 1, Timeout: time.Second, LatencyTarget: time.Second, Split: []tree.Share{{Pool: "s00", Weight: 1}},
+		}
+		r := tier.daemons[0]
+		fingerprint := poison.Fingerprint(http.MethodGet, "", deadlyURI, "")
+		for i, target := range []string{"a", "b"} {
+			time.Sleep(time.Second)
+			r.Poison.Lost(time.Now(), poison.Query{Fingerprint: fingerprint}, poison.Loss{Target: target, Domain: target, RanMillis: int64(i)})
+			if i == 0 {
+				tier.send(r, route, "rejected", deadlyURI, true)
+				tier.pending.Wait()
+			}
+		}
+		if len(tier.results) != 1 || tier.results[0].answer.Result != Passed {
+			t.Fatalf("results %+v, want the rejection", tier.results)
+		}
+		if _, quarantined := r.Poison.Quarantined(time.Now(), fingerprint); !quarantined {
+			t.Error("the request is not held back after two losses and a rejection")
+		}
+	})
+}
