Hold back requests in progress once they are quarantined

Cause: the quarantine was looked up once, when a request arrived, and not at all before second attempts, hedges and gathers for peers. It is now looked up where attempts are sent, here and at peers, and whenever an exchange wakes: what is in flight is cancelled, and the caller gets its answer at once, 503 only if nothing was sent.

--- a/internal/request/relay/answer.go
+++ b/internal/request/relay/answer.go
@@ -13,6 +13,9 @@
 // ReasonStopping is the reason of an answer that a stop of the daemon leaves no time for.
 const ReasonStopping = "the daemon is stopping"
 
+// reasonQuarantined is the reason of an answer to a request that is quarantined.
+const reasonQuarantined = "the request is held back: targets crashed while they ran it"
+
 // tryAnswer returns the answer, or nil while there is none yet.
 func (x *exchange) tryAnswer(now time.Time, done bool) *Answer {
 	switch {
@@ -65,6 +68,27 @@
 	return nil
 }
 
+// quarantineAnswer ends a request that has been quarantined since it began: what is in
+// flight is cancelled, and nothing is sent any more. It returns nil for any other.
+func (x *exchange) quarantineAnswer(now time.Time) *Answer {
+	remaining, quarantined := x.runner.Poison.Quarantined(now, x.fingerprint)
+	switch {
+	case !quarantined && !x.withheld:
+		return nil
+	case x.schedule.assisting:
+		return &Answer{Result: Partial}
+	}
+	answer := x.failureAnswer(now)
+	if answer.Result == Passed {
+		return answer
+	}
+	answer.Reason = reasonQuarantined
+	if answer.Result == NotRun {
+		answer.RetryAfter = max(remaining, retryAfterFull)
+	}
+	return answer
+}
+
 func (x *exchange) mergedAnswer(result Result, why string) *Answer {
 	return &Answer{
 		Result: result, Reason: why, Signatures: x.signatures, Missing: len(x.poolNames) - x.gather.Answered(),
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -17,6 +17,9 @@
 // apply carries out a step: it sends attempts, cancels others and waits for
 // room.
 func (x *exchange) apply(step *gather.Step) {
+	if _, quarantined := x.runner.Poison.Quarantined(time.Now(), x.fingerprint); quarantined {
+		x.withhold(step)
+	}
 	for _, a := range step.Send {
 		x.sent = true
 		x.unsettled++
@@ -43,6 +46,15 @@
 	}
 }
 
+// withhold takes the attempts of a quarantined request off a step.
+func (x *exchange) withhold(step *gather.Step) {
+	x.withheld = x.withheld || len(step.Send) > 0
+	for _, a := range step.Send {
+		x.group.Finish(time.Now(), a.Target, a.Shard, fleet.Withheld, 0, nil)
+	}
+	step.Send = step.Send[:0]
+}
+
 // reportResend logs a further attempt for a shard, and reports the previous target
 // if it is overdue. An attempt beyond the route's maximum, which may follow one
 // that has not run, is always logged.
--- a/internal/request/relay/crash_test.go
+++ b/internal/request/relay/crash_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
@@ -439,3 +440,54 @@
 		}
 	})
 }
+
+// Guards against second attempts of a request that is held back since its first ones,
+// here and at a peer that gathers for another daemon.
+func TestRequestInProgressIsHeldBack(t *testing.T) {
+	route := historyRoute()
+	route.MaxAttempts = 2
+	assist := func(r *Runner, id string) {
+		body, err := codec.Encode(&remoteRequest{
+			ID: id, Route: route.Name, Method: http.MethodGet, URI: deadlyURI, Header: http.Header{headerID: {id}, headerWork: {workTime.String()}},
+			Pools: route.Gather, LeftMillis: 2000, SoonMillis: 1000, LateMillis: 2000, Top: 10, MaxAttempts: 2,
+		})
+		if err != nil {
+			panic(err)
+		}
+		confirmed := make(chan struct{})
+		close(confirmed)
+		r.Assist(context.Background(), body, confirmed)
+	}
+	for _, tt := range []struct {
+		name string
+		run  func(tier *mortalTier, r *Runner)
+	}{
+		{"asked by a caller", func(tier *mortalTier, r *Runner) { tier.send(r, route, "late", deadlyURI, false) }},
+		{"asked by a daemon", func(tier *mortalTier, r *Runner) { tier.pending.Go(func() { assist(r, "late") }) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tier := newMortalTier(t, 1, crashPlan{}, route.Gather...)
+				for _, m := range tier.targets {
+					m.set(func(f *fakeTarget) { f.lossRate = 1 })
+				}
+				r := tier.daemons[0]
+				tt.run(tier, r)
+				// The first attempts run, and their answers will be lost.
+				time.Sleep(5 * time.Millisecond)
+				fingerprint := poison.Fingerprint(http.MethodGet, "", deadlyURI, "")
+				for i, target := range []string{"a", "b"} {
+					r.Poison.Lost(time.Now(), poison.Query{Fingerprint: fingerprint}, poison.Loss{Target: target, Domain: target, RanMillis: int64(-i)})
+				}
+				tier.settle()
+				runs := 0
+				for _, m := range tier.targets {
+					runs += m.runs["late"]
+				}
+				if runs > len(route.Gather) {
+					t.Errorf("the request ran on %d targets of %d shards", runs, len(route.Gather))
+				}
+			})
+		})
+	}
+}
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -76,6 +76,8 @@
 	signatures     []string
 	sent           bool
 	outcomeUnknown bool
+	// withheld is true if an attempt was not sent since the request is quarantined.
+	withheld bool
 	// noticeAt is when peers are told that an attempt that can't be made again waits
 	// for its reply; zero means never.
 	noticeAt time.Time
@@ -274,6 +276,9 @@
 	x.startRemote()
 	for {
 		x.apply(step)
+		if answer := x.quarantineAnswer(time.Now()); answer != nil {
+			return answer
+		}
 		if answer := x.tryAnswer(time.Now(), step.Done); answer != nil {
 			return answer
 		}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -214,7 +214,7 @@
 func (r *Runner) Run(ctx context.Context, request *Request, route *tree.Route) *Answer {
 	fingerprint := poison.Fingerprint(request.Method, request.Host, request.URI, string(request.Body))
 	if remaining, quarantined := r.Poison.Quarantined(request.Arrived, fingerprint); quarantined {
-		return &Answer{Result: NotRun, Reason: "the request is held back: targets crashed while they ran it", RetryAfter: remaining}
+		return &Answer{Result: NotRun, Reason: reasonQuarantined, RetryAfter: remaining}
 	}
 	poolNames := route.Gather
 	pool := ""
