Log the limits that targets name

No package read the header, so neither logs nor metrics could tell what a target had named and when. Nothing is decided by it yet.

--- a/internal/process/fleet/expect.go
+++ b/internal/process/fleet/expect.go
@@ -46,12 +46,12 @@
 		return 0
 	}
 	if now.Before(t.crowdedUntil) {
-		return t.selfReport.limit(min(t.crowdedLimit, f.connectionShare(t)))
+		return t.selfReport.boundAttempts(min(t.crowdedLimit, f.connectionShare(t)))
 	}
 	if t.hasQueue(now) {
-		return t.selfReport.limit(f.evenShare(t))
+		return t.selfReport.boundAttempts(f.evenShare(t))
 	}
-	return t.selfReport.limit(f.connectionShare(t))
+	return t.selfReport.boundAttempts(f.connectionShare(t))
 }
 
 // score rates a target for the next attempt; a lower score is better. It is the
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -36,6 +36,14 @@
 	// the text of a pause that is no sensible time.
 	Pause        time.Duration
 	InvalidPause string
+	// Limit is how many requests a second the target takes from all daemons together; nil
+	// means that the reply names none. InvalidLimit is the text of one that is no number.
+	Limit        *float64
+	InvalidLimit string
+	// Sent is when the request was sent, and Answered is true if the target ran it. A
+	// target that runs a request names the limit that it has.
+	Sent     time.Time
+	Answered bool
 }
 
 // NoticeKind says what a Notice is about.
@@ -49,6 +57,12 @@
 	NoticeInvalidPause NoticeKind = "InvalidPause"
 	// NoticeLeavingRegistration is a registration that says that the target leaves.
 	NoticeLeavingRegistration NoticeKind = "LeavingRegistration"
+	// NoticeLimit is a limit that a target names for the first time or changes by a
+	// quarter or more, and NoticeNoLimit the end of one.
+	NoticeLimit   NoticeKind = "Limit"
+	NoticeNoLimit NoticeKind = "NoLimit"
+	// NoticeInvalidLimit is a limit that is no number.
+	NoticeInvalidLimit NoticeKind = "InvalidLimit"
 )
 
 // Notice tells that a target begins to leave or to pause.
@@ -62,6 +76,8 @@
 	// NoticeLeavingRegistration. Invalid is the text of an invalid pause.
 	Request string
 	Invalid string
+	// Rate is the limit, in requests a second, for NoticeLimit.
+	Rate float64
 }
 
 // boot identifies one process of a target. An address is reused by other targets, and
@@ -91,6 +107,8 @@
 	resumeLimit int
 	// toldInvalid is true once an invalid pause has been noticed.
 	toldInvalid bool
+	// limit bounds the requests of all daemons together.
+	limit rateLimit
 }
 
 // leaving reports whether the target has said that it leaves.
@@ -109,8 +127,8 @@
 // not yet taken up again after a pause.
 func (r *selfReport) reduced() bool { return r != nil && (r.leaving() || r.resumeLimit > 0) }
 
-// limit bounds the attempts in flight after a pause.
-func (r *selfReport) limit(limit int) int {
+// boundAttempts bounds the attempts in flight after a pause.
+func (r *selfReport) boundAttempts(limit int) int {
 	if r == nil || r.resumeLimit == 0 {
 		return limit
 	}
@@ -177,11 +195,11 @@
 
 // RecordStatement records what a reply of a target says of the target.
 func (f *Fleet) RecordStatement(now time.Time, t *Target, s Statement) {
-	if !s.Leaving && s.Pause <= 0 && s.InvalidPause == "" {
-		return
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !s.Leaving && s.Pause <= 0 && s.InvalidPause == "" && s.Limit == nil && s.InvalidLimit == "" && !f.selfReports.find(t.boot()).limited() {
+		return
+	}
 	report := f.selfReports.open(t.boot())
 	t.selfReport = report
 	before := report.reduced()
@@ -211,6 +229,7 @@
 		current.recall()
 		f.wakeShard(0)
 	}
+	f.recordLimit(now, t, report, &s)
 	if report.reduced() != before {
 		f.viewsStale = true
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -234,6 +234,12 @@
 		n.Log.State("target leaves", append(common, "evidence", "its registration")...)
 	case fleet.NoticePause:
 		n.Log.State("target pauses", append(common, "evidence", "its reply", "request", notice.Request, "pauseMillis", notice.For.Milliseconds())...)
+	case fleet.NoticeLimit:
+		n.Log.State("target limits its requests", append(common, "evidence", "its reply", "request", notice.Request, "limitPerSecond", notice.Rate)...)
+	case fleet.NoticeNoLimit:
+		n.Log.State("target limits its requests no more", append(common, "request", notice.Request)...)
+	case fleet.NoticeInvalidLimit:
+		n.Log.State("target names a limit that is no number", append(common, "request", notice.Request, "value", notice.Invalid)...)
 	case fleet.NoticeInvalidPause:
 		n.Log.State("target asks for a pause that is no sensible time", append(common, "request", notice.Request, "value", notice.Invalid, "pauseMillis", notice.For.Milliseconds())...)
 	}
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -122,6 +122,7 @@
 	}
 	x.group.RecordStatement(now, a.Target, a.Shard, fleet.Statement{
 		Request: x.request.ID, Leaving: classification.Leaving, Pause: classification.Pause, InvalidPause: classification.InvalidPause,
+		Limit: classification.Limit, InvalidLimit: classification.InvalidLimit, Sent: sent, Answered: evidence == fleet.Success || evidence == fleet.Failed && err == nil,
 	})
 	x.group.Finish(now, a.Target, a.Shard, classification.Outcome, now.Sub(sent).Seconds(), classification.Load)
 	r.trackCrash(now, a.Target, sender, trace, evidence, err)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -108,6 +108,11 @@
 	// of a pause that is not a sensible time, shortened for the log.
 	Pause        time.Duration
 	InvalidPause string
+	// Limit is how many requests a second the target takes from all daemons together, at
+	// least fleet.MinLimit; nil means that it names no limit. InvalidLimit is the text of
+	// a limit that is no number.
+	Limit        *float64
+	InvalidLimit string
 }
 
 // Dialect encodes requests to targets and interprets their replies.
