--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -176,15 +176,16 @@
 	load := &wire.Load{Queued: queued}
 	pause, pauseErr := time.ParseDuration(reply.Header.Get(headerPause))
 	leaving := reply.Header.Get(headerLeaving) != ""
+	limit := parseFakeLimit(reply.Header)
 	switch {
 	case pauseErr == nil:
 		return Classification{Outcome: fleet.Shed, Load: load, Leaving: leaving, Pause: pause}
 	case err != nil:
 		return Classification{Outcome: fleet.Corrupt}
 	case reply.Status != http.StatusOK:
-		return Classification{Outcome: fleet.Shed, Load: load}
+		return Classification{Outcome: fleet.Shed, Load: load, Limit: limit}
 	}
-	return Classification{Outcome: fleet.Success, Signature: string(reply.Body), Load: load, Leaving: leaving}
+	return Classification{Outcome: fleet.Success, Signature: string(reply.Body), Load: load, Leaving: leaving, Limit: limit}
 }
 
 func (fakeDialect) Merge(_ *tree.Route, parts [][]byte) []byte {
--- a/internal/request/relay/pause_test.go
+++ b/internal/request/relay/pause_test.go
@@ -44,6 +44,7 @@
 	pauses   map[int][]askedPause
 	// toldLeaving is when each daemon was first told that the target leaves.
 	toldLeaving map[int]time.Time
+	limit       limitStatement
 }
 
 type askedPause struct{ from, until time.Time }
@@ -152,6 +153,7 @@
 	}
 	reply, err := g.fakeTarget.Do(ctx, request, deadline)
 	g.mark(g.daemon, reply)
+	g.nameLimit(g.daemon, reply)
 	return reply, err
 }
 
