Keep to the limits that targets name, over all daemons

What callers saw: nothing yet.

Each daemon holds the same fraction of every limit that it holds of the retry budgets' allowance (alloc): it adds up to less than one while daemons start, are lost, asleep or replaced. It is a token bucket in the one place for what a target says of itself, charged where a target is picked: first and second attempts, hedges, and requests that were waiting for a connection when the limit came. Where more daemons share a limit than it allows saved requests, tokens are a probability, with one draw for all shards of a request. A gather through a peer spends the asker's token. A request that limits leave too few shards is refused at once, lower ranks first, and told when the next token is due. Peers are told of limits as a hint; a limit belongs to a boot and ends with an answer that names none.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -26,11 +26,11 @@
 	// serves requests changes; why is the outcome that changed it. It must not
 	// call the fleet.
 	OnStateChange func(t *Target, state State, why Outcome)
-	// OnNotice, if set, is called when a target begins to leave or to pause. It must
-	// not call the fleet.
+	// OnNotice, if set, is called when a target begins to leave or to pause, or when it
+	// changes its limit. It must not call the fleet.
 	OnNotice func(t *Target, n Notice)
 	// OnKept, if set, is called for each request that is kept away from a target that
-	// leaves or pauses. It must not call the fleet.
+	// leaves, pauses or limits its requests. It must not call the fleet.
 	OnKept func(why NoticeKind)
 	// OnLost, if set, is called when a registered target is removed or replaced that has
 	// not said before that it leaves. It must not call the fleet.
@@ -62,18 +62,21 @@
 	latency         *latencies
 	selfReports     selfReports
 	drainTimeout    time.Duration
+	// limitFraction is this daemon's fraction of the limits that targets name.
+	limitFraction float64
 }
 
 // New returns an empty fleet with the default settings.
 func New(config Config) *Fleet {
 	f := &Fleet{
-		config:   config,
-		random:   rand.New(rand.NewPCG(config.Seed, 0x9e3779b97f4a7c15)),
-		settings: tree.Default(),
-		daemons:  1,
-		sharers:  1,
-		targets:  map[string]*Target{},
-		waiters:  map[int][]*waiter{},
+		config:        config,
+		random:        rand.New(rand.NewPCG(config.Seed, 0x9e3779b97f4a7c15)),
+		settings:      tree.Default(),
+		daemons:       1,
+		sharers:       1,
+		limitFraction: 1,
+		targets:       map[string]*Target{},
+		waiters:       map[int][]*waiter{},
 	}
 	if !config.Registered {
 		f.latency = newLatencies()
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -19,6 +19,13 @@
 	// LateAfter returns how long after its send an attempt at a target counts
 	// as late.
 	LateAfter func(t *Target) time.Duration
+	// Rank is the rank of the request, where 0 is the highest.
+	Rank int
+	// Draw is the Draw of the request's queries.
+	Draw float64
+	// Granted, if set, returns the target of a shard for which another daemon has taken a
+	// token, or an empty string.
+	Granted func(shard int) string
 	// LostAnswerCost is the time that a lost answer is assumed to cost.
 	LostAnswerCost time.Duration
 	// RetryCost, if set, returns the time that a retry for a shard is assumed to cost
@@ -61,10 +68,13 @@
 // addGroupOptions sets the fields of a query that are the same for the whole
 // request.
 func (g *Group) addGroupOptions(now time.Time, q *Query) {
-	q.LateAfter, q.LostAnswerCost = g.LateAfter, g.LostAnswerCost
+	q.LateAfter, q.LostAnswerCost, q.Draw = g.LateAfter, g.LostAnswerCost, g.Draw
 	if shard := q.Shard; g.RetryCost != nil {
 		q.RetryCost = func() time.Duration { return g.RetryCost(now, shard) }
 	}
+	if g.Granted != nil && len(q.Tried) == 0 {
+		q.Granted = g.Granted(q.Shard)
+	}
 	q.LowPriority = g.LowPriority != nil && g.LowPriority(now)
 	if g.UsefulUntil != nil {
 		q.UsefulUntil = g.UsefulUntil(now)
@@ -97,12 +107,12 @@
 }
 
 // ResumesIn returns the time until so many shards have an available target, if pauses
-// that targets have asked for are all that they lack.
+// that targets have asked for and limits that they have named are all that they lack.
 func (g *Group) ResumesIn(now time.Time, shards int) (in time.Duration, ok bool) {
 	shards -= g.AvailableShards(now)
 	var ends []time.Duration
 	for i, f := range g.fleets {
-		if f == nil || f.hasAvailable(now, g.View.Replicas[i]) {
+		if f == nil || f.hasAvailable(now, g.View.Replicas[i], g.Draw, g.Rank) {
 			continue
 		}
 		if at, ok := f.resumesAt(now, g.View.Replicas[i]); ok {
@@ -116,8 +126,8 @@
 	return ends[shards-1], true
 }
 
-// RetryAfter returns when a caller may retry that needs so many shards, if pauses are all
-// that they lack: when ResumesIn says, and a random time after it, so that callers which
+// RetryAfter returns when a caller may retry that needs so many shards, if pauses and limits
+// are all that they lack: when ResumesIn says, and a random time after it, so that callers which
 // are refused together don't come back together.
 func (g *Group) RetryAfter(now time.Time, shards int) (after time.Duration, ok bool) {
 	in, ok := g.ResumesIn(now, shards)
@@ -138,26 +148,35 @@
 // Slowness returns 1, for the same reason as HedgeDelay.
 func (g *Group) Slowness(int) float64 { return 1 }
 
-// AvailableShards returns the number of shards that have an available target.
+// Grant takes tokens for the requests that a daemon of the region sends on behalf of this
+// one. It returns the shards that have a target there, and for each the target that takes
+// the request by this daemon's token, or an empty string.
+func (g *Group) Grant(now time.Time, shards []int, region string) (granted []int, targets []string) {
+	for _, shard := range shards {
+		if id, ok := g.fleets[shard].Grant(now, g.View.Replicas[shard], region, g.Draw); ok {
+			granted = append(granted, shard)
+			targets = append(targets, id)
+		}
+	}
+	return granted, targets
+}
+
+// AvailableShards returns the number of shards that have an available target whose limit
+// allows a request of this rank.
 func (g *Group) AvailableShards(now time.Time) int {
 	up := 0
 	for i, f := range g.fleets {
-		if f != nil && f.hasAvailable(now, g.View.Replicas[i]) {
+		if f != nil && f.hasAvailable(now, g.View.Replicas[i], g.Draw, g.Rank) {
 			up++
 		}
 	}
 	return up
 }
 
-func (f *Fleet) hasAvailable(now time.Time, replicas []*Target) bool {
+func (f *Fleet) hasAvailable(now time.Time, replicas []*Target, draw float64, rank int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, t := range replicas {
-		if t.available(now) {
-			return true
-		}
-	}
-	return false
+	return f.admits(now, replicas, draw, rank)
 }
 
 // RemoteRegions returns the regions whose targets can serve a shard while no
@@ -171,9 +190,11 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, t := range g.View.Replicas[shard] {
+	replicas := g.View.Replicas[shard]
+	for i, t := range replicas {
 		switch {
 		case !t.available(now) || t.overdue(now) || t.selfReport.leaving():
+		case !f.withinLimit(now, t, drawPosition(g.Draw, i, len(replicas)), false):
 		case t.Local:
 			return nil, false
 		case !slices.Contains(regions, t.Region):
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -22,6 +22,9 @@
 	Exhausted
 	// Lost means that the shard has no live replica.
 	Lost
+	// OverLimit means that the limits that the remaining replicas have named allow no
+	// attempt now.
+	OverLimit
 )
 
 // Choice is the result of Pick.
@@ -56,6 +59,13 @@
 	// RetryCost, if set, returns the time that a retry is assumed to cost beyond the
 	// time until it is sent.
 	RetryCost func() time.Duration
+	// Granted is the ID of a target at which another daemon has taken a token for this
+	// attempt; it is usually empty.
+	Granted string
+	// Draw is a random number below one, the same for all attempts of a request. It
+	// decides whether the request is sent to a limited target of which this daemon has
+	// less than a whole request.
+	Draw float64
 	// LateAfter, if set, returns how long after its send an attempt counts as
 	// late.
 	LateAfter func(t *Target) time.Duration
@@ -76,6 +86,9 @@
 	choice := f.choose(now, q)
 	if choice.Target != nil {
 		choice.Target.inFlight++
+		if choice.Target.ID != q.Granted {
+			f.spend(choice.Target)
+		}
 		choice.Target.responses.recordSend(now, q.Late(choice.Target))
 	}
 	if len(f.selfReports.byBoot) > 0 {
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -179,7 +179,7 @@
 // that they leave are used only if no other can serve.
 func (f *Fleet) pickRegistered(now time.Time, q Query) Choice {
 	choice := f.pickAvailable(now, q, false)
-	if !q.Hedge && (choice.Verdict == Exhausted || choice.Verdict == Lost) {
+	if !q.Hedge && (choice.Verdict == Exhausted || choice.Verdict == Lost || choice.Verdict == OverLimit) {
 		if last := f.pickAvailable(now, q, true); last.Verdict != Lost {
 			return last
 		}
@@ -192,8 +192,9 @@
 func (f *Fleet) pickAvailable(now time.Time, q Query, leaving bool) Choice {
 	var chosen *Target
 	var minScore time.Duration
-	busy, tried := 0, 0
-	for _, t := range q.View.Replicas[q.Shard] {
+	busy, tried, overLimit := 0, 0, 0
+	replicas := q.View.Replicas[q.Shard]
+	for i, t := range replicas {
 		if !t.available(now) || t.selfReport.leaving() != leaving {
 			continue
 		}
@@ -201,6 +202,10 @@
 			tried++
 			continue
 		}
+		if (q.Granted == "" || q.Granted != t.ID) && !f.withinLimit(now, t, drawPosition(q.Draw, i, len(replicas)), q.Hedge) {
+			overLimit++
+			continue
+		}
 		if t.inFlight >= f.queryLimit(now, t, q) {
 			busy++
 			continue
@@ -214,6 +219,8 @@
 		return Choice{Verdict: Picked, Target: chosen}
 	case busy > 0:
 		return Choice{Verdict: Busy}
+	case overLimit > 0:
+		return Choice{Verdict: OverLimit}
 	case tried > 0:
 		return Choice{Verdict: Exhausted}
 	}
@@ -259,6 +266,7 @@
 		t.responses.recordSignOfLife()
 		t.failures = min(t.failures+1, ejectAfter)
 	case Refused:
+		f.refund(t)
 		t.downUntil = now.Add(min(minDownTime<<min(t.refusals, 4), maxDownTime))
 		t.refusals++
 		t.responses.recordSignOfLife()
@@ -268,6 +276,7 @@
 		t.lostAnswerAt = now
 		t.failures = min(t.failures+1, ejectAfter)
 	case Withheld:
+		f.refund(t)
 		if t.inFlight == 0 {
 			t.responses.recordSignOfLife()
 		}
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -291,28 +291,37 @@
 	if f.config.OnKept == nil {
 		return
 	}
-	if r.pausing(now) {
+	switch {
+	case r.pausing(now):
 		f.config.OnKept(NoticePause)
-		return
+	case r.leaving():
+		f.config.OnKept(NoticeLeaving)
+	default:
+		f.config.OnKept(NoticeLimit)
 	}
-	f.config.OnKept(NoticeLeaving)
 }
 
 // countPassedOver counts the replicas that a request passes over since they leave or
 // pause.
 func (f *Fleet) countPassedOver(now time.Time, replicas []*Target, chosen *Target) {
 	for _, t := range replicas {
-		if t != chosen && t.state == StateReady && (t.selfReport.leaving() || t.selfReport.pausing(now)) {
+		if t == chosen || t.state != StateReady {
+			continue
+		}
+		if t.selfReport.leaving() || t.selfReport.pausing(now) || t.selfReport.limited() && t.selfReport.limit.tokens < 1 {
 			f.countKept(t.selfReport, now)
 		}
 	}
 }
 
-// resumesAt returns when the first of the replicas that pause returns; ok is false if
-// none pauses.
+// resumesAt returns when the first of the replicas that pause returns, or when limits
+// allow another request; ok is false if the replicas lack neither.
 func (f *Fleet) resumesAt(now time.Time, replicas []*Target) (at time.Time, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if in, limited := f.nextToken(now, replicas); limited {
+		at, ok = now.Add(in), true
+	}
 	for _, t := range replicas {
 		r := t.selfReport
 		if t.state != StateReady || !r.pausing(now) || r.drained(r.resumeAt) {
--- a/internal/process/gossip/stall.go
+++ b/internal/process/gossip/stall.go
@@ -20,8 +20,8 @@
 	maxNoticePeers = 16
 )
 
-// Notice tells other daemons of an event at a target: it fell silent or lost an
-// answer.
+// Notice tells other daemons of an event at a target: it fell silent, lost an answer, or
+// named a limit.
 type Notice struct {
 	_    struct{} `cbor:",toarray"`
 	Pool string
@@ -30,6 +30,17 @@
 	AgeMillis int64
 	// Lost is true if the target lost an answer, and false if it is silent.
 	Lost bool
+	// Limit is what the target said of its limit, or nil.
+	Limit *Limit
+}
+
+// Limit is what a process of a target said of its limit.
+type Limit struct {
+	_ struct{} `cbor:",toarray"`
+	// Born is the start of the process, in Unix milliseconds.
+	Born int64
+	// Rate is in requests a second, of all daemons together; zero means no limit.
+	Rate float64
 }
 
 // noticeLimiter limits the rate of notices about each target.
@@ -72,6 +83,11 @@
 	g.sendNotice(&Notice{Pool: pool, ID: id, Lost: true}, g.Users(false))
 }
 
+// Limit notifies daemons of all regions of the limit that a target has named.
+func (g *Gossip) Limit(pool, id string, limit Limit) {
+	g.sendNotice(&Notice{Pool: pool, ID: id, Limit: &limit}, g.Users(false))
+}
+
 func (g *Gossip) sendNotice(notice *Notice, to []member.Member) {
 	body, err := codec.Encode(notice)
 	if err != nil {
@@ -90,7 +106,7 @@
 		g.Meter.CountDecision("DropMalformedNotice")
 		return
 	}
-	if !notice.Lost {
+	if !notice.Lost && notice.Limit == nil {
 		// Other daemons have this notice too, so this daemon need not send its own.
 		g.recentNotices.allow(time.Now(), notice.ID)
 	}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -223,7 +223,8 @@
 	}
 }
 
-// reportNotice logs that a target begins to leave or to pause.
+// reportNotice logs what a target says of itself, and tells peers of its limit. A fleet
+// calls it with its lock held.
 func (n *Node) reportNotice(pool string, t *fleet.Target, notice fleet.Notice) {
 	n.Meter.CountDecision("Target" + string(notice.Kind))
 	common := []any{"pool", pool, "target", t.ID, "address", t.Address, "born", notice.Born}
@@ -236,8 +237,10 @@
 		n.Log.State("target pauses", append(common, "evidence", "its reply", "request", notice.Request, "pauseMillis", notice.For.Milliseconds())...)
 	case fleet.NoticeLimit:
 		n.Log.State("target limits its requests", append(common, "evidence", "its reply", "request", notice.Request, "limitPerSecond", notice.Rate)...)
+		go n.gossip.Limit(pool, t.ID, gossip.Limit{Born: notice.Born, Rate: notice.Rate})
 	case fleet.NoticeNoLimit:
-		n.Log.State("target limits its requests no more", append(common, "request", notice.Request)...)
+		n.Log.State("target limits its requests no more", append(common, "evidence", "its reply", "request", notice.Request)...)
+		go n.gossip.Limit(pool, t.ID, gossip.Limit{Born: notice.Born})
 	case fleet.NoticeInvalidLimit:
 		n.Log.State("target names a limit that is no number", append(common, "request", notice.Request, "value", notice.Invalid)...)
 	case fleet.NoticeInvalidPause:
@@ -422,6 +425,12 @@
 	now := time.Now()
 	age := time.Duration(notice.AgeMillis) * time.Millisecond
 	f := n.Pools.Fleet(notice.Pool)
+	if l := notice.Limit; l != nil {
+		if f.RecordPeerLimit(now, notice.ID, l.Born, l.Rate) {
+			n.Log.State("another daemon reported a target's limit", "pool", notice.Pool, "target", notice.ID, "born", l.Born, "limitPerSecond", l.Rate)
+		}
+		return
+	}
 	if notice.Lost {
 		n.Log.State("another daemon reported that a target lost an answer", "pool", notice.Pool, "target", notice.ID, "ageMillis", notice.AgeMillis)
 		f.RecordPeerLoss(notice.ID, now.Add(-age))
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -46,8 +46,8 @@
 	// OnStateChange, if set, is called when the daemon's view of whether a target
 	// serves requests changes.
 	OnStateChange func(pool string, t *fleet.Target, state fleet.State, why fleet.Outcome)
-	// OnNotice, if set, is called when a target begins to leave or to pause, and OnKept
-	// for each request that is kept away from such a target.
+	// OnNotice, if set, is called when a target begins to leave or to pause or changes its
+	// limit, and OnKept for each request that is kept away from such a target.
 	OnNotice func(pool string, t *fleet.Target, n fleet.Notice)
 	OnKept   func(why fleet.NoticeKind)
 	// OnLost, if set, is called when a target is no longer registered, or replaced, that
@@ -117,6 +117,7 @@
 	found.fleet.SetDaemons(max(p.daemons, 1))
 	found.fleet.SetLocalDaemons(p.localDaemons)
 	found.fleet.SetDrainTimeout(p.DrainTimeout)
+	found.fleet.SetLimitFraction(time.Now(), p.allowanceFraction)
 	found.budget.SetAllowanceFraction(p.allowanceFraction)
 	p.pools[name] = found
 	return found
@@ -140,8 +141,8 @@
 }
 
 // SetSharers sets how many daemons share the targets, how many of them are in
-// this daemon's region, and the fraction of each retry budget's allowance that
-// this daemon may spend.
+// this daemon's region, and the fraction of each retry budget's allowance, and of each
+// limit that a target names, that this daemon may spend.
 func (p *Pools) SetSharers(count, local int, fraction float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -153,6 +154,7 @@
 		found.fleet.SetDaemons(count)
 		found.fleet.SetLocalDaemons(local)
 		found.budget.SetAllowanceFraction(fraction)
+		found.fleet.SetLimitFraction(time.Now(), fraction)
 	}
 }
 
--- a/internal/request/gather/gather.go
+++ b/internal/request/gather/gather.go
@@ -364,7 +364,7 @@
 		s.phase = backingOff
 		g.backingOff++
 		s.retryAt = now.Add(retryBackoff)
-	case fleet.Lost:
+	case fleet.Lost, fleet.OverLimit:
 		g.fail(shard)
 	}
 }
--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -82,7 +82,11 @@
 		MaxAttempts: remote.MaxAttempts, Priority: remote.Priority, LeastCoverage: remote.Least,
 	}
 	fingerprint := poison.Fingerprint(remote.Method, remote.Host, remote.URI, string(remote.Body))
-	return r.newExchange(request, route, remote.Pools, fingerprint, assistSchedule(now, remote))
+	x := r.newExchange(request, route, remote.Pools, fingerprint, assistSchedule(now, remote))
+	if len(remote.Granted) == len(remote.Pools) {
+		x.group.Granted = func(shard int) string { return remote.Granted[shard] }
+	}
+	return x
 }
 
 // uncountedBudget is a budget whose primary attempts another daemon counts.
--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -264,6 +264,7 @@
 	}
 	targetPools.SetDrainTimeout(testDrainTimeout)
 	daemon := len(c.daemons)
+	targetPools.OnNotice = func(pool string, t *fleet.Target, n fleet.Notice) { c.tellLimit(daemon, pool, t.ID, &n) }
 	r := &Runner{
 		Pools: targetPools, Dialect: fakeDialect{}, Poison: poison.New(), ResponseTimes: timing.New(),
 		Connect: func(target *fleet.Target) Sender {
@@ -279,6 +280,28 @@
 	return r
 }
 
+// maxTold is the number of other daemons that a daemon tells of a target's limit, and
+// noticeTime how long that takes.
+const (
+	maxTold    = 16
+	noticeTime = 20 * time.Millisecond
+)
+
+// tellLimit tells other daemons that a target has named a limit, or none any more.
+func (c *cluster) tellLimit(from int, pool, id string, n *fleet.Notice) {
+	if n.Kind != fleet.NoticeLimit && n.Kind != fleet.NoticeNoLimit {
+		return
+	}
+	for i := range min(maxTold, len(c.daemons)-1) {
+		// Each daemon tells others of its neighbourhood.
+		to := c.daemons[(from+1+i*max(1, len(c.daemons)/maxTold))%len(c.daemons)]
+		c.pending.Go(func() {
+			time.Sleep(noticeTime)
+			to.Pools.Fleet(pool).RecordPeerLimit(time.Now(), id, n.Born, n.Rate)
+		})
+	}
+}
+
 // ask sends one request to a random daemon. Resent marks a caller's retry, which
 // has less time left.
 func (c *cluster) ask(route *tree.Route, work, remaining time.Duration, resent bool) {
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -106,7 +107,7 @@
 		group: fleet.NewGroup(fleets), inbox: inbox.New[event](), cancelWaits: map[int]func(){},
 		inFlight: map[uint64]*inFlightAttempt{}, schedule: times,
 	}
-	x.group.LateAfter = x.lateAfter
+	x.group.LateAfter, x.group.Rank, x.group.Draw = x.lateAfter, route.Priority, rand.Float64()
 	x.group.LowPriority, x.group.UsefulUntil, x.group.RetryCost = x.yields, x.usefulUntil, x.retryCost
 	if !route.Idempotent {
 		x.group.LostAnswerCost = max(route.LatencyTarget, minLossLatencyTarget) / 2
--- a/internal/request/relay/limit_test.go
+++ b/internal/request/relay/limit_test.go
@@ -173,7 +173,9 @@
 				if over > 0 {
 					t.Errorf("%d of %d targets over their limit; %s", over, len(limited), worst)
 				}
-				during, count := c.shareInTime(func(e *requestResult) bool { return e.arrived.After(began.Add(2*time.Second)) && e.arrived.Before(ends) })
+				during, count := c.shareInTime(func(e *requestResult) bool {
+					return e.arrived.After(began.Add(2*time.Second)) && e.arrived.Before(ends)
+				})
 				after, _ := c.shareInTime(func(e *requestResult) bool { return e.arrived.After(ends.Add(afterLimit / 2)) })
 				if during < tt.during || after < tt.after {
 					t.Errorf("%.3f served in time during the limit, %.3f after it, want %.2f and %.2f", during, after, tt.during, tt.after)
--- a/internal/request/relay/remote.go
+++ b/internal/request/relay/remote.go
@@ -64,6 +64,9 @@
 	Top         int
 	MaxAttempts int
 	Priority    int
+	// Granted holds for each pool the ID of the target for which the asking daemon has
+	// taken a token, or an empty string.
+	Granted []string
 }
 
 // remoteReply is what a peer has gathered.
@@ -84,7 +87,9 @@
 	region string
 	peer   string
 	shards []int
-	cancel context.CancelFunc
+	// granted holds for each shard the target that this daemon has taken a token for.
+	granted []string
+	cancel  context.CancelFunc
 	sent   time.Time
 	// giveUpAt is when the exchange stops waiting for the peer and sends the
 	// shards directly.
@@ -144,10 +149,14 @@
 		if !found {
 			continue
 		}
+		shards, granted := x.group.Grant(now, shards, region)
+		if len(shards) == 0 {
+			continue
+		}
 		for _, shard := range shards {
 			taken[shard] = true
 		}
-		x.remoteCalls = append(x.remoteCalls, &remoteCall{region: region, peer: peer, shards: shards})
+		x.remoteCalls = append(x.remoteCalls, &remoteCall{region: region, peer: peer, shards: shards, granted: granted})
 	}
 	if len(x.remoteCalls) > 0 {
 		config.Remote = taken
@@ -205,6 +214,7 @@
 		LeftMillis: x.schedule.deadline.Sub(call.sent).Milliseconds(), SoonMillis: x.millisUntil(call, x.schedule.partialAt),
 		LateMillis: x.millisUntil(call, x.remoteLateAt()), Least: x.minCoverage(call),
 		YieldMillis: x.yieldTime(call.sent).Milliseconds(), Top: x.route.Top, MaxAttempts: x.route.MaxAttempts, Priority: x.route.Priority,
+		Granted: call.granted,
 	})
 	if err == nil {
 		var reply []byte
