--- a/internal/process/fleet/limit.go
+++ b/internal/process/fleet/limit.go
@@ -11,15 +11,13 @@
 	MinLimit = 0.1
 	// limitChange is the relative change of a limit from which on it is noticed again.
 	limitChange = 0.25
-	// limitBurst is how many requests a daemon may save up at a limited target, and
-	// sharedBurst, plus what the target takes in limitBurstTime, how many all daemons
-	// together.
+	// All daemons together may save up limitBurst requests at a limited target, and what
+	// it takes in limitBurstTime.
 	limitBurst     = 2
-	sharedBurst    = 2
-	limitBurstTime = 2 * time.Second
-	// limitReserve is the part of what can be saved up beyond one request that hedges, and
-	// requests that are not of the highest rank, leave to others.
-	limitReserve = 0.5
+	limitBurstTime = time.Second
+	// limitReserve is how many of the saved requests hedges, and requests that are not of
+	// the highest rank, leave to others.
+	limitReserve = 1
 	// ownLimitAge is the age up to which what a reply to this daemon said of a limit takes
 	// precedence over the notices of peers.
 	ownLimitAge = 500 * time.Millisecond
@@ -61,7 +59,7 @@
 // is less than one if so many daemons share the limit that they would exceed it if each
 // of them saved up a request.
 func (f *Fleet) burst(rate float64) float64 {
-	return min(limitBurst, (sharedBurst+rate*limitBurstTime.Seconds())*f.limitFraction)
+	return (limitBurst + rate*limitBurstTime.Seconds()) * f.limitFraction
 }
 
 // fill adds the tokens that are due since filledAt.
@@ -101,7 +99,7 @@
 	}
 	needed := 1.0
 	if yields {
-		needed += limitReserve * (burst - 1)
+		needed = min(needed+limitReserve, burst)
 	}
 	return l.tokens >= needed
 }
--- a/internal/request/relay/remote.go
+++ b/internal/request/relay/remote.go
@@ -90,7 +90,7 @@
 	// granted holds for each shard the target that this daemon has taken a token for.
 	granted []string
 	cancel  context.CancelFunc
-	sent   time.Time
+	sent    time.Time
 	// giveUpAt is when the exchange stops waiting for the peer and sends the
 	// shards directly.
 	giveUpAt time.Time
