Tell the asker of a gather which crashes its peer has seen

Cause: a peer that holds a request back returns its shards as missing at once, and the asker sent them itself before the peer's heartbeat arrived. The reply now carries what the peer holds against the request.

--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -326,6 +326,17 @@
 	return entries
 }
 
+// Suspects returns the entry of one query, if it is a suspect.
+func (r *Register) Suspects(now time.Time, fingerprint uint64) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.suspects[fingerprint]
+	if s == nil || len(s.losses) == 0 || now.Sub(s.newestLoss) > lossLifetime {
+		return nil
+	}
+	return []Entry{s.entry(now, fingerprint)}
+}
+
 // changedAt is when the suspect last changed.
 func (s *suspect) changedAt() time.Time {
 	if len(s.losses) == 0 {
--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -38,7 +38,10 @@
 	}()
 	x.run(ctx)
 	x.logAssist(ctx, confirmed)
-	reply := &remoteReply{Signatures: x.signatures, Missing: x.gather.Missing(), TookMicros: time.Since(now).Microseconds()}
+	reply := &remoteReply{
+		Signatures: x.signatures, Missing: x.gather.Missing(), TookMicros: time.Since(now).Microseconds(),
+		Suspects: r.Poison.Suspects(time.Now(), x.fingerprint),
+	}
 	for _, shard := range reply.Missing {
 		reply.Used = append(reply.Used, x.gather.ShardAttempts(shard))
 	}
--- a/internal/request/relay/crash_test.go
+++ b/internal/request/relay/crash_test.go
@@ -491,3 +491,22 @@
 		})
 	}
 }
+
+// Guards against a daemon that sends a request itself after its peer has found out that
+// targets crash while they run it.
+func TestAskerLearnsOfCrashesAtItsPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := historyRoute()
+		route.MaxAttempts = 2
+		tier := newMortalTier(t, 1, crashPlan{downFor: 2 * time.Second, sameID: true}, route.Gather...)
+		asker := tier.addDaemon("away", crashDaemons)
+		asker.Connect = func(target *fleet.Target) Sender { return tier.targets[target.Address] }
+		asker.RemotePeers = &fakePeer{runner: tier.daemons[0]}
+		tier.send(asker, route, "deadly", deadlyURI, true)
+		tier.settle()
+		// One attempt a shard, and those of a shard or two until the peer knows.
+		if most := len(route.Gather) + 3; len(tier.reached["deadly"]) > most {
+			t.Errorf("the request reached %d targets of %d shards", len(tier.reached["deadly"]), len(route.Gather))
+		}
+	})
+}
--- a/internal/request/relay/remote.go
+++ b/internal/request/relay/remote.go
@@ -8,6 +8,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 )
 
@@ -80,6 +81,8 @@
 	Body    []byte
 	// TookMicros is how long the peer worked on the request.
 	TookMicros int64
+	// Suspects is what the peer holds against the request.
+	Suspects []poison.Entry
 }
 
 // remoteCall is one request to a peer.
@@ -292,6 +295,7 @@
 		x.reportPeer(call)
 		return x.sendDirect(now, call, call.shards, func(int) int { return used })
 	}
+	x.runner.Poison.Merge(now, result.reply.Suspects)
 	missing := make([]int, 0, len(result.reply.Missing))
 	isMissing := map[int]bool{}
 	for _, index := range result.reply.Missing {
