--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -273,6 +273,9 @@
 	defer f.mu.Unlock()
 	t.inFlight--
 	if f.config.Registered {
+		if outcome == Refused || outcome == Withheld {
+			f.refund(t)
+		}
 		t.recordLoad(now, load)
 		f.recordRegistered(now, t, outcome, latency, load)
 	} else {
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -266,7 +266,6 @@
 		t.responses.recordSignOfLife()
 		t.failures = min(t.failures+1, ejectAfter)
 	case Refused:
-		f.refund(t)
 		t.downUntil = now.Add(min(minDownTime<<min(t.refusals, 4), maxDownTime))
 		t.refusals++
 		t.responses.recordSignOfLife()
@@ -276,7 +275,6 @@
 		t.lostAnswerAt = now
 		t.failures = min(t.failures+1, ejectAfter)
 	case Withheld:
-		f.refund(t)
 		if t.inFlight == 0 {
 			t.responses.recordSignOfLife()
 		}
