Tell other daemons at once only of suspects that matter

Cause: since every request at a crashed target is blamed, each crash pushed heartbeats with 16 suspects and up to four losses each, and each success after it pushed again.

A change is pushed if it may quarantine a query or clear it; single losses go with the next heartbeat. A heartbeat carries eight suspects, encoded without field names, targets by a hash.

--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -35,7 +35,7 @@
 	// pushDelay is how long updates are collected before they are sent.
 	pushDelay = 20 * time.Millisecond
 	// maxSuspects is the maximum number of suspects in one heartbeat.
-	maxSuspects = 16
+	maxSuspects = 8
 	// maxTableSuspects is the maximum number of suspects sent to a daemon that joins.
 	maxTableSuspects = 512
 	// maxSuspectAge is the age up to which heartbeats carry a suspect.
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -67,6 +67,7 @@
 
 // Loss is the loss of one target while it ran a query.
 type Loss struct {
+	_ struct{} `cbor:",toarray"`
 	// Target is the address and incarnation of the target.
 	Target string
 	// Domain is the failure domain of the target.
@@ -82,12 +83,14 @@
 // Query is one query at one index version: a query that is harmless at one version
 // may crash targets at the next.
 type Query struct {
+	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
 	Version     uint64
 }
 
 // Entry is a suspect query as daemons send it to each other.
 type Entry struct {
+	_      struct{} `cbor:",toarray"`
 	Query  Query
 	Losses []Loss
 	// AgeMillis is the time since the newest loss, or since the success if Cleared.
@@ -170,12 +173,16 @@
 }
 
 // Succeeded clears the suspicion of a query and remembers for some minutes that it
-// succeeded. It reports whether there was a suspicion.
+// succeeded. It reports whether the suspicion was so strong that other daemons should know
+// at once that it is cleared.
 func (r *Register) Succeeded(now time.Time, q Query) (cleared bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.suspects[q.Fingerprint]; s != nil {
-		cleared = s.clear(now)
+		cleared = s.repeated() && s.clear(now)
+		if !cleared {
+			delete(r.suspects, q.Fingerprint)
+		}
 	}
 	if now.Sub(r.rotatedAt) > successLifetime || len(r.succeeded) >= maxSuccesses {
 		r.succeededBefore, r.succeeded = r.succeeded, make(map[uint64]success, len(r.succeeded))
@@ -223,6 +230,9 @@
 	// domains.
 	Losses  int
 	Domains int
+	// Repeated is true if one of them was lost after another, so that other daemons
+	// should know at once.
+	Repeated bool
 	// Succeeded is true if the query has succeeded recently, and MassFailure if so many
 	// other targets were lost that a failure of the surroundings is more likely.
 	Succeeded   bool
@@ -235,7 +245,7 @@
 	defer r.mu.Unlock()
 	a := Assessment{Succeeded: r.hasSucceeded(q), MassFailure: r.massFailure(now, q.Fingerprint)}
 	if s := r.suspects[q.Fingerprint]; s != nil {
-		a.Losses, a.Domains = len(s.losses), s.domainCount()
+		a.Losses, a.Domains, a.Repeated = len(s.losses), s.domainCount(), s.repeated()
 	}
 	return a
 }
@@ -271,7 +281,7 @@
 			}
 			continue
 		}
-		if r.record(now, e.Query, agedLosses(e)) {
+		if r.record(now, e.Query, agedLosses(e)) && r.suspects[e.Query.Fingerprint].worthTelling() {
 			changed = true
 		}
 		r.checkQuarantine(now, e.Query.Fingerprint)
@@ -375,7 +385,7 @@
 		switch {
 		case !at.After(s.clearedAt):
 		case !at.After(succeeded):
-			s.clearedAt, changed = succeeded, true
+			s.clearedAt, changed = succeeded, len(losses) > 1
 		case s.add(loss{Loss: l, sent: at.Add(-time.Duration(l.RanMillis) * time.Millisecond), at: at}):
 			changed = true
 		}
@@ -464,6 +474,10 @@
 	return false
 }
 
+// worthTelling reports whether other daemons should hear of a change before the next
+// heartbeat: if it may quarantine the query, or has cleared it.
+func (s *suspect) worthTelling() bool { return len(s.losses) == 0 || s.repeated() }
+
 // shared reports whether the targets were running other queries as well.
 func (s *suspect) shared() bool {
 	return slices.ContainsFunc(s.losses, func(l loss) bool { return l.Shared })
--- a/internal/request/relay/crash.go
+++ b/internal/request/relay/crash.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/magnoliarelay/magnoliarelay/internal/process/crash"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
@@ -15,6 +18,8 @@
 	// minSilence is how long a cancelled attempt must have waited to be blamed for the
 	// end of its target: targets that work answer sooner.
 	minSilence = 700 * time.Millisecond
+	// shortestBase is the base in which numbers are shortest: losses travel in heartbeats.
+	shortestBase = 36
 	// crashCheckTime is how long a broken attempt waits to learn whether its target has
 	// crashed, so that a request that crashes targets is not sent again before.
 	crashCheckTime = 5 * time.Millisecond
@@ -94,12 +99,12 @@
 func (r *Runner) recordLoss(now time.Time, t *fleet.Target, blamed crash.Blamed) {
 	query := poison.Query{Fingerprint: blamed.Fingerprint}
 	quarantined := r.Poison.Lost(now, query, poison.Loss{
-		Target: t.BootID(), Domain: t.ID, RanMillis: now.Sub(blamed.Sent).Milliseconds(), Shared: blamed.Shared,
+		Target: strconv.FormatUint(xxhash.Sum64String(t.BootID()), shortestBase), Domain: t.ID, RanMillis: now.Sub(blamed.Sent).Milliseconds(), Shared: blamed.Shared,
 	})
 	a := r.Poison.Assess(now, query)
 	r.Log.State("a request may have crashed its target", "target", t.ID, "fingerprint", blamed.Fingerprint, "shared", blamed.Shared,
 		"held", quarantined, "losses", a.Losses, "domains", a.Domains, "succeeded", a.Succeeded, "massFailure", a.MassFailure)
-	if r.OnSuspectedCrash != nil {
+	if a.Repeated && r.OnSuspectedCrash != nil {
 		r.OnSuspectedCrash()
 	}
 }
