--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -32,9 +32,9 @@
 	// OnKept, if set, is called for each request that is kept away from a target that
 	// leaves, pauses or limits its requests. It must not call the fleet.
 	OnKept func(why NoticeKind)
-	// OnLost, if set, is called when a registered target is removed or replaced that has
+	// OnRemoved, if set, is called when a registered target is removed or replaced that has
 	// not said before that it leaves. It must not call the fleet.
-	OnLost func(t *Target)
+	OnRemoved func(t *Target)
 	// Seed makes the selection of targets repeatable.
 	Seed uint64
 }
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -85,8 +85,8 @@
 
 // remove ends the use of a registered target and returns its ID.
 func (f *Fleet) remove(t *Target) string {
-	if f.config.OnLost != nil && t.state != StateLeaving && !t.selfReport.leaving() {
-		f.config.OnLost(t)
+	if f.config.OnRemoved != nil && t.state != StateLeaving && !t.selfReport.leaving() {
+		f.config.OnRemoved(t)
 	}
 	t.state = StateLeaving
 	return t.ID
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -25,9 +25,6 @@
 package poison
 
 import (
-	"cmp"
-	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -99,23 +96,6 @@
 	Cleared bool
 }
 
-type suspect struct {
-	version    uint64
-	losses     []loss
-	newestLoss time.Time
-	// clearedAt is when the query last succeeded while it was suspected.
-	clearedAt     time.Time
-	quarantinedAt time.Time
-	duration      time.Duration
-}
-
-// loss is a Loss with its times.
-type loss struct {
-	Loss
-	sent time.Time
-	at   time.Time
-}
-
 // success is the last success of a query.
 type success struct {
 	version uint64
@@ -192,20 +172,6 @@
 	return cleared
 }
 
-// clear drops the losses up to the time of a success, and reports whether there were
-// any.
-func (s *suspect) clear(at time.Time) bool {
-	if at.After(s.clearedAt) {
-		s.clearedAt = at
-	}
-	before := len(s.losses)
-	s.losses = slices.DeleteFunc(slices.Clone(s.losses), func(l loss) bool { return !l.at.After(at) })
-	if len(s.losses) == 0 {
-		s.quarantinedAt = time.Time{}
-	}
-	return len(s.losses) < before
-}
-
 // HasSucceeded reports whether the query succeeded recently, so that it needs no canary.
 func (r *Register) HasSucceeded(q Query) bool {
 	r.mu.Lock()
@@ -263,109 +229,6 @@
 	return count
 }
 
-// Merge takes over the suspects of another daemon and reports whether other daemons
-// should hear of a change.
-func (r *Register) Merge(now time.Time, entries []Entry) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	changed := false
-	for i := range entries {
-		e := &entries[i]
-		age := time.Duration(e.AgeMillis) * time.Millisecond
-		if age < 0 || age > lossLifetime {
-			continue
-		}
-		if e.Cleared {
-			if s := r.suspects[e.Query.Fingerprint]; s != nil && s.clear(now.Add(-age)) {
-				changed = true
-			}
-			continue
-		}
-		if r.record(now, e.Query, agedLosses(e)) && r.suspects[e.Query.Fingerprint].worthTelling() {
-			changed = true
-		}
-		r.checkQuarantine(now, e.Query.Fingerprint)
-	}
-	return changed
-}
-
-// agedLosses returns the losses of an entry, the newest of them as old as the entry.
-func agedLosses(e *Entry) []Loss {
-	losses := slices.Clone(e.Losses)
-	youngest := int64(math.MaxInt64)
-	for i := range losses {
-		youngest = min(youngest, losses[i].AgeMillis)
-	}
-	for i := range losses {
-		losses[i].AgeMillis += max(0, e.AgeMillis-youngest)
-	}
-	return losses
-}
-
-// Entries lists at most limit suspects for the other daemons: first those that are
-// quarantined, then those that changed last.
-func (r *Register) Entries(now time.Time, limit int) []Entry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	type candidate struct {
-		fingerprint uint64
-		*suspect
-	}
-	var candidates []candidate
-	for fingerprint, s := range r.suspects {
-		switch {
-		case len(s.losses) > 0 && now.Sub(s.newestLoss) <= lossLifetime, len(s.losses) == 0 && now.Sub(s.clearedAt) <= clearLifetime:
-			candidates = append(candidates, candidate{fingerprint, s})
-		default:
-			delete(r.suspects, fingerprint)
-		}
-	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		switch held := a.quarantined(now); {
-		case held != b.quarantined(now) && held:
-			return -1
-		case held != b.quarantined(now):
-			return 1
-		}
-		return cmp.Or(b.changedAt().Compare(a.changedAt()), cmp.Compare(a.fingerprint, b.fingerprint))
-	})
-	entries := make([]Entry, 0, min(limit, len(candidates)))
-	for _, c := range candidates[:min(limit, len(candidates))] {
-		entries = append(entries, c.entry(now, c.fingerprint))
-	}
-	return entries
-}
-
-// Suspects returns the entry of one query, if it is a suspect.
-func (r *Register) Suspects(now time.Time, fingerprint uint64) []Entry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s := r.suspects[fingerprint]
-	if s == nil || len(s.losses) == 0 || now.Sub(s.newestLoss) > lossLifetime {
-		return nil
-	}
-	return []Entry{s.entry(now, fingerprint)}
-}
-
-// changedAt is when the suspect last changed.
-func (s *suspect) changedAt() time.Time {
-	if len(s.losses) == 0 {
-		return s.clearedAt
-	}
-	return s.newestLoss
-}
-
-func (s *suspect) entry(now time.Time, fingerprint uint64) Entry {
-	e := Entry{
-		Query: Query{Fingerprint: fingerprint, Version: s.version}, AgeMillis: now.Sub(s.changedAt()).Milliseconds(), Cleared: len(s.losses) == 0,
-	}
-	for _, l := range s.losses {
-		l.AgeMillis = now.Sub(l.at).Milliseconds()
-		e.Losses = append(e.Losses, l.Loss)
-	}
-	return e
-}
-
 // record adds the losses that are not known yet and reports whether there were any. A
 // loss before the query's last success at this daemon clears itself.
 func (r *Register) record(now time.Time, q Query, losses []Loss) bool {
@@ -393,26 +256,6 @@
 	return changed
 }
 
-// add records a loss and reports whether it adds evidence. Beyond maxLosses, one that was
-// sent later replaces the last.
-func (s *suspect) add(l loss) bool {
-	last := len(s.losses) - 1
-	switch {
-	case s.hasTarget(l.Target):
-		return false
-	case len(s.losses) < maxLosses:
-		s.losses = append(s.losses[:len(s.losses):len(s.losses)], l)
-	case l.sent.After(s.losses[last].sent):
-		s.losses = append(s.losses[:last:last], l)
-	default:
-		return false
-	}
-	if l.at.After(s.newestLoss) {
-		s.newestLoss = l.at
-	}
-	return true
-}
-
 // evict drops one suspect, if possible one that is not quarantined.
 func (r *Register) evict() {
 	victim := uint64(0)
@@ -457,32 +300,6 @@
 	return true
 }
 
-func (s *suspect) quarantined(now time.Time) bool {
-	return !s.quarantinedAt.IsZero() && now.Sub(s.quarantinedAt) < s.duration
-}
-
-// repeated reports whether a target was lost to an attempt that was sent after the
-// loss of another target.
-func (s *suspect) repeated() bool {
-	for _, first := range s.losses {
-		for _, second := range s.losses {
-			if first.Target != second.Target && !second.sent.Before(first.at) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// worthTelling reports whether other daemons should hear of a change before the next
-// heartbeat: if it may quarantine the query, or has cleared it.
-func (s *suspect) worthTelling() bool { return len(s.losses) == 0 || s.repeated() }
-
-// shared reports whether the targets were running other queries as well.
-func (s *suspect) shared() bool {
-	return slices.ContainsFunc(s.losses, func(l loss) bool { return l.Shared })
-}
-
 // massFailure reports whether so many targets were lost just now under other
 // queries that this query is probably not the cause.
 func (r *Register) massFailure(now time.Time, fingerprint uint64) bool {
@@ -525,20 +342,3 @@
 	}
 	return time.Time{}, false
 }
-
-func (s *suspect) hasTarget(target string) bool {
-	for _, loss := range s.losses {
-		if loss.Target == target {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *suspect) domainCount() int {
-	domains := map[string]bool{}
-	for _, loss := range s.losses {
-		domains[loss.Domain] = true
-	}
-	return len(domains)
-}
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -50,9 +50,9 @@
 	// limit, and OnKept for each request that is kept away from such a target.
 	OnNotice func(pool string, t *fleet.Target, n fleet.Notice)
 	OnKept   func(why fleet.NoticeKind)
-	// OnLost, if set, is called when a target is no longer registered, or replaced, that
+	// OnRemoved, if set, is called when a target is no longer registered, or replaced, that
 	// has not said before that it leaves.
-	OnLost func(t *fleet.Target)
+	OnRemoved func(t *fleet.Target)
 	// DrainTimeout is for how long a target may get requests after it has said that it
 	// leaves.
 	DrainTimeout time.Duration
@@ -106,9 +106,9 @@
 				}
 			},
 			OnKept: p.OnKept,
-			OnLost: func(t *fleet.Target) {
-				if p.OnLost != nil {
-					p.OnLost(t)
+			OnRemoved: func(t *fleet.Target) {
+				if p.OnRemoved != nil {
+					p.OnRemoved(t)
 				}
 			},
 		}),
--- a/internal/request/relay/cluster_test.go
+++ b/internal/request/relay/cluster_test.go
@@ -275,7 +275,7 @@
 			return gated
 		},
 	}
-	targetPools.OnLost = r.TargetEnded
+	targetPools.OnRemoved = r.TargetEnded
 	c.daemons = append(c.daemons, r)
 	return r
 }
