--- a/pkg/tree/routeexplain.go
+++ b/pkg/tree/routeexplain.go
@@ -41,7 +41,7 @@
 		func(r *Route) string { return r.LatencyTarget.String() },
 	},
 	{
-		Explanation{Field: "Priority", Unit: "rank, 0 first", Range: "0 or more", Doc: "The order in which waiting requests are sent when targets are full."},
+		Explanation{Field: "Priority", Unit: "rank, 0 first", Range: "0 or more", Doc: "The order in which waiting requests are sent when targets are full, and in which requests are served when targets limit theirs."},
 		func(r *Route) string { return strconv.Itoa(r.Priority) },
 	},
 	{
@@ -71,7 +71,7 @@
 		func(r *Route) string { return strconv.Itoa(r.Top) },
 	},
 	{
-		Explanation{Field: "LeastCoverage", Unit: "share of shards", Range: "0 to 1", Doc: "The minimum coverage of an answer; a request with less coverage is refused. With a value below 1, a partial answer may be sent shortly before the latency target."},
+		Explanation{Field: "LeastCoverage", Unit: "share of shards", Range: "0 to 1", Doc: "The minimum coverage of an answer; a request with less coverage is refused. Shards whose targets all leave, pause or have reached a limit of theirs are missing. With a value below 1, a partial answer may be sent shortly before the latency target."},
 		func(r *Route) string { return strconv.FormatFloat(r.LeastCoverage, 'g', -1, 64) },
 	},
 }
