Replace replicas that limit their requests in a daemon's subset

A daemon that uses some replicas of a shard adds one for each that leaves or pauses, but added none for one that has named a limit: three replicas with a request a second were all that the shard had there.

Evidence: TestReplicasWithLimitsAreReplacedInTheSubset, 3 replicas before, 5 after.

--- a/internal/process/fleet/limit.go
+++ b/internal/process/fleet/limit.go
@@ -217,8 +217,10 @@
 		// A reply to this daemon is newer.
 		return false
 	}
+	before := report.reduced()
 	f.setLimit(now, l, rate)
 	l.noticedRate = rate
+	f.viewsStale = f.viewsStale || report.reduced() != before
 	if rate > 0 {
 		t.recall()
 	} else {
--- a/internal/process/fleet/limit_test.go
+++ b/internal/process/fleet/limit_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/alloc"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 )
 
 // limitOf returns a reply to a request sent at the given time, which names the limit.
@@ -290,3 +292,25 @@
 		})
 	}
 }
+
+// Guards against shards that are short of targets at daemons which use a part of the
+// replicas, since all of these have named limits.
+func TestReplicasWithLimitsAreReplacedInTheSubset(t *testing.T) {
+	entries := make([]roster.Entry, 8)
+	for i := range entries {
+		entries[i] = entry(strconv.Itoa(i), strconv.Itoa(i), 1, 1)
+	}
+	f, _ := registeredPool(entries...)
+	f.SetDaemons(300)
+	used := slices.Clone(f.Plan().Replicas[0])
+	f.RecordStatement(start, used[0], limitOf(1, start))
+	f.RecordPeerLimit(start, used[1].ID, 1, 1)
+	if got := f.Plan().Replicas[0]; len(got) != minSubset+2 || !slices.Contains(got, used[0]) {
+		t.Errorf("%d replicas while two have limits, want %d", len(got), minSubset+2)
+	}
+	f.RecordStatement(start.Add(2*time.Second), used[0], Statement{Sent: start.Add(time.Second), Answered: true})
+	f.RecordPeerLimit(start.Add(2*time.Second), used[1].ID, 1, 0)
+	if got := f.Plan().Replicas[0]; len(got) != minSubset {
+		t.Errorf("%d replicas after the limits, want %d", len(got), minSubset)
+	}
+}
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -123,9 +123,11 @@
 // withholds reports whether the target may get no request now.
 func (r *selfReport) withholds(now time.Time) bool { return r.drained(now) || r.pausing(now) }
 
-// reduced reports whether the target takes less than others: it leaves, pauses, or is
-// not yet taken up again after a pause.
-func (r *selfReport) reduced() bool { return r != nil && (r.leaving() || r.resumeLimit > 0) }
+// reduced reports whether the target takes less than others: it leaves, pauses, is not
+// yet taken up again after a pause, or limits its requests.
+func (r *selfReport) reduced() bool {
+	return r != nil && (r.leaving() || r.resumeLimit > 0 || r.limited())
+}
 
 // boundAttempts bounds the attempts in flight after a pause.
 func (r *selfReport) boundAttempts(limit int) int {
--- a/internal/process/fleet/view.go
+++ b/internal/process/fleet/view.go
@@ -143,7 +143,8 @@
 }
 
 // highestHashes returns the replicas with the highest hashes of the daemon's
-// name and their address. A replica that leaves or pauses has the next one in addition.
+// name and their address. A replica that leaves, pauses or
+// limits its requests has the next one in addition.
 func highestHashes(daemon string, replicas []*Target, keep int) []*Target {
 	weight := func(t *Target) uint64 { return xxhash.Sum64String(daemon + "\x00" + t.Address) }
 	chosen := slices.Clone(replicas)
