--- a/internal/request/relay/crash_test.go
+++ b/internal/request/relay/crash_test.go
@@ -65,6 +65,9 @@
 	otherCrashes time.Duration
 	// pauses makes each target ask for pauses now and then.
 	pauses bool
+	// restarts is the time between restarts of daemons, in turn. A restarted one is told
+	// of suspects by the next heartbeat of the others.
+	restarts time.Duration
 	// together is the number of daemons that get the deadly request at the same moment.
 	together int
 }
@@ -242,13 +245,28 @@
 		tier.targets[id] = &mortalTarget{fakeTarget: f, tier: tier, crashed: make(chan struct{})}
 	}
 	for range crashDaemons {
-		r := tier.addDaemon("here", crashDaemons)
-		r.Dialect = rejectingDialect{}
-		r.Connect = func(target *fleet.Target) Sender { return tier.targets[target.Address] }
+		tier.startDaemon()
 	}
 	return tier
 }
 
+// startDaemon adds a daemon that knows nothing yet.
+func (t *mortalTier) startDaemon() *Runner {
+	r := t.addDaemon("here", crashDaemons)
+	r.Dialect = rejectingDialect{}
+	r.Connect = func(target *fleet.Target) Sender { return t.targets[target.Address] }
+	return r
+}
+
+// restartDaemon replaces a daemon.
+func (t *mortalTier) restartDaemon(index int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.startDaemon()
+	t.daemons = t.daemons[:len(t.daemons)-1]
+	t.daemons[index] = r
+}
+
 // rejectingDialect takes a 4xx reply for a failure.
 type rejectingDialect struct{ fakeDialect }
 
@@ -280,9 +298,12 @@
 func (t *mortalTier) shareSuspects(until time.Time) {
 	t.pending.Go(func() {
 		for ; time.Now().Before(until); time.Sleep(suspectDelay) {
-			for _, from := range t.daemons {
-				entries := from.Poison.Entries(time.Now(), 16)
-				for _, to := range t.daemons {
+			t.mu.Lock()
+			daemons := slices.Clone(t.daemons)
+			t.mu.Unlock()
+			for _, from := range daemons {
+				entries := from.Poison.Entries(time.Now(), 8)
+				for _, to := range daemons {
 					if from != to {
 						to.Poison.Merge(time.Now(), entries)
 					}
@@ -298,6 +319,7 @@
 	end := start.Add(2*time.Second + deadlyTime)
 	t.shareSuspects(end)
 	deadlyAt, otherAt, pauseAt := start.Add(2*time.Second), start.Add(2*time.Second), start
+	restartAt := start.Add(2 * time.Second)
 	for n := 0; time.Now().Before(end); n++ {
 		now := time.Now()
 		if !now.Before(deadlyAt) {
@@ -316,6 +338,10 @@
 			t.crash(t.targets[ids[t.cluster.random.IntN(len(ids))]], false)
 			otherAt = otherAt.Add(t.plan.otherCrashes)
 		}
+		if t.plan.restarts > 0 && !now.Before(restartAt) {
+			t.restartDaemon(n % len(t.daemons))
+			restartAt = restartAt.Add(t.plan.restarts)
+		}
 		if t.plan.pauses && !now.Before(pauseAt) {
 			for _, m := range t.targets {
 				if t.chance(0.2) {
@@ -390,6 +416,7 @@
 		{"targets lose answers", crashPlan{downFor: time.Second, lostAnswers: 0.1}},
 		{"other targets crash", crashPlan{downFor: time.Second, otherCrashes: 300 * time.Millisecond}},
 		{"targets reject what they get by turns", crashPlan{downFor: time.Second, pauses: true}},
+		{"daemons restart in turn", crashPlan{downFor: time.Second, restarts: 400 * time.Millisecond}},
 		{"all daemons get the request at once", crashPlan{downFor: time.Second, together: crashDaemons}},
 	}
 	gather := historyRoute()
