--- a/internal/request/relay/crash.go
+++ b/internal/request/relay/crash.go
@@ -84,8 +84,13 @@
 // TargetEnded records that the process of a target has ended.
 func (r *Runner) TargetEnded(t *fleet.Target) {
 	now := time.Now()
-	for _, blamed := range r.crashes.Ended(now, t.BootID()) {
-		r.recordLoss(now, t, blamed)
+	blamed := r.crashes.Ended(now, t.BootID())
+	if len(blamed) == 0 {
+		return
+	}
+	r.Log.State("a target ended without answering", "target", t.ID, "address", t.Address, "requests", len(blamed))
+	for _, b := range blamed {
+		r.recordLoss(now, t, b)
 	}
 }
 
@@ -95,16 +100,20 @@
 	}
 }
 
-// recordLoss records that a request may have crashed its target.
+// recordLoss records that a request may have crashed its target. Other daemons hear of it
+// at once if it has happened before.
 func (r *Runner) recordLoss(now time.Time, t *fleet.Target, blamed crash.Blamed) {
 	query := poison.Query{Fingerprint: blamed.Fingerprint}
 	quarantined := r.Poison.Lost(now, query, poison.Loss{
 		Target: strconv.FormatUint(xxhash.Sum64String(t.BootID()), shortestBase), Domain: t.ID, RanMillis: now.Sub(blamed.Sent).Milliseconds(), Shared: blamed.Shared,
 	})
 	a := r.Poison.Assess(now, query)
-	r.Log.State("a request may have crashed its target", "target", t.ID, "fingerprint", blamed.Fingerprint, "shared", blamed.Shared,
+	if !a.Repeated {
+		return
+	}
+	r.Log.State("a request may have crashed its targets", "target", t.ID, "fingerprint", blamed.Fingerprint, "shared", blamed.Shared,
 		"held", quarantined, "losses", a.Losses, "domains", a.Domains, "succeeded", a.Succeeded, "massFailure", a.MassFailure)
-	if a.Repeated && r.OnSuspectedCrash != nil {
+	if r.OnSuspectedCrash != nil {
 		r.OnSuspectedCrash()
 	}
 }
