Tell of single losses for a few heartbeats only

Each routine heartbeat carried single losses for 30 s, though they only matter together with another one within seconds.

--- a/internal/process/poison/entries.go
+++ b/internal/process/poison/entries.go
@@ -57,11 +57,12 @@
 	}
 	var candidates []candidate
 	for fingerprint, s := range r.suspects {
+		age := now.Sub(s.changedAt())
 		switch {
-		case len(s.losses) > 0 && now.Sub(s.newestLoss) <= lossLifetime, len(s.losses) == 0 && now.Sub(s.clearedAt) <= clearLifetime:
-			candidates = append(candidates, candidate{fingerprint, s})
-		default:
+		case len(s.losses) > 0 && age > lossLifetime, len(s.losses) == 0 && age > clearLifetime:
 			delete(r.suspects, fingerprint)
+		case s.worthTelling() || age <= weakLifetime:
+			candidates = append(candidates, candidate{fingerprint, s})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -48,8 +48,10 @@
 	quarantineGrowth   = 5
 	// maxLosses bounds the losses that are kept of one query.
 	maxLosses = 4
-	// clearLifetime is how long the other daemons are told of a cleared suspicion.
+	// clearLifetime is how long the other daemons are told of a cleared suspicion, and
+	// weakLifetime of one that is not worth telling at once: a few heartbeats.
 	clearLifetime = 30 * time.Second
+	weakLifetime  = 3 * time.Second
 	// massFailureLosses is the number of targets lost under other queries within
 	// massFailureWindow from which a failed rack or switch is suspected instead of the
 	// query.
