--- a/internal/request/relay/answer.go
+++ b/internal/request/relay/answer.go
@@ -77,6 +77,8 @@
 		return nil
 	case x.schedule.assisting:
 		return &Answer{Result: Partial}
+	case x.isGather() && x.enoughAnswered():
+		return x.mergedAnswer(Partial, reasonQuarantined)
 	}
 	answer := x.failureAnswer(now)
 	if answer.Result == Passed {
--- a/internal/request/relay/crash_test.go
+++ b/internal/request/relay/crash_test.go
@@ -537,3 +537,38 @@
 		}
 	})
 }
+
+// Guards against answers that are ready and not delivered, since the request has been
+// quarantined meanwhile.
+func TestQuarantineDeliversWhatIsReady(t *testing.T) {
+	for _, missing := range []int{0, 1} {
+		t.Run(fmt.Sprint(missing, " shards missing"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				route := historyRoute()
+				tier := newMortalTier(t, 1, crashPlan{}, route.Gather...)
+				for _, name := range route.Gather[:missing] {
+					for _, f := range tier.cluster.targets[name] {
+						f.set(func(f *fakeTarget) { f.unresponsive = true })
+					}
+				}
+				r := tier.daemons[0]
+				tier.send(r, route, "known", deadlyURI, false)
+				// The answers of the other shards have arrived, and the answer in part is not due.
+				time.Sleep(2 * workTime)
+				fingerprint := poison.Fingerprint(http.MethodGet, "", deadlyURI, "")
+				for i, target := range []string{"a", "b", "c"} {
+					r.Poison.Lost(time.Now(), poison.Query{Fingerprint: fingerprint}, poison.Loss{Target: target, Domain: target, RanMillis: int64(-i)})
+				}
+				tier.settle()
+				answer := tier.results[0].answer
+				want := Gathered
+				if missing > 0 {
+					want = Partial
+				}
+				if answer.Result != want || answer.Missing != missing {
+					t.Errorf("%s, %d missing, want %s, %d", answer.Result, answer.Missing, want, missing)
+				}
+			})
+		})
+	}
+}
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -206,10 +206,10 @@
 	x.startRemote()
 	for {
 		x.apply(step)
-		if answer := x.quarantineAnswer(time.Now()); answer != nil {
+		if answer := x.tryAnswer(time.Now(), step.Done); answer != nil {
 			return answer
 		}
-		if answer := x.tryAnswer(time.Now(), step.Done); answer != nil {
+		if answer := x.quarantineAnswer(time.Now()); answer != nil {
 			return answer
 		}
 		timer.Reset(time.Until(x.nextWake(step.NextTick)))
