--- a/internal/request/relay/crash_test.go
+++ b/internal/request/relay/crash_test.go
@@ -370,6 +370,8 @@
 // quarantineTime after the third crash, and that no harmless request is held back.
 func (t *mortalTier) check(test *testing.T) {
 	test.Helper()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if len(t.crashes) < 3 {
 		test.Logf("%d crashes", len(t.crashes))
 		return
@@ -523,7 +525,7 @@
 				tier.settle()
 				runs := 0
 				for _, m := range tier.targets {
-					runs += m.runs["late"]
+					m.set(func(f *fakeTarget) { runs += f.runs["late"] })
 				}
 				if runs > len(route.Gather) {
 					t.Errorf("the request ran on %d targets of %d shards", runs, len(route.Gather))
@@ -546,6 +548,8 @@
 		tier.send(asker, route, "deadly", deadlyURI, true)
 		tier.settle()
 		// One attempt a shard, and those of a shard or two until the peer knows.
+		tier.mu.Lock()
+		defer tier.mu.Unlock()
 		if most := len(route.Gather) + 3; len(tier.reached["deadly"]) > most {
 			t.Errorf("the request reached %d targets of %d shards", len(tier.reached["deadly"]), len(route.Gather))
 		}
--- a/internal/request/relay/limit_test.go
+++ b/internal/request/relay/limit_test.go
@@ -62,6 +62,8 @@
 // countOverLimit returns the most requests in a window while the target named its limit,
 // from daemons that it had told, and how many are allowed.
 func (f *fakeTarget) countOverLimit() (most int, allowed float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	l := &f.statements.limit
 	var first time.Time
 	for _, at := range l.told {
