--- /dev/null
+++ b/review/stand/cluster.go
@@ -0,0 +1,256 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/proxy"
+	"github.com/magnoliarelay/magnoliarelay/platform/fakes"
+)
+
+const (
+	callerHost  = "pupu76.example"
+	readyWait   = 20 * time.Second
+	graceSecond = 6
+)
+
+// settingsFile holds the settings of a node, as in the example of the users' pages.
+const settingsFile = `nodeName: "%[1]s"
+role: "relay"
+machineClass: "frontend"
+serves: ["frontend", "directory"]
+ip: "%[2]s"
+zone: "%[3]s"
+region: "%[4]s"
+zones: {palermo-vucciria: "palermo", catania-fera: "catania", ragusa-ibla: "ragusa"}
+listenAddresses: {front: "%[2]s:%[5]d", ready: "%[2]s:%[6]d", directory: "%[2]s:%[7]d"}
+internalPortRange: [%[8]d, %[9]d]
+bootstrap: %[12]v
+limits: {cpuShare: 0.4, cores: 1, memoryMb: %[11]d, fileDescriptors: 4100, linkBandwidthMbps: 1000.0, diskMb: 0}
+heartbeatIntervalMs: 1200
+bounds:
+  seedLagS: 3
+  addressReuseS: 2
+  stabilityWindowMs: 5000
+  drainTimeoutMs: 4000
+  gracePeriodS: 6
+  lossSlackMs: 200
+  configApplyMs: 4000
+  downgradeSlackMs: 250
+  maxStretchMs: 15000
+  retryBudgetRatio: 0.2
+  budgetWindowS: 10
+  retryBudgetSlack: 56
+  recoveryS: 12
+  ttl_max_s: 5
+platform: {address: "%[10]s", form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
+`
+
+const (
+	zonePalermo = "palermo-vucciria"
+	zoneCatania = "catania-fera"
+	zoneRagusa  = "ragusa-ibla"
+	memoryMB    = 284
+)
+
+func regionOf(zone string) string {
+	name, _, _ := strings.Cut(zone, "-")
+	return name
+}
+
+// process is one node.
+type process struct {
+	name, ip    string
+	front       string
+	ready       string
+	config      string
+	command     *exec.Cmd
+	ended       chan struct{}
+	endedBefore bool
+}
+
+// cluster is a store, nodes and targets.
+type cluster struct {
+	record *record
+	folder string
+	node   string
+	store  *fakes.Store
+	// storeLink, if set, is what the nodes connect to instead of the store.
+	storeLink *proxy.Proxy
+	nodes     []*process
+	targets   []*target
+	version   int
+}
+
+// startStore starts the store, with a delay on the way to it and back.
+func (c *cluster) startStore(delay time.Duration) error {
+	c.store = fakes.NewStore()
+	c.storeLink = &proxy.Proxy{Target: c.store.Address()}
+	if err := c.storeLink.Start(); err != nil {
+		return err
+	}
+	c.storeLink.SetFaults(proxy.Faults{Delay: delay})
+	return nil
+}
+
+func (c *cluster) storeAddress() string {
+	if c.storeLink != nil {
+		return c.storeLink.Address()
+	}
+	return c.store.Address()
+}
+
+// freePorts returns free TCP ports of an address.
+func freePorts(ip string, count int) ([]int, error) {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// startNode starts a node with the command of the deploy file.
+func (c *cluster) startNode(zone string) (*process, error) {
+	index := len(c.nodes)
+	ip := fmt.Sprintf("127.0.7.%d", 11+index)
+	ports, err := freePorts(ip, 4)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		name: fmt.Sprintf("frontend-%s-%d", zone, index+1), ip: ip, front: fmt.Sprintf("%s:%d", ip, ports[0]),
+		ready: fmt.Sprintf("%s:%d", ip, ports[1]), config: filepath.Join(c.folder, fmt.Sprintf("boot-%d.yaml", index)),
+	}
+	content := fmt.Sprintf(settingsFile, p.name, ip, zone, regionOf(zone), ports[0], ports[1], ports[2], ports[3], ports[3]+15, c.storeAddress(), memoryMB, true)
+	if err := os.WriteFile(p.config, []byte(content), 0o600); err != nil {
+		return nil, err
+	}
+	c.nodes = append(c.nodes, p)
+	return p, c.launch(p)
+}
+
+// restarted notes in the settings of all nodes that the system has been started before.
+func (c *cluster) restarted() error {
+	for _, p := range c.nodes {
+		content, err := os.ReadFile(p.config)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(p.config, []byte(strings.Replace(string(content), "bootstrap: true", "bootstrap: false", 1)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) launch(p *process) error {
+	log, err := os.OpenFile(p.config+".log", os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	p.command = exec.Command(c.node)
+	p.command.Env = []string{"MAGNOLIARELAY_CONFIG=" + p.config, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	p.command.Stdout, p.command.Stderr = log, log
+	// A node does not outlive the case.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	p.ended = ended
+	go func() {
+		// How it ended is read from its state.
+		_ = p.command.Wait()
+		_ = log.Close()
+		close(ended)
+	}()
+	c.record.line("node %s started, front %s", p.name, p.front)
+	return nil
+}
+
+// waitReady waits until all nodes are ready.
+func (c *cluster) waitReady() error {
+	client := &http.Client{Timeout: time.Second}
+	for _, p := range c.nodes {
+		for end := time.Now().Add(readyWait); ; time.Sleep(50 * time.Millisecond) {
+			response, err := client.Get("http://" + p.ready + "/readiness")
+			if err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					break
+				}
+			}
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready after %v", p.name, readyWait)
+			}
+		}
+	}
+	c.record.line("all nodes are ready")
+	return nil
+}
+
+// stop ends all nodes by their process IDs, and the stand-ins.
+func (c *cluster) stop() {
+	for _, p := range c.nodes {
+		if p.command == nil || p.command.Process == nil {
+			continue
+		}
+		// A process that has ended already needs no signal.
+		_ = p.command.Process.Signal(syscall.SIGKILL)
+		<-p.ended
+	}
+	for _, t := range c.targets {
+		t.close()
+	}
+	if c.storeLink != nil {
+		c.storeLink.Stop()
+	}
+	if c.store != nil {
+		c.store.Close()
+	}
+	c.record.line("all processes have ended")
+}
+
+type jsonMap = map[string]any
+
+// limits are those of the users' example.
+func limits() jsonMap {
+	return jsonMap{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+}
+
+// configure writes the next version of the configuration, as the operator does.
+func (c *cluster) configure(limits jsonMap, routes ...jsonMap) error {
+	c.version += 3
+	seen := map[string]bool{}
+	services := []jsonMap{}
+	for _, t := range c.targets {
+		if !seen[t.service] {
+			seen[t.service] = true
+			services = append(services, jsonMap{
+				"name": t.service, "healthCheckPath": "/health", "maxConnections": t.connections, "protocol": "h1", "tls": false,
+			})
+		}
+	}
+	document, err := json.Marshal(jsonMap{"version": c.version, "routes": routes, "services": services, "limits": limits})
+	if err != nil {
+		return err
+	}
+	c.store.Put("op/config", document)
+	c.record.line("the store has confirmed version %d of the configuration: %s", c.version, document)
+	return nil
+}
