--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -254,3 +254,24 @@
 	c.record.line("the store has confirmed version %d of the configuration: %s", c.version, document)
 	return nil
 }
+
+// maxFailureLines bounds the lines of one log that go into the record.
+const maxFailureLines = 6
+
+// failureLines returns the first lines of a log that tell of a failed attempt or gather.
+func failureLines(path string) []string {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil
+	}
+	var found []string
+	for _, line := range strings.Split(string(content), "\n") {
+		if strings.Contains(line, "attempt failed") || strings.Contains(line, "gather") && strings.Contains(line, "error=") {
+			found = append(found, line)
+		}
+		if len(found) == maxFailureLines {
+			break
+		}
+	}
+	return found
+}
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -50,8 +50,10 @@
 
 // cases maps the name of a case to its function.
 var cases = map[string]func(c *cluster, trouble bool) (verdict, error){
-	"restarted-tier": restartedTier,
-	"foreign-entry":  foreignEntry,
+	"restarted-tier":    restartedTier,
+	"foreign-entry":     foreignEntry,
+	"added-route-head":  headOnAddedRoute,
+	"added-route-latin": latinOnAddedRoute,
 }
 
 func main() {
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -124,8 +124,12 @@
 	t.record.line("target %s of %s runs %s %s %s", t.id, t.service, r.Method, r.RequestURI, id)
 	time.Sleep(t.work)
 	body := records(t.id)
-	return send(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s",
-		headerID, id, headerSignature, "sig-"+t.id+"-"+id, t.load(), len(body), body))
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n",
+		headerID, id, headerSignature, "sig-"+t.id+"-"+id, t.load(), len(body))
+	if r.Method == http.MethodHead {
+		return send(conn, head)
+	}
+	return send(conn, head+body)
 }
 
 // admit waits for a slot. It returns false if the queue is full.
