--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -73,6 +74,8 @@
 	name, ip    string
 	front       string
 	ready       string
+	directory   string
+	zone        string
 	config      string
 	command     *exec.Cmd
 	ended       chan struct{}
@@ -134,7 +137,7 @@
 	}
 	p := &process{
 		name: fmt.Sprintf("frontend-%s-%d", zone, index+1), ip: ip, front: fmt.Sprintf("%s:%d", ip, ports[0]),
-		ready: fmt.Sprintf("%s:%d", ip, ports[1]), config: filepath.Join(c.folder, fmt.Sprintf("boot-%d.yaml", index)),
+		ready: fmt.Sprintf("%s:%d", ip, ports[1]), directory: fmt.Sprintf("%s:%d", ip, ports[2]), zone: zone, config: filepath.Join(c.folder, fmt.Sprintf("boot-%d.yaml", index)),
 	}
 	content := fmt.Sprintf(settingsFile, p.name, ip, zone, regionOf(zone), ports[0], ports[1], ports[2], ports[3], ports[3]+15, c.storeAddress(), memoryMB, true)
 	if err := os.WriteFile(p.config, []byte(content), 0o600); err != nil {
@@ -204,6 +207,19 @@
 	return nil
 }
 
+// resolve asks a node for the addresses to connect to, as callers do, and records them.
+func (c *cluster) resolve(p *process) {
+	client := &http.Client{Timeout: time.Second}
+	response, err := client.Get(fmt.Sprintf("http://%s/resolution?name=%s&region=%s&zone=%s", p.directory, callerHost, regionOf(p.zone), p.zone))
+	if err != nil {
+		c.record.line("%s does not tell addresses: %v", p.name, err)
+		return
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	c.record.line("%s, front %s, tells callers of its zone: status %d, %s, error %v", p.name, p.front, response.StatusCode, content, err)
+}
+
 // stop ends all nodes by their process IDs, and the stand-ins.
 func (c *cluster) stop() {
 	for _, p := range c.nodes {
--- a/review/stand/restarted.go
+++ b/review/stand/restarted.go
@@ -70,6 +70,9 @@
 	}
 	time.Sleep(time.Until(due))
 	due = time.Now()
+	for _, p := range c.nodes {
+		c.resolve(p)
+	}
 	callers := newCaller(c.record)
 	callers.load(c.nodes, 5*count, 15*time.Second, func(p *process, number int) {
 		callers.send(p, http.MethodGet, "/timi402/"+strconv.Itoa(number), "", 4*time.Second, nil)
