--- a/review/stand/restarted.go
+++ b/review/stand/restarted.go
@@ -16,6 +16,8 @@
 	stability   = 5 * time.Second
 	// startSpread is the time within which the users' platform starts all machines.
 	startSpread = 300 * time.Millisecond
+	// startSlack shortens the pauses between starts, since a start takes a moment itself.
+	startSlack = 6
 	// storeDelay is half of the time in which the users' store answers.
 	storeDelay = 2 * time.Millisecond
 )
@@ -99,7 +101,7 @@
 		if err := c.launch(c.nodes[i]); err != nil {
 			return err
 		}
-		time.Sleep(startSpread / time.Duration(len(c.nodes)))
+		time.Sleep(startSpread / time.Duration(len(c.nodes)+startSlack))
 	}
 	return nil
 }
--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -54,6 +54,7 @@
 	"foreign-entry":     foreignEntry,
 	"added-route-head":  headOnAddedRoute,
 	"added-route-latin": latinOnAddedRoute,
+	"catch-all-route":   catchAllRoute,
 	"moved-store":       movedStore,
 }
 
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -30,13 +30,15 @@
 	mu       sync.Mutex
 	waiting  int
 	ran      map[string]int
-	conns    map[net.Conn]bool
+	// uris holds the path and query of each request that has run.
+	uris  map[string]string
+	conns map[net.Conn]bool
 }
 
 func (c *cluster) addTarget(id, service, zone string, set func(*target)) (*target, error) {
 	t := &target{
 		id: id, service: service, zone: zone, slots: 2, queue: 12, connections: 26, work: 4 * time.Millisecond,
-		record: c.record, ran: map[string]int{}, conns: map[net.Conn]bool{},
+		record: c.record, ran: map[string]int{}, uris: map[string]string{}, conns: map[net.Conn]bool{},
 	}
 	if set != nil {
 		set(t)
@@ -120,6 +122,7 @@
 	defer func() { <-t.running }()
 	t.mu.Lock()
 	t.ran[id]++
+	t.uris[id] = r.RequestURI
 	t.mu.Unlock()
 	t.record.line("target %s of %s runs %s %s %s", t.id, t.service, r.Method, r.RequestURI, id)
 	time.Sleep(t.work)
