--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -55,7 +55,6 @@
 	"added-route-head":  headOnAddedRoute,
 	"added-route-latin": latinOnAddedRoute,
 	"catch-all-route":   catchAllRoute,
-	"moved-store":       movedStore,
 }
 
 func main() {
