--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,9 +21,9 @@
 )
 
 const (
-	callerHost  = "pupu76.example"
-	readyWait   = 20 * time.Second
-	graceSecond = 6
+	callerHost = "pupu76.example"
+	readyWait  = 20 * time.Second
+	maxNetwork = 250
 )
 
 // settingsFile holds the settings of a node, as in the example of the users' pages.
@@ -113,16 +114,23 @@
 	return c.store.Address()
 }
 
-// freePorts returns free TCP ports of an address.
+// freePorts returns ports of an address that are free for TCP and UDP.
 func freePorts(ip string, count int) ([]int, error) {
 	var ports []int
-	for range count {
+	for len(ports) < count {
 		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			return nil, err
 		}
 		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		port := listener.Addr().(*net.TCPAddr).Port
+		socket, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			// Another process uses it.
+			continue
+		}
+		defer socket.Close()
+		ports = append(ports, port)
 	}
 	return ports, nil
 }
@@ -130,7 +138,11 @@
 // startNode starts a node with the command of the deploy file.
 func (c *cluster) startNode(zone string) (*process, error) {
 	index := len(c.nodes)
-	ip := fmt.Sprintf("127.0.7.%d", 11+index)
+	if c.network == 0 {
+		// Cases that are played at the same time get addresses of their own.
+		c.network = 1 + rand.IntN(maxNetwork)
+	}
+	ip := fmt.Sprintf("127.0.%d.%d", c.network, 11+index)
 	ports, err := freePorts(ip, 4)
 	if err != nil {
 		return nil, err
@@ -199,7 +211,7 @@
 				}
 			}
 			if time.Now().After(end) {
-				return fmt.Errorf("%s is not ready after %v", p.name, readyWait)
+				return fmt.Errorf("%s is not ready after %v; the end of its log: %s", p.name, readyWait, logEnd(p.config+".log"))
 			}
 		}
 	}
@@ -291,3 +303,12 @@
 	}
 	return found
 }
+
+// logEnd returns the last bytes of a log.
+func logEnd(path string) string {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	return string(content[max(0, len(content)-500):])
+}
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -43,7 +43,7 @@
 	if set != nil {
 		set(t)
 	}
-	listener, err := net.Listen("tcp", "127.0.8.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
