--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -94,6 +94,8 @@
 	nodes     []*process
 	targets   []*target
 	version   int
+	// network is the third number of the addresses of the nodes.
+	network int
 }
 
 // startStore starts the store, with a delay on the way to it and back.
