--- a/review/stand/added.go
+++ b/review/stand/added.go
@@ -21,7 +21,7 @@
 
 // headOnAddedRoute: the operator adds a route, which callers use with HEAD.
 func headOnAddedRoute(c *cluster, trouble bool) (verdict, error) {
-	if err := c.startStore(storeDelay); err != nil {
+	if err := c.startStore(); err != nil {
 		return verdict{}, err
 	}
 	zones := []string{zonePalermo, zoneCatania, zoneRagusa}
@@ -32,21 +32,21 @@
 			}
 		}
 	}
-	first := route("lot-fetch", firstPrefix, "idempotent", 4*time.Second, jsonMap{"service": "lot-ledger"})
-	added := route("view", addedPrefix, "idempotent", 4*time.Second, jsonMap{"service": "herbarium-view"})
+	first := route("lot-fetch", firstPrefix, 4*time.Second, jsonMap{"service": "lot-ledger"})
+	added := route("view", addedPrefix, 4*time.Second, jsonMap{"service": "herbarium-view"})
 	return c.playAddedRoute(trouble, first, added, 30, 20*time.Second, func(callers *caller, p *process, number int, useAdded bool) {
 		if useAdded {
-			callers.send(p, http.MethodHead, addedPrefix+strconv.Itoa(number), "", 4*time.Second, nil)
+			callers.send(p, http.MethodHead, addedPrefix+strconv.Itoa(number), 4*time.Second, nil)
 			return
 		}
-		callers.send(p, http.MethodGet, firstPrefix+strconv.Itoa(number), "", 4*time.Second, nil)
+		callers.send(p, http.MethodGet, firstPrefix+strconv.Itoa(number), 4*time.Second, nil)
 	})
 }
 
 // latinOnAddedRoute: the operator adds a route whose shards have targets in one zone each.
 // A header of the callers has a byte that is not UTF-8.
 func latinOnAddedRoute(c *cluster, trouble bool) (verdict, error) {
-	if err := c.startStore(storeDelay); err != nil {
+	if err := c.startStore(); err != nil {
 		return verdict{}, err
 	}
 	zones := []string{zonePalermo, zoneCatania, zoneRagusa}
@@ -66,7 +66,7 @@
 		}
 	}
 	gather := func(name, prefix string, pools []string) jsonMap {
-		return route(name, prefix, "idempotent", 1200*time.Millisecond, jsonMap{"gather": pools, "topK": 5, "minShardFraction": 0.75})
+		return route(name, prefix, 1200*time.Millisecond, jsonMap{"gather": pools, "topK": 5, "minShardFraction": 0.75})
 	}
 	header := http.Header{"X-Stall-Holder": {"Jos\xe9"}}
 	return c.playAddedRoute(trouble, gather("lookup", firstPrefix, everywhere), gather("portal", addedPrefix, apart), 2, time.Minute,
@@ -75,7 +75,7 @@
 			if useAdded {
 				prefix = addedPrefix
 			}
-			callers.send(p, http.MethodGet, prefix+strconv.Itoa(number), "", 1200*time.Millisecond, header)
+			callers.send(p, http.MethodGet, prefix+strconv.Itoa(number), 1200*time.Millisecond, header)
 		})
 }
 
--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -44,7 +44,7 @@
 }
 
 // send makes one attempt.
-func (c *caller) send(p *process, method, path, body string, timeout time.Duration, header http.Header) *call {
+func (c *caller) send(p *process, method, path string, timeout time.Duration, header http.Header) {
 	a := &call{id: fmt.Sprintf("%08x%08x", rand.Uint32(), c.next.Add(1)), method: method, path: path, node: p.name, sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -56,10 +56,10 @@
 		c.record.line("caller gets status %d for %s %s %s from %s after %v, %d bytes, error %v",
 			a.status, method, path, a.id, p.name, a.took.Round(time.Millisecond), len(a.body), a.err)
 	}()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.front, strings.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+p.front, http.NoBody)
 	if err != nil {
 		a.err = err
-		return a
+		return
 	}
 	r.URL.Opaque = path
 	r.Host = callerHost
@@ -71,12 +71,11 @@
 	response, err := c.client.Do(r)
 	if err != nil {
 		a.err = err
-		return a
+		return
 	}
 	defer response.Body.Close()
 	a.status, a.header = response.StatusCode, response.Header
 	a.body, a.err = io.ReadAll(response.Body)
-	return a
 }
 
 // count returns how many calls to a path have each status; zero stands for an error.
--- a/review/stand/catchall.go
+++ b/review/stand/catchall.go
@@ -16,7 +16,7 @@
 
 // catchAllRoute: the operator adds a route for all paths of a host.
 func catchAllRoute(c *cluster, trouble bool) (verdict, error) {
-	if err := c.startStore(storeDelay); err != nil {
+	if err := c.startStore(); err != nil {
 		return verdict{}, err
 	}
 	zones := []string{zonePalermo, zoneCatania, zoneRagusa}
@@ -27,7 +27,7 @@
 			}
 		}
 	}
-	first := route("lot-fetch", firstPrefix, "idempotent", 4*time.Second, jsonMap{"service": "lot-ledger"})
+	first := route("lot-fetch", firstPrefix, 4*time.Second, jsonMap{"service": "lot-ledger"})
 	if err := c.configure(limits(), first); err != nil {
 		return verdict{}, err
 	}
@@ -35,7 +35,7 @@
 		return verdict{}, err
 	}
 	if trouble {
-		if err := c.configure(limits(), first, route("all", "/", "idempotent", 4*time.Second, jsonMap{"service": "herbarium-view"})); err != nil {
+		if err := c.configure(limits(), first, route("all", "/", 4*time.Second, jsonMap{"service": "herbarium-view"})); err != nil {
 			return verdict{}, err
 		}
 	}
--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -72,15 +72,14 @@
 
 // process is one node.
 type process struct {
-	name, ip    string
-	front       string
-	ready       string
-	directory   string
-	zone        string
-	config      string
-	command     *exec.Cmd
-	ended       chan struct{}
-	endedBefore bool
+	name, ip  string
+	front     string
+	ready     string
+	directory string
+	zone      string
+	config    string
+	command   *exec.Cmd
+	ended     chan struct{}
 }
 
 // cluster is a store, nodes and targets.
@@ -99,13 +98,13 @@
 }
 
 // startStore starts the store, with a delay on the way to it and back.
-func (c *cluster) startStore(delay time.Duration) error {
+func (c *cluster) startStore() error {
 	c.store = fakes.NewStore()
 	c.storeLink = &proxy.Proxy{Target: c.store.Address()}
 	if err := c.storeLink.Start(); err != nil {
 		return err
 	}
-	c.storeLink.SetFaults(proxy.Faults{Delay: delay})
+	c.storeLink.SetFaults(proxy.Faults{Delay: storeDelay})
 	return nil
 }
 
--- a/review/stand/foreign.go
+++ b/review/stand/foreign.go
@@ -21,7 +21,7 @@
 // foreignEntry: another writer writes an entry that lacks four of the eight fields of an
 // entry, under the key of a target of another service.
 func foreignEntry(c *cluster, trouble bool) (verdict, error) {
-	if err := c.startStore(storeDelay); err != nil {
+	if err := c.startStore(); err != nil {
 		return verdict{}, err
 	}
 	zones := []string{zonePalermo, zoneCatania, zoneRagusa}
@@ -40,7 +40,7 @@
 	stop := c.beat()
 	defer stop()
 	single := func(name, prefix, service string) jsonMap {
-		return route(name, prefix, "idempotent", 4*time.Second, jsonMap{"service": service})
+		return route(name, prefix, 4*time.Second, jsonMap{"service": service})
 	}
 	if err := c.configure(limits(), single("lot-fetch", "/timi402/", "lot-ledger"), single("view", "/popu7/", "herbarium-view")); err != nil {
 		return verdict{}, err
@@ -61,8 +61,13 @@
 	callers := newCaller(c.record)
 	callers.load(c.nodes, 60, time.Duration(len(foreign)+1)*entryPause, func(p *process, number int) {
 		prefix := []string{"/timi402/", "/popu7/"}[number%2]
-		callers.send(p, http.MethodGet, prefix+strconv.Itoa(number), "", 4*time.Second, nil)
+		callers.send(p, http.MethodGet, prefix+strconv.Itoa(number), 4*time.Second, nil)
 	})
+	return c.judgeForeign(callers, foreign), nil
+}
+
+// judgeForeign finds requests to lot-ledger that the targets of the other service have run.
+func (c *cluster) judgeForeign(callers *caller, foreign []*target) verdict {
 	ran, answered := 0, 0
 	for _, t := range foreign {
 		for id := range t.ran {
@@ -79,7 +84,7 @@
 		}
 	}
 	return verdict{ran > 0, fmt.Sprintf("%d requests to lot-ledger were run by herbarium-view, and %d of their callers got its answer; statuses %v",
-		ran, answered, callers.count("/"))}, nil
+		ran, answered, callers.count("/"))}
 }
 
 // beat makes all targets write their entries at each heartbeat until stop is called.
--- a/review/stand/restarted.go
+++ b/review/stand/restarted.go
@@ -27,7 +27,7 @@
 func restartedTier(c *cluster, trouble bool) (verdict, error) {
 	zones := []string{zonePalermo, zoneCatania, zoneRagusa}
 	const count = 24
-	if err := c.startStore(storeDelay); err != nil {
+	if err := c.startStore(); err != nil {
 		return verdict{}, err
 	}
 	for i := range 3 {
@@ -38,7 +38,7 @@
 		}
 	}
 	move := func(service string) error {
-		return c.configure(limits(), route("lot-fetch", "/timi402/", "idempotent", 4*time.Second, jsonMap{"service": service}))
+		return c.configure(limits(), route("lot-fetch", "/timi402/", 4*time.Second, jsonMap{"service": service}))
 	}
 	if err := move("lot-ledger"); err != nil {
 		return verdict{}, err
@@ -77,7 +77,7 @@
 	}
 	callers := newCaller(c.record)
 	callers.load(c.nodes, 5*count, 15*time.Second, func(p *process, number int) {
-		callers.send(p, http.MethodGet, "/timi402/"+strconv.Itoa(number), "", 4*time.Second, nil)
+		callers.send(p, http.MethodGet, "/timi402/"+strconv.Itoa(number), 4*time.Second, nil)
 	})
 	return c.judgeStale(callers, due, confirmed), nil
 }
--- a/review/stand/routes.go
+++ b/review/stand/routes.go
@@ -20,9 +20,10 @@
 	return nil
 }
 
-func route(name, prefix, kind string, timeout time.Duration, more jsonMap) jsonMap {
+// route returns an idempotent route.
+func route(name, prefix string, timeout time.Duration, more jsonMap) jsonMap {
 	r := jsonMap{
-		"name": name, "host": callerHost, "prefix": prefix, "kind": kind, "timeoutMs": timeout.Milliseconds(),
+		"name": name, "host": callerHost, "prefix": prefix, "kind": "idempotent", "timeoutMs": timeout.Milliseconds(),
 		"targetLatencyMs": timeout.Milliseconds() / 10, "priority": 2, "maxAttempts": 2,
 	}
 	for key, value := range more {
