--- a/review/stand/added.go
+++ b/review/stand/added.go
@@ -66,7 +66,7 @@
 		}
 	}
 	gather := func(name, prefix string, pools []string) jsonMap {
-		return route(name, prefix, 1200*time.Millisecond, jsonMap{"gather": pools, "topK": 5, "minShardFraction": 0.75})
+		return route(name, prefix, 1200*time.Millisecond, jsonMap{"gather": pools, "topK": 5, names.MinShare: 0.75})
 	}
 	header := http.Header{"X-Stall-Holder": {"Jos\xe9"}}
 	return c.playAddedRoute(trouble, gather("lookup", firstPrefix, everywhere), gather("portal", addedPrefix, apart), 2, time.Minute,
--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -66,8 +66,8 @@
 	for name, values := range header {
 		r.Header[name] = values
 	}
-	r.Header.Set(headerID, a.id)
-	r.Header.Set(headerDeadline, fmt.Sprint(timeout.Milliseconds()))
+	r.Header.Set(names.HeaderID, a.id)
+	r.Header.Set(names.HeaderDeadline, fmt.Sprint(timeout.Milliseconds()))
 	response, err := c.client.Do(r)
 	if err != nil {
 		a.err = err
--- a/review/stand/catchall.go
+++ b/review/stand/catchall.go
@@ -76,7 +76,7 @@
 	if a.err = conn.SetDeadline(time.Now().Add(timeout)); a.err != nil {
 		return
 	}
-	if _, a.err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", path, callerHost, headerID, a.id, headerDeadline, timeout.Milliseconds()); a.err != nil {
+	if _, a.err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", path, callerHost, names.HeaderID, a.id, names.HeaderDeadline, timeout.Milliseconds()); a.err != nil {
 		return
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/review/stand/cluster.go
+++ b/review/stand/cluster.go
@@ -26,38 +26,6 @@
 	maxNetwork = 250
 )
 
-// settingsFile holds the settings of a node, as in the example of the users' pages.
-const settingsFile = `nodeName: "%[1]s"
-role: "relay"
-machineClass: "frontend"
-serves: ["frontend", "directory"]
-ip: "%[2]s"
-zone: "%[3]s"
-region: "%[4]s"
-zones: {palermo-vucciria: "palermo", catania-fera: "catania", ragusa-ibla: "ragusa"}
-listenAddresses: {front: "%[2]s:%[5]d", ready: "%[2]s:%[6]d", directory: "%[2]s:%[7]d"}
-internalPortRange: [%[8]d, %[9]d]
-bootstrap: %[12]v
-limits: {cpuShare: 0.4, cores: 1, memoryMb: %[11]d, fileDescriptors: 4100, linkBandwidthMbps: 1000.0, diskMb: 0}
-heartbeatIntervalMs: 1200
-bounds:
-  seedLagS: 3
-  addressReuseS: 2
-  stabilityWindowMs: 5000
-  drainTimeoutMs: 4000
-  gracePeriodS: 6
-  lossSlackMs: 200
-  configApplyMs: 4000
-  downgradeSlackMs: 250
-  maxStretchMs: 15000
-  retryBudgetRatio: 0.2
-  budgetWindowS: 10
-  retryBudgetSlack: 56
-  recoveryS: 12
-  ttl_max_s: 5
-platform: {address: "%[10]s", form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
-`
-
 const (
 	zonePalermo = "palermo-vucciria"
 	zoneCatania = "catania-fera"
@@ -271,7 +239,7 @@
 		if !seen[t.service] {
 			seen[t.service] = true
 			services = append(services, jsonMap{
-				"name": t.service, "healthCheckPath": "/health", "maxConnections": t.connections, "protocol": "h1", "tls": false,
+				"name": t.service, names.HealthPath: "/health", "maxConnections": t.connections, "protocol": "h1", "tls": false,
 			})
 		}
 	}
@@ -279,7 +247,7 @@
 	if err != nil {
 		return err
 	}
-	c.store.Put("op/config", document)
+	c.store.Put(names.ConfigKey, document)
 	c.record.line("the store has confirmed version %d of the configuration: %s", c.version, document)
 	return nil
 }
--- a/review/stand/routes.go
+++ b/review/stand/routes.go
@@ -24,7 +24,7 @@
 func route(name, prefix string, timeout time.Duration, more jsonMap) jsonMap {
 	r := jsonMap{
 		"name": name, "host": callerHost, "prefix": prefix, "kind": "idempotent", "timeoutMs": timeout.Milliseconds(),
-		"targetLatencyMs": timeout.Milliseconds() / 10, "priority": 2, "maxAttempts": 2,
+		names.LatencyTarget: timeout.Milliseconds() / 10, "priority": 2, "maxAttempts": 2,
 	}
 	for key, value := range more {
 		r[key] = value
--- a/review/stand/target.go
+++ b/review/stand/target.go
@@ -57,7 +57,7 @@
 // register writes the target's entry, as the target does.
 func (c *cluster) register(t *target, state string) {
 	c.store.Put("servers/"+t.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":%d,"born":%d}`,
+		names.Entry,
 		t.service, t.address, t.zone, t.slots, state, t.sequence.Add(1), c.record.start.UnixMilli()))
 }
 
@@ -103,21 +103,15 @@
 	}
 }
 
-const (
-	headerID        = "Magnoliarelay-Request-Id"
-	headerDeadline  = "Magnoliarelay-Request-Deadline"
-	headerSignature = "Magnoliarelay-Response-Signature"
-)
-
 // answer answers a request and reports whether the connection stays open.
 func (t *target) answer(conn net.Conn, r *http.Request) bool {
-	id := r.Header.Get(headerID)
-	if expected := r.Header.Get("Magnoliarelay-Expected-Instance"); expected != "" && expected != t.id {
-		return send(conn, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nMagnoliarelay-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", headerID, id, t.id))
+	id := r.Header.Get(names.HeaderID)
+	if expected := r.Header.Get(names.HeaderExpected); expected != "" && expected != t.id {
+		return send(conn, fmt.Sprintf("HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names.HeaderID, id, names.HeaderInstance, t.id))
 	}
 	if !t.admit() {
 		t.record.line("target %s rejects %s, not run", t.id, id)
-		return send(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\nMagnoliarelay-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", headerID, id, t.load()))
+		return send(conn, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\n%sContent-Length: 0\r\n\r\n", names.HeaderID, id, names.HeaderNotRun, t.load()))
 	}
 	defer func() { <-t.running }()
 	t.mu.Lock()
@@ -128,7 +122,7 @@
 	time.Sleep(t.work)
 	body := records(t.id)
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n",
-		headerID, id, headerSignature, "sig-"+t.id+"-"+id, t.load(), len(body))
+		names.HeaderID, id, names.HeaderSignature, "sig-"+t.id+"-"+id, t.load(), len(body))
 	if r.Method == http.MethodHead {
 		return send(conn, head)
 	}
@@ -159,7 +153,7 @@
 func (t *target) load() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return fmt.Sprintf("Magnoliarelay-Server-Load: %d,%d,%d\r\n", len(t.running), t.waiting, t.slots)
+	return fmt.Sprintf("%s: %d,%d,%d\r\n", names.HeaderLoad, len(t.running), t.waiting, t.slots)
 }
 
 func send(conn net.Conn, text string) bool {
