Log refused peers and registrations

A daemon that is cut off from the others left no trace of why: heartbeats of peers whose certificate it does not know failed without a line or a metric, and a registration in the store was logged only when it failed.

Now "registered in the store" tells how many records the daemon has read and how many were new, and "refused peers whose certificate is in no daemon's record" comes at most every 2 s with a count; RefuseUnknownPeer counts each.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -359,7 +359,8 @@
 	if err != nil {
 		return err
 	}
-	f.Table.Merge(time.Now(), members)
+	news := f.Table.Merge(time.Now(), members)
+	f.Log.State("registered in the store", "records", len(members), "news", len(news), "members", f.Table.Live())
 	return nil
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -169,6 +169,7 @@
 	entering sync.WaitGroup
 	// storeLost is true while the daemon joins and the store does not answer.
 	storeLost atomic.Bool
+	refused   refusals
 }
 
 // Start listens and begins to join. The daemon becomes ready once it has the routes
@@ -229,9 +230,7 @@
 	if err != nil {
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
-	// Peers may connect as soon as the link listens; none is trusted before the table
-	// exists.
-	pinned.Trusted = func(fingerprint []byte) bool { return n.tableReady.Load() && n.Table.Trusts(fingerprint) }
+	pinned.Trusted = n.trusts
 	n.keys = pinned
 	n.link.Keys = pinned
 	if err := n.link.Start(); err != nil {
