Daemons know since when their state is confirmed, and read the store if nobody says so

Cause: a daemon read the records of the others once, while it registered. Of daemons that start together, each finds the old records of those that register later, takes them for live ones that follow the store, and refuses their new processes, whose certificates it does not know. It was never told to look again.

Change: heartbeats carry the time since the store confirmed the sender's state and since a daemon last asked the store (process/fresh). A daemon for which nobody has asked for 2 s reads the changes that it lacks and the records of the others. So every daemon knows what its settings rest on and since when, and a record in the table no longer counts as somebody who follows the store. Calls are spread, and outages leave followers time to hand over. Connections to processes before a restart are now also closed when the new record comes from the store.

In virtual time, 300 connected daemons make no further call in 20 s.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -5,9 +5,13 @@
 // the next daemon takes its place. Every daemon keeps its own record in the store
 // under a lease, so that daemons find each other after all of them were down.
 //
+// The table may hold records of processes that are gone, so that nobody follows the
+// store, or nobody whom this daemon can reach. A daemon therefore also reads the store
+// when nothing has confirmed its settings and registrations for too long.
+//
 // # Usage
 //
-//	f := &feed.Feed{Source: source, Table: table, Roster: roster, Meter: m, Log: l, Watchers: 2, ApplySettings: apply, Registered: registered, MembersChanged: changed}
+//	f := &feed.Feed{Source: source, Table: table, Roster: roster, Fresh: tracker, Meter: m, Log: l, Watchers: 2, ApplySettings: apply, Registered: registered, MembersChanged: changed}
 //	err := f.Enter(ctx)    // registers this daemon and reads the other members
 //	err = f.LoadOnce(ctx, 0)  // if no other daemon can be asked
 //	go f.Run(ctx)
@@ -25,9 +29,11 @@
 	"github.com/dgryski/go-rendezvous"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/logger"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
@@ -102,6 +108,9 @@
 	batchDelay = 150 * time.Millisecond
 	// callTimeout is the timeout of a call that does not wait for changes.
 	callTimeout = 2 * time.Second
+	// refreshTimeout is the timeout of the call that reads the changes which this daemon
+	// has missed. It is shorter than the time between two such calls.
+	refreshTimeout = time.Second
 	// leaseTTL is how long the store keeps the record of a daemon that no longer
 	// renews its lease, and renewInterval is the time between renewals.
 	leaseTTL      = 12 * time.Second
@@ -120,6 +129,7 @@
 	Source Source
 	Table  *member.Table
 	Roster *roster.Roster
+	Fresh  *fresh.Tracker
 	Meter  *meter.Meter
 	Log    *logger.Log
 	// Watchers is the number of daemons of each data centre that follow the store.
@@ -128,9 +138,9 @@
 	ApplySettings func(epoch.Change)
 	// Registered is called with the pools whose registrations have changed.
 	Registered func(pools []string)
-	// MembersChanged is called when the table has changed: the store returned new
-	// members, or this daemon lost or regained the store.
-	MembersChanged func()
+	// MembersChanged is called when the table has changed: the store returned the given
+	// new records, or this daemon lost or regained the store.
+	MembersChanged func(news []member.Member)
 
 	// lease holds the daemon's record. Enter sets it before Run begins; afterwards
 	// only the goroutine that renews the lease sets it.
@@ -177,11 +187,14 @@
 			f.Log.State("following the store", "chosen", chosen)
 			following = chosen
 		}
-		if !chosen {
-			sleep.For(ctx, electionInterval)
+		if chosen {
+			f.follow(ctx)
 			continue
 		}
-		f.follow(ctx)
+		if f.Fresh.Overdue(mono.Now(), f.Table.Live()) {
+			f.refresh(ctx)
+		}
+		sleep.For(ctx, electionInterval)
 	}
 }
 
@@ -191,7 +204,7 @@
 	retry := newBackoff()
 	revision := int64(0)
 	for ctx.Err() == nil && f.Chosen(time.Now()) {
-		changes, err := f.next(ctx, revision)
+		changes, confirmed, err := f.next(ctx, revision)
 		var e *Error
 		switch {
 		case ctx.Err() != nil:
@@ -207,7 +220,7 @@
 		default:
 			retry.Reset()
 			f.storeAnswered()
-			f.apply(changes)
+			f.apply(changes, confirmed)
 			if changes.Revision > revision {
 				sleep.For(ctx, batchDelay)
 			}
@@ -221,11 +234,16 @@
 	}
 }
 
-func (f *Feed) next(ctx context.Context, revision int64) (*Changes, error) {
+// next waits for the changes after a revision. It also returns a time at or after which
+// the store gave the answer.
+func (f *Feed) next(ctx context.Context, revision int64) (changes *Changes, confirmed time.Time, err error) {
+	asked := mono.Now()
+	f.Fresh.Attempt(asked)
 	if revision == 0 {
 		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 		defer cancel()
-		return f.Source.Load(ctx, 0)
+		changes, err := f.Source.Load(ctx, 0)
+		return changes, asked, err
 	}
 	wait := followerWaitTimeout
 	if _, leader := f.followers(time.Now()); leader == f.Table.Self(time.Now()).Name {
@@ -235,27 +253,72 @@
 	defer cancel()
 	waiting, interrupt := context.WithCancelCause(waiting)
 	defer interrupt(nil)
-	go f.interruptOnLoss(waiting, interrupt)
-	changes, err := f.Source.Follow(waiting, revision, wait)
+	go f.attend(waiting, interrupt)
+	changes, err = f.Source.Follow(waiting, revision, wait)
+	if err == nil && changes.Revision == revision {
+		// The store has waited for the whole time.
+		return changes, asked.Add(min(wait, mono.Now().Sub(asked))), nil
+	}
 	if err == nil || !errors.Is(context.Cause(waiting), errOtherLost) {
-		return changes, err
+		return changes, asked, err
 	}
 	// The store may turn several daemons away without a word, so this one asks it
 	// something that it answers at once.
 	ctx, cancelCheck := context.WithTimeout(ctx, waitSlack)
 	defer cancelCheck()
-	return f.Source.Follow(ctx, revision, minWaitTimeout)
+	asked = mono.Now()
+	changes, err = f.Source.Follow(ctx, revision, minWaitTimeout)
+	return changes, asked, err
+}
+
+// refresh reads what has changed in the store since the state of this daemon was last
+// confirmed, and the records of the other daemons, which it may need to reach them.
+func (f *Feed) refresh(ctx context.Context) {
+	now := mono.Now()
+	confirmed, attempted := f.Fresh.Ages(now)
+	f.Meter.CountDecision("RefreshFromStore")
+	f.Log.State("nothing confirms the settings and registrations, reading the store", "revision", f.Fresh.Revision(),
+		"confirmedMillisAgo", confirmed.Milliseconds(), "attemptedMillisAgo", attempted.Milliseconds(), "members", f.Table.Live())
+	if err := f.readChanges(ctx); err != nil {
+		f.Log.State("the store could not be read to confirm the settings and registrations", "error", err)
+		return
+	}
+	if err := f.readMembers(ctx); err != nil {
+		f.Log.State("the records of the other daemons could not be read", "error", err)
+	}
+}
+
+// readChanges reads the changes since the state of this daemon was last confirmed, or the
+// whole store if that is too long ago.
+func (f *Feed) readChanges(ctx context.Context) error {
+	asked, revision := mono.Now(), f.Fresh.Revision()
+	if revision == 0 {
+		return f.LoadOnce(ctx, 0)
+	}
+	waiting, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	changes, err := f.Source.Follow(waiting, revision, minWaitTimeout)
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindCompacted {
+		return f.LoadOnce(ctx, 0)
+	}
+	if err != nil {
+		return err
+	}
+	f.apply(changes, asked)
+	return nil
 }
 
 // errOtherLost is the cause for which a wait for changes ends when another daemon has
 // lost the store.
 var errOtherLost = fault.Causef("another daemon has lost the store")
 
-// interruptOnLoss interrupts a wait for changes when another daemon loses the store,
-// until ctx ends.
-func (f *Feed) interruptOnLoss(ctx context.Context, interrupt context.CancelCauseFunc) {
+// attend records that this daemon waits for an answer of the store, and interrupts the
+// wait when another daemon loses the store, until ctx ends.
+func (f *Feed) attend(ctx context.Context, interrupt context.CancelCauseFunc) {
 	known := f.othersWithoutStore(time.Now())
 	for sleep.For(ctx, electionInterval) {
+		f.Fresh.Attempt(mono.Now())
 		lost := f.othersWithoutStore(time.Now())
 		for name := range lost {
 			if !known[name] {
@@ -292,7 +355,7 @@
 	f.Meter.CountDecision("StoreLost")
 	f.Log.State("the store is lost", "error", err, "rosterRevision", f.Roster.Revision())
 	f.Table.SetStoreLost(now, true)
-	f.MembersChanged()
+	f.MembersChanged(nil)
 }
 
 // storeAnswered records an answer. After an outage, registrations that lapsed
@@ -310,10 +373,11 @@
 		f.Roster.StoreRecovered(now)
 	}
 	f.Table.SetStoreLost(now, false)
-	f.MembersChanged()
+	f.MembersChanged(nil)
 }
 
-func (f *Feed) apply(changes *Changes) {
+// apply applies changes that the store has confirmed, and records the confirmation.
+func (f *Feed) apply(changes *Changes, confirmed time.Time) {
 	now := time.Now()
 	if changes.Settings != nil {
 		f.ApplySettings(*changes.Settings)
@@ -324,9 +388,14 @@
 	} else if len(changes.Entries) > 0 {
 		pools = f.Roster.Apply(now, changes.Entries, changes.Revision)
 	}
+	f.Fresh.Confirm(confirmed, changes.Revision)
 	f.Registered(pools)
-	if len(f.Table.Merge(now, changes.Members)) > 0 {
-		f.MembersChanged()
+	f.mergeMembers(changes.Members)
+}
+
+func (f *Feed) mergeMembers(records []member.Member) {
+	if news := f.Table.Merge(time.Now(), records); len(news) > 0 {
+		f.MembersChanged(news)
 	}
 }
 
@@ -335,11 +404,12 @@
 func (f *Feed) LoadOnce(ctx context.Context, maxKeys int) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
+	asked := mono.Now()
 	changes, err := f.Source.Load(ctx, maxKeys)
 	if err != nil {
 		return err
 	}
-	f.apply(changes)
+	f.apply(changes, asked)
 	return nil
 }
 
@@ -355,12 +425,20 @@
 		return err
 	}
 	f.lease = lease
-	members, err := f.Source.Members(ctx)
+	f.Log.State("registered in the store", "lease", lease)
+	return f.readMembers(ctx)
+}
+
+// readMembers reads the records of the other daemons.
+func (f *Feed) readMembers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	records, err := f.Source.Members(ctx)
 	if err != nil {
 		return err
 	}
-	news := f.Table.Merge(time.Now(), members)
-	f.Log.State("registered in the store", "records", len(members), "news", len(news), "members", f.Table.Live())
+	f.mergeMembers(records)
+	f.Log.State("read the records of the other daemons", "records", len(records), "members", f.Table.Live())
 	return nil
 }
 
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
 )
@@ -19,9 +21,14 @@
 type quietStore struct {
 	silent atomic.Bool
 	calls  atomic.Int64
+	// loads and memberReads count the calls of Load and Members.
+	loads, memberReads atomic.Int64
+	// records are the daemons that the store holds.
+	records []member.Member
 }
 
 func (s *quietStore) Load(ctx context.Context, _ int) (*Changes, error) {
+	s.loads.Add(1)
 	return s.answer(ctx, 0)
 }
 
@@ -45,7 +52,10 @@
 	return &Changes{Revision: 1}, nil
 }
 
-func (*quietStore) Members(context.Context) ([]member.Member, error) { return nil, nil }
+func (s *quietStore) Members(context.Context) ([]member.Member, error) {
+	s.memberReads.Add(1)
+	return s.records, nil
+}
 
 func (*quietStore) Register(context.Context, int64, *member.Member, time.Duration) (int64, error) {
 	return 1, nil
@@ -61,7 +71,7 @@
 		self := member.Member{Name: "follower" + strconv.Itoa(i), DataCentre: "dc1", Region: "r", Incarnation: 1, Version: 1, State: member.Ready}
 		f := &Feed{
 			Source: store, Table: member.New(now, self, 1), Roster: roster.New(), Meter: meter.New(), Watchers: 1,
-			ApplySettings: func(epoch.Change) {}, Registered: func([]string) {}, MembersChanged: func() {},
+			ApplySettings: func(epoch.Change) {}, Registered: func([]string) {}, MembersChanged: func([]member.Member) {}, Fresh: fresh.New(mono.Now(), 1),
 		}
 		f.Table.Merge(now, []member.Member{*leader})
 		if _, name := f.followers(now); name == leader.Name {
@@ -101,3 +111,72 @@
 		})
 	}
 }
+
+// Guards against a daemon that acts on old settings because it takes processes that are
+// gone for those which follow the store.
+func TestUnconfirmedDaemonReadsTheStore(t *testing.T) {
+	const cutOff = 10 * time.Second
+	for _, tt := range []struct {
+		name string
+		// confirmed and attempted are what the last heartbeat has said.
+		confirmed, attempted time.Duration
+		loads, calls         int64
+	}{
+		{"nothing is known", fresh.Unknown, fresh.Unknown, 1, 1},
+		{"the confirmation is old", cutOff, cutOff, 0, 1},
+		{"others ask the store", 4 * time.Second, 0, 0, 0},
+		{"others have asked for long", cutOff, 0, 0, 1},
+		{"the state is confirmed", 0, 0, 0, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				now := time.Now()
+				store := &quietStore{}
+				for _, name := range []string{"gone0", "gone1", "gone2"} {
+					store.records = append(store.records, member.Member{Name: name, DataCentre: "dc1", Region: "r", Incarnation: 2, Version: 1, State: member.Ready})
+				}
+				f := unchosen(store)
+				f.Fresh = fresh.New(mono.Now().Add(-cutOff), 1)
+				f.Fresh.Merge(mono.Now(), tt.confirmed, tt.attempted, 1)
+				var news []member.Member
+				f.MembersChanged = func(records []member.Member) { news = append(news, records...) }
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); f.Run(ctx) }()
+				time.Sleep(time.Second)
+				cancel()
+				<-done
+				if store.loads.Load() != tt.loads || store.calls.Load() != tt.calls || store.memberReads.Load() != tt.calls {
+					t.Errorf("%d calls, of these %d of the whole store, and %d of the members; want %d, %d, %d",
+						store.calls.Load(), store.loads.Load(), store.memberReads.Load(), tt.calls, tt.loads, tt.calls)
+				}
+				if tt.calls > 0 && len(news) != len(store.records) {
+					t.Errorf("news %v", news)
+				}
+				if confirmed, _ := f.Fresh.Ages(mono.Now()); tt.calls > 0 && confirmed > 5*time.Second {
+					t.Errorf("state confirmed %v ago", confirmed)
+				}
+				if f.Chosen(now) {
+					t.Error("the daemon follows the store")
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// unchosen returns a feed of a daemon that does not follow the store, since its table holds
+// another one of its data centre.
+func unchosen(store *quietStore) *Feed {
+	for i := 0; ; i++ {
+		other := member.Member{Name: "gone" + strconv.Itoa(i%3), DataCentre: "dc1", Region: "r", Incarnation: 1, Version: 1, State: member.Ready}
+		f := followerBeside(&member.Member{Name: "leader", DataCentre: "dc2", Region: "r", Incarnation: 1, Version: 1, State: member.Ready}, store)
+		self := f.Table.Self(time.Now())
+		self.Name += strconv.Itoa(i)
+		f.Table = member.New(time.Now(), self, 1)
+		f.Table.Merge(time.Now(), []member.Member{other})
+		if !f.Chosen(time.Now()) {
+			return f
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/fresh/fresh.go
@@ -0,0 +1,159 @@
+// Package fresh tracks what the settings and registrations in force on a daemon rest on,
+// and since when. The store confirms them to the daemons that follow it. Heartbeats pass
+// the age of the last confirmation on, so that it spreads to every daemon that has a path
+// from one that follows the store, and to no other one. A record in the table of members
+// says nothing of this: the process that it describes may be gone.
+//
+// Heartbeats also carry the time since a daemon last asked the store, whether or not it
+// answered. While that is short, others look after the store, and a daemon that lacks a
+// confirmation leaves them time before it asks the store itself.
+//
+// The package does no I/O and reads no clock. Times must come from a clock that advances
+// while the host is suspended.
+//
+// # Usage
+//
+//	t := fresh.New(now, seed)
+//	t.Attempt(now)            // this daemon asks the store
+//	t.Confirm(asked, revision) // the store has answered
+//	confirmed, attempted := t.Ages(now) // for a heartbeat
+//	t.Merge(now, confirmed, attempted, revision) // from a heartbeat
+//	if t.Overdue(now, daemons) {
+//		// ask the store
+//	}
+package fresh
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// Unknown is the age of an event that has not occurred.
+	Unknown = -time.Second
+	// maxAge is the age of the last attempt at which a daemon that lacks a confirmation
+	// takes itself for cut off. It covers a wait of the leader and a few heartbeats.
+	maxAge = 2 * time.Second
+	// minSpread is the time over which daemons that are cut off at the same time spread
+	// their calls.
+	minSpread = 500 * time.Millisecond
+	// maxCallRate, in calls per second of all daemons, lengthens the spread in a large tier.
+	// It leaves half of the rate of reads that the store grants.
+	maxCallRate = 1000
+	// callsPerRead is the number of calls to ask for changes and for the records of
+	// recordsPerPage daemons.
+	callsPerRead   = 2
+	recordsPerPage = 500
+	// patience multiplies maxAge while others look after the store: it covers a store that
+	// turns away some daemons, whose successors take over.
+	patience = 3
+)
+
+// Tracker tracks the freshness of one daemon's settings and registrations. Its methods
+// may be called from any goroutine.
+type Tracker struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	// confirmed is when the store was asked, by any daemon, for the answer that the state
+	// rests on, and attempted is when a daemon has last asked it; zero if none has.
+	confirmed, attempted time.Time
+	// revision is the store's revision up to which the state is complete.
+	revision int64
+	// since is the start, or the last time at which Overdue was true, and delay the random
+	// fraction of the spread by which the next time is delayed.
+	since time.Time
+	delay float64
+}
+
+// New returns the tracker of a daemon that knows nothing yet.
+func New(now time.Time, seed uint64) *Tracker {
+	t := &Tracker{random: rand.New(rand.NewPCG(seed, 0)), since: now}
+	t.delay = t.random.Float64()
+	return t
+}
+
+// Attempt records that this daemon asks the store.
+func (t *Tracker) Attempt(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempted = later(t.attempted, now)
+}
+
+// Confirm records an answer of the store to a call that began at the given time. The
+// settings and registrations in force are complete up to the revision.
+func (t *Tracker) Confirm(asked time.Time, revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirm(asked, revision)
+}
+
+func (t *Tracker) confirm(asked time.Time, revision int64) {
+	t.confirmed = later(t.confirmed, asked)
+	t.attempted = later(t.attempted, asked)
+	t.revision = max(t.revision, revision)
+}
+
+// Merge records the ages that another daemon has sent. The caller has checked that its
+// own state is complete up to the revision for which the other one vouches.
+func (t *Tracker) Merge(now time.Time, confirmed, attempted time.Duration, revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if confirmed >= 0 {
+		t.confirm(now.Add(-confirmed), revision)
+	}
+	if attempted >= 0 {
+		t.attempted = later(t.attempted, now.Add(-attempted))
+	}
+}
+
+// Ages returns the time since the last confirmation and since the last attempt.
+func (t *Tracker) Ages(now time.Time) (confirmed, attempted time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return age(now, t.confirmed), age(now, t.attempted)
+}
+
+// Revision returns the store's revision up to which the settings and registrations are
+// complete, or zero.
+func (t *Tracker) Revision() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revision
+}
+
+// Overdue reports whether the daemon, one of the given number, should ask the store
+// itself. After it has returned true, it returns false until as much time has passed again.
+func (t *Tracker) Overdue(now time.Time, daemons int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	limit := maxAge + time.Duration(t.delay*float64(spread(daemons)))
+	alone := now.Sub(later(t.since, t.attempted)) > limit
+	unconfirmed := now.Sub(later(t.since, t.confirmed)) > patience*limit
+	if !alone && !unconfirmed {
+		return false
+	}
+	t.since = now
+	t.delay = t.random.Float64()
+	return true
+}
+
+// spread returns the time over which the daemons spread their calls.
+func spread(daemons int) time.Duration {
+	calls := daemons * (callsPerRead + daemons/recordsPerPage)
+	return max(minSpread, time.Duration(calls)*time.Second/maxCallRate)
+}
+
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return Unknown
+	}
+	return max(0, now.Sub(at))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/process/fresh/fresh_test.go
@@ -0,0 +1,227 @@
+package fresh
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	// step is the resolution of virtual time.
+	step              = 50 * time.Millisecond
+	heartbeatInterval = 600 * time.Millisecond
+	leaderInterval    = time.Second
+	followerInterval  = 5 * time.Second
+)
+
+// tier is a number of daemons with complete tables, in virtual time. The first daemon of
+// each data centre follows the store, and the first of all leads.
+type tier struct {
+	now      time.Time
+	centres  int
+	tables   []*member.Table
+	trackers []*Tracker
+	indexes  map[string]int
+	phases   []time.Duration
+	// cutOff daemons neither send nor receive heartbeats.
+	cutOff map[int]bool
+	// storeDown keeps the store from answering.
+	storeDown bool
+	// reads counts the calls of daemons that were overdue, by daemon.
+	reads map[int]int
+}
+
+func newTier(daemons, centres int) *tier {
+	random := rand.New(rand.NewPCG(1, 2))
+	w := &tier{now: start, centres: centres, indexes: map[string]int{}, cutOff: map[int]bool{}, reads: map[int]int{}}
+	var records []member.Member
+	for i := range daemons {
+		name := fmt.Sprint("d", i)
+		w.indexes[name] = i
+		records = append(records, member.Member{Name: name, Link: name, DataCentre: fmt.Sprint("c", i%centres), Incarnation: 1, State: member.Ready})
+	}
+	for i := range daemons {
+		table := member.New(start, records[i], uint64(i))
+		table.Merge(start, records)
+		w.tables = append(w.tables, table)
+		w.trackers = append(w.trackers, New(start, uint64(i)))
+		w.phases = append(w.phases, time.Duration(random.IntN(int(heartbeatInterval/step)))*step)
+	}
+	return w
+}
+
+// run advances the time.
+func (w *tier) run(duration time.Duration) {
+	for end := w.now.Add(duration); w.now.Before(end); w.now = w.now.Add(step) {
+		w.follow()
+		w.sendHeartbeats()
+		for i, t := range w.trackers {
+			if i >= w.centres && t.Overdue(w.now, len(w.trackers)) {
+				w.reads[i]++
+				if !w.storeDown {
+					t.Confirm(w.now, 1)
+				}
+			}
+		}
+	}
+}
+
+func (w *tier) follow() {
+	elapsed := w.now.Sub(start)
+	for i, t := range w.trackers[:w.centres] {
+		interval := followerInterval
+		if i == 0 {
+			interval = leaderInterval
+		}
+		t.Attempt(w.now)
+		if elapsed%interval == 0 && !w.storeDown {
+			t.Confirm(w.now, 1)
+		}
+	}
+}
+
+func (w *tier) sendHeartbeats() {
+	type heartbeat struct {
+		to                   int
+		confirmed, attempted time.Duration
+	}
+	var sent []heartbeat
+	for i, t := range w.trackers {
+		if w.now.Sub(start)%heartbeatInterval != w.phases[i] || w.cutOff[i] {
+			continue
+		}
+		confirmed, attempted := t.Ages(w.now)
+		recipients := w.tables[i].Recipients(w.now, true)
+		for _, m := range slices.Concat(recipients.Local, recipients.Gateways, recipients.Remote) {
+			sent = append(sent, heartbeat{w.indexes[m.Name], confirmed, attempted})
+		}
+	}
+	for _, h := range sent {
+		if !w.cutOff[h.to] {
+			w.trackers[h.to].Merge(w.now, h.confirmed, h.attempted, 1)
+		}
+	}
+}
+
+func (w *tier) totalReads() int {
+	total := 0
+	for _, reads := range w.reads {
+		total += reads
+	}
+	return total
+}
+
+// Guards against calls to the store by daemons that hear from those which follow it.
+func TestConnectedDaemonsDoNotAskTheStore(t *testing.T) {
+	for _, tt := range []struct{ daemons, centres int }{{8, 3}, {300, 6}} {
+		w := newTier(tt.daemons, tt.centres)
+		w.run(20 * time.Second)
+		if reads := w.totalReads(); reads > 0 {
+			t.Errorf("%d daemons: %d calls in 20 s", tt.daemons, reads)
+		}
+		for i, tracker := range w.trackers {
+			if confirmed, _ := tracker.Ages(w.now); confirmed < 0 || confirmed > 4*time.Second {
+				t.Errorf("%d daemons: state of daemon %d confirmed %v ago", tt.daemons, i, confirmed)
+			}
+		}
+	}
+}
+
+// Guards against daemons that rely for long on state that nobody confirms, because nobody
+// whom they reach follows the store.
+func TestDaemonsCutOffAskTheStore(t *testing.T) {
+	w := newTier(24, 3)
+	w.run(10 * time.Second)
+	for i := w.centres; i < 24; i++ {
+		w.cutOff[i] = true
+	}
+	const bound = maxAge + minSpread + 2*heartbeatInterval
+	w.run(bound)
+	for i := w.centres; i < 24; i++ {
+		if w.reads[i] == 0 {
+			t.Errorf("daemon %d has not asked the store within %v", i, bound)
+		}
+	}
+	w.run(10 * time.Second)
+	for i := w.centres; i < 24; i++ {
+		if confirmed, _ := w.trackers[i].Ages(w.now); confirmed > maxAge+minSpread+step {
+			t.Errorf("state of daemon %d confirmed %v ago", i, confirmed)
+		}
+	}
+}
+
+// Guards against all daemons of a large tier asking the store at the same time.
+func TestCallsOfLargeTierAreSpread(t *testing.T) {
+	const daemons, pages = 2000, 4
+	perSecond := map[int]int{}
+	for i := range daemons {
+		tracker := New(start, uint64(i))
+		for now := start; now.Before(start.Add(30 * time.Second)); now = now.Add(step) {
+			if tracker.Overdue(now, daemons) {
+				perSecond[int(now.Sub(start)/time.Second)]++
+				break
+			}
+		}
+	}
+	total := 0
+	for second, reads := range perSecond {
+		total += reads
+		if calls := reads * (1 + pages); calls > 3*maxCallRate/2 {
+			t.Errorf("%d calls in second %d", calls, second)
+		}
+	}
+	if total != daemons {
+		t.Errorf("%d of %d daemons asked the store within 30 s", total, daemons)
+	}
+}
+
+// Guards against calls of all daemons in a short outage of the store, while those that
+// follow it keep asking, and against waiting for these without end.
+func TestDaemonsLeaveOthersTimeInOutage(t *testing.T) {
+	w := newTier(24, 3)
+	w.run(10 * time.Second)
+	w.storeDown = true
+	// The last confirmation is up to maxAge old at the start of the outage.
+	const quiet = (patience - 1) * maxAge
+	w.run(quiet)
+	if reads := w.totalReads(); reads > 0 {
+		t.Errorf("%d calls within %v", reads, quiet)
+	}
+	w.run(maxAge + patience*minSpread + 4*heartbeatInterval)
+	if len(w.reads) < 24-w.centres {
+		t.Errorf("%d daemons asked the store, want %d", len(w.reads), 24-w.centres)
+	}
+}
+
+func TestAges(t *testing.T) {
+	tracker := New(start, 1)
+	if confirmed, attempted := tracker.Ages(start); confirmed != Unknown || attempted != Unknown {
+		t.Errorf("ages %v and %v at the start", confirmed, attempted)
+	}
+	now := start.Add(10 * time.Second)
+	for _, tt := range []struct {
+		name                 string
+		do                   func()
+		confirmed, attempted time.Duration
+		revision             int64
+	}{
+		{"unknown ages", func() { tracker.Merge(now, Unknown, Unknown, 9) }, Unknown, Unknown, 0},
+		{"an attempt elsewhere", func() { tracker.Merge(now, Unknown, 3*time.Second, 9) }, Unknown, 3 * time.Second, 0},
+		{"a confirmation", func() { tracker.Merge(now, 4*time.Second, 3*time.Second, 9) }, 4 * time.Second, 3 * time.Second, 9},
+		{"an older one", func() { tracker.Merge(now, 5*time.Second, 5*time.Second, 8) }, 4 * time.Second, 3 * time.Second, 9},
+		{"an own attempt", func() { tracker.Attempt(now.Add(-time.Second)) }, 4 * time.Second, time.Second, 9},
+		{"an own confirmation", func() { tracker.Confirm(now.Add(-time.Second/2), 10) }, time.Second / 2, time.Second / 2, 10},
+	} {
+		tt.do()
+		if confirmed, attempted := tracker.Ages(now); confirmed != tt.confirmed || attempted != tt.attempted || tracker.Revision() != tt.revision {
+			t.Errorf("after %s: confirmed %v ago, attempted %v ago, revision %d; want %v, %v, %d",
+				tt.name, confirmed, attempted, tracker.Revision(), tt.confirmed, tt.attempted, tt.revision)
+		}
+	}
+}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -23,8 +23,10 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
@@ -54,6 +56,8 @@
 	// that a daemon of another data centre has announced. Daemons of its own data centre
 	// follow the store too, and changes arrive from them in half this time.
 	remotePullDelay = 300 * time.Millisecond
+	// maxAgeMillis bounds the ages that heartbeats carry.
+	maxAgeMillis = 24 * 60 * 60 * 1000
 	// anyRevision is newer than every revision and stands for an unknown one.
 	anyRevision = math.MaxInt64
 )
@@ -70,6 +74,11 @@
 	Claims   []quota.Claim
 	// Roster is the store's revision up to which the sender's roster is complete.
 	Roster int64
+	// ConfirmedMillis is the time since the store confirmed the sender's settings and
+	// roster, and AttemptedMillis the time since a daemon on whose word the sender relies
+	// has asked the store; negative if unknown.
+	ConfirmedMillis int64
+	AttemptedMillis int64
 }
 
 // Gossip exchanges state with other daemons on behalf of one daemon. Exported
@@ -89,6 +98,8 @@
 	// called with the pools whose registrations have changed.
 	Roster     *roster.Roster
 	Registered func(pools []string)
+	// Fresh tracks what the settings and the roster rest on. It is set if Roster is.
+	Fresh *fresh.Tracker
 	// Users returns the other daemons that use targets, in random order: those of the
 	// own region if local is true, otherwise all. It must be set if Stall, Resume or
 	// Lost is called.
@@ -169,7 +180,6 @@
 	h := &Heartbeat{
 		From:     self.Brief(),
 		Updates:  updates,
-		Revision: g.Keeper.Current().Change.Revision,
 		Digest:   g.Table.Digest(),
 		Suspects: g.recentSuspects(now),
 	}
@@ -177,8 +187,12 @@
 		h.Claims = g.Quota.Claims(now)
 	}
 	if g.Roster != nil {
+		// The ages come first: what is read after them is as new as they say, or newer.
+		confirmed, attempted := g.Fresh.Ages(mono.Now())
+		h.ConfirmedMillis, h.AttemptedMillis = ageMillis(confirmed), ageMillis(attempted)
 		h.Roster = g.Roster.Revision()
 	}
+	h.Revision = g.Keeper.Current().Change.Revision
 	body, err := codec.Encode(h)
 	if err != nil {
 		klog.Errorf("heartbeat: %v", err)
@@ -249,6 +263,43 @@
 	g.compareRevisions(h.Revision, &from)
 	g.compareRosters(h.Roster, &from)
 	g.compareDigests(now, h.Digest, &from)
+	g.mergeAges(&h)
+}
+
+// mergeAges takes over what the sender of a heartbeat knows of the freshness of its state,
+// if the own state is as new.
+func (g *Gossip) mergeAges(h *Heartbeat) {
+	if g.Roster == nil {
+		return
+	}
+	confirmed := ageOf(h.ConfirmedMillis)
+	if g.Keeper.Current().Change.Revision < h.Revision || g.Roster.Revision() < h.Roster {
+		// The difference has been requested; a later heartbeat will confirm it.
+		confirmed = fresh.Unknown
+	}
+	g.Fresh.Merge(mono.Now(), confirmed, ageOf(h.AttemptedMillis), h.Roster)
+}
+
+// ageMillis and ageOf convert an age that may be unknown.
+func ageMillis(age time.Duration) int64 {
+	if age < 0 {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
+func ageOf(millis int64) time.Duration {
+	if millis < 0 || millis > maxAgeMillis {
+		return fresh.Unknown
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// MembersChanged spreads a change of the table that did not come from another daemon, with
+// the records that are new.
+func (g *Gossip) MembersChanged(news []member.Member) {
+	g.renewConnections(news)
+	g.Push()
 }
 
 // renewConnections closes the connections to earlier incarnations of the daemons
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -9,6 +9,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/joiner"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 )
 
@@ -148,6 +149,7 @@
 		if round%roundsPerSweep == 0 {
 			n.Pools.Sweep(now)
 			n.checkRetryBudgets(now)
+			n.reportFreshness()
 			n.closeUnusedLinks(now)
 		}
 	}
@@ -182,6 +184,14 @@
 	}
 }
 
+// reportFreshness publishes how long ago the store confirmed the settings and registrations
+// in force. The value is negative if it never has.
+func (n *Node) reportFreshness() {
+	confirmed, attempted := n.fresh.Ages(mono.Now())
+	n.Meter.Gauges.WithLabelValues("SecondsSinceConfirmed").Set(confirmed.Seconds())
+	n.Meter.Gauges.WithLabelValues("SecondsSinceStoreAsked").Set(attempted.Seconds())
+}
+
 // closeUnusedLinks closes connections to daemons that are silent or gone.
 func (n *Node) closeUnusedLinks(now time.Time) {
 	addresses := map[string]bool{}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/feed"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/gossip"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/joiner"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
@@ -148,6 +149,7 @@
 	server       *edge.Server
 	cancel       context.CancelFunc
 	membership   *joiner.Membership
+	fresh        *fresh.Tracker
 	usageMonitor *usage.Monitor
 	allocator    *alloc.Allocator
 	// active holds the active daemons as last chosen.
@@ -194,6 +196,7 @@
 func (n *Node) build() {
 	n.Keeper = epoch.NewKeeper()
 	n.Roster = roster.New()
+	n.fresh = fresh.New(mono.Now(), rand.Uint64())
 	n.usageMonitor = &usage.Monitor{Cores: n.Setup.Cores, BytesPerSecond: n.Setup.LinkBytes}
 	n.allocator = &alloc.Allocator{Window: n.Setup.RetryBudget.Window, First: n.Setup.FirstStart}
 	n.Poison = poison.New()
@@ -210,7 +213,7 @@
 	n.Pools.SetSharers(1, 1, n.allocator.Fraction(mono.Now(), 1, true))
 	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, HandleGather: n.assist, Sent: n.countSent, SendFailed: n.countUnsent, WrapSocket: n.WrapLink, IdleTimeout: linkIdleTimeout}
 	n.gossip = &gossip.Gossip{
-		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster,
+		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster, Fresh: n.fresh,
 		Accepted: n.applySettings, Registered: n.applyRegistrations, Noticed: n.handleNotice, Users: n.activePeers,
 	}
 	n.gossip.Init()
@@ -250,8 +253,8 @@
 	n.gossip.Table = n.Table
 	n.membership = &joiner.Membership{Table: n.Table, Push: n.gossip.Push, JoinInterval: joinInterval}
 	n.feed = &feed.Feed{
-		Source: n.Source, Table: n.Table, Roster: n.Roster, Meter: n.Meter, Log: n.Log, Watchers: watchersPerDataCentre,
-		ApplySettings: n.gossip.ApplySettings, Registered: n.gossip.AnnounceRegistrations, MembersChanged: n.gossip.Push,
+		Source: n.Source, Table: n.Table, Roster: n.Roster, Fresh: n.fresh, Meter: n.Meter, Log: n.Log, Watchers: watchersPerDataCentre,
+		ApplySettings: n.gossip.ApplySettings, Registered: n.gossip.AnnounceRegistrations, MembersChanged: n.gossip.MembersChanged,
 	}
 	n.tableReady.Store(true)
 	return nil
