Count a confirmation once its revisions have arrived

While registrations change several times a second, each heartbeat names a revision that its receiver gets a moment later, and the confirmation was dropped: after 6 to 7.5 s every daemon of the tier would have read the store. And a daemon that heard of newer revisions but could not get them was taken for one in touch with those that follow the store, for as long.

What a heartbeat says now waits, 16 of them at most, until this daemon has the revisions; then both ages count, and neither does before.

TestChangingStateIsConfirmed: a daemon five revisions behind is never overdue in 20 s. TestDaemonThatStaysBehindAsksTheStore: one that does not get newer revisions is overdue within 2.55 s.

--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -118,15 +118,17 @@
 	const cutOff = 10 * time.Second
 	for _, tt := range []struct {
 		name string
-		// confirmed and attempted are what the last heartbeat has said.
+		// confirmed, attempted and roster are what the last heartbeat has said.
 		confirmed, attempted time.Duration
+		roster               int64
 		loads, calls         int64
 	}{
-		{"nothing is known", fresh.Unknown, fresh.Unknown, 1, 1},
-		{"the confirmation is old", cutOff, cutOff, 0, 1},
-		{"others ask the store", 4 * time.Second, 0, 0, 0},
-		{"others have asked for long", cutOff, 0, 0, 1},
-		{"the state is confirmed", 0, 0, 0, 0},
+		{"nothing is known", fresh.Unknown, fresh.Unknown, 1, 1, 1},
+		{"the confirmation is old", cutOff, cutOff, 1, 0, 1},
+		{"others ask the store", 4 * time.Second, 0, 1, 0, 0},
+		{"others have asked for long", cutOff, 0, 1, 0, 1},
+		{"the state is confirmed", 0, 0, 1, 0, 0},
+		{"a newer state is confirmed", 0, 0, 2, 1, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -137,7 +139,8 @@
 				}
 				f := unchosen(store)
 				f.Fresh = fresh.New(mono.Now().Add(-cutOff), 1)
-				f.Fresh.Merge(mono.Now(), tt.confirmed, tt.attempted, 1)
+				f.Fresh.State = func() (settings, roster int64) { return 1, 1 }
+				f.Fresh.Merge(mono.Now(), tt.confirmed, tt.attempted, 1, tt.roster)
 				var news []member.Member
 				f.MembersChanged = func(records []member.Member) { news = append(news, records...) }
 				ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/fresh/fresh.go
+++ b/internal/process/fresh/fresh.go
@@ -8,16 +8,20 @@
 // answered. While that is short, others look after the store, and a daemon that lacks a
 // confirmation leaves them time before it asks the store itself.
 //
+// What a heartbeat says holds for the revisions that it names. It counts once this daemon
+// has them, so a daemon that learns of newer revisions and does not get them is overdue too.
+//
 // The package does no I/O and reads no clock. Times must come from a clock that advances
 // while the host is suspended.
 //
 // # Usage
 //
 //	t := fresh.New(now, seed)
+//	t.State = func() (settings, roster int64) { ... }
 //	t.Attempt(now)            // this daemon asks the store
 //	t.Confirm(asked, revision) // the store has answered
 //	confirmed, attempted := t.Ages(now) // for a heartbeat
-//	t.Merge(now, confirmed, attempted, revision) // from a heartbeat
+//	t.Merge(now, confirmed, attempted, settings, roster) // from a heartbeat
 //	if t.Overdue(now, daemons) {
 //		// ask the store
 //	}
@@ -25,6 +29,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 )
@@ -45,14 +50,21 @@
 	// recordsPerPage daemons.
 	callsPerRead   = 2
 	recordsPerPage = 500
+	// maxClaims is the maximum number of claims that wait for newer revisions. They take a
+	// fraction of a second to arrive.
+	maxClaims = 16
 	// patience multiplies maxAge while others look after the store: it covers a store that
 	// turns away some daemons, whose successors take over.
 	patience = 3
 )
 
 // Tracker tracks the freshness of one daemon's settings and registrations. Its methods
-// may be called from any goroutine.
+// may be called from any goroutine. Exported fields are set before the first call.
 type Tracker struct {
+	// State returns the revisions of the settings and of the registrations that this daemon
+	// has.
+	State func() (settings, roster int64)
+
 	mu     sync.Mutex
 	random *rand.Rand
 	// confirmed is when the store was asked, by any daemon, for the answer that the state
@@ -60,12 +72,20 @@
 	confirmed, attempted time.Time
 	// revision is the store's revision up to which the state is complete.
 	revision int64
+	// claims are those for revisions that this daemon does not have yet, oldest first.
+	claims []claim
 	// since is the start, or the last time at which Overdue was true, and delay the random
 	// fraction of the spread by which the next time is delayed.
 	since time.Time
 	delay float64
 }
 
+// claim is what a heartbeat has said of a state.
+type claim struct {
+	confirmed, attempted time.Time
+	settings, roster     int64
+}
+
 // New returns the tracker of a daemon that knows nothing yet.
 func New(now time.Time, seed uint64) *Tracker {
 	t := &Tracker{random: rand.New(rand.NewPCG(seed, 0)), since: now}
@@ -94,23 +114,48 @@
 	t.revision = max(t.revision, revision)
 }
 
-// Merge records the ages that another daemon has sent. The caller has checked that its
-// own state is complete up to the revision for which the other one vouches.
-func (t *Tracker) Merge(now time.Time, confirmed, attempted time.Duration, revision int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// Merge records what another daemon has sent: the ages, and the revisions of the settings
+// and of the registrations for which they hold.
+func (t *Tracker) Merge(now time.Time, confirmed, attempted time.Duration, settings, roster int64) {
+	c := claim{settings: settings, roster: roster}
 	if confirmed >= 0 {
-		t.confirm(now.Add(-confirmed), revision)
+		c.confirmed = now.Add(-confirmed)
 	}
 	if attempted >= 0 {
-		t.attempted = later(t.attempted, now.Add(-attempted))
+		c.attempted = now.Add(-attempted)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.settle()
+	if len(t.claims) < maxClaims {
+		t.claims = append(t.claims, c)
+		t.settle()
+	}
+}
+
+// settle accepts the claims for revisions that this daemon has by now.
+func (t *Tracker) settle() {
+	if len(t.claims) == 0 {
+		return
 	}
+	settings, roster := t.State()
+	t.claims = slices.DeleteFunc(t.claims, func(c claim) bool {
+		if c.settings > settings || c.roster > roster {
+			return false
+		}
+		if !c.confirmed.IsZero() {
+			t.confirm(c.confirmed, c.roster)
+		}
+		t.attempted = later(t.attempted, c.attempted)
+		return true
+	})
 }
 
 // Ages returns the time since the last confirmation and since the last attempt.
 func (t *Tracker) Ages(now time.Time) (confirmed, attempted time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.settle()
 	return age(now, t.confirmed), age(now, t.attempted)
 }
 
@@ -119,6 +164,7 @@
 func (t *Tracker) Revision() int64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.settle()
 	return t.revision
 }
 
@@ -127,6 +173,7 @@
 func (t *Tracker) Overdue(now time.Time, daemons int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.settle()
 	limit := maxAge + time.Duration(t.delay*float64(spread(daemons)))
 	alone := now.Sub(later(t.since, t.attempted)) > limit
 	unconfirmed := now.Sub(later(t.since, t.confirmed)) > patience*limit
@@ -135,6 +182,7 @@
 	}
 	t.since = now
 	t.delay = t.random.Float64()
+	t.claims = nil
 	return true
 }
 
--- a/internal/process/fresh/fresh_test.go
+++ b/internal/process/fresh/fresh_test.go
@@ -37,6 +37,13 @@
 	reads map[int]int
 }
 
+// newTracker returns the tracker of a daemon whose state does not change.
+func newTracker(seed uint64) *Tracker {
+	t := New(start, seed)
+	t.State = func() (settings, roster int64) { return 1, 1 }
+	return t
+}
+
 func newTier(daemons, centres int) *tier {
 	random := rand.New(rand.NewPCG(1, 2))
 	w := &tier{now: start, centres: centres, indexes: map[string]int{}, cutOff: map[int]bool{}, reads: map[int]int{}}
@@ -50,7 +57,7 @@
 		table := member.New(start, records[i], uint64(i))
 		table.Merge(start, records)
 		w.tables = append(w.tables, table)
-		w.trackers = append(w.trackers, New(start, uint64(i)))
+		w.trackers = append(w.trackers, newTracker(uint64(i)))
 		w.phases = append(w.phases, time.Duration(random.IntN(int(heartbeatInterval/step)))*step)
 	}
 	return w
@@ -104,7 +111,7 @@
 	}
 	for _, h := range sent {
 		if !w.cutOff[h.to] {
-			w.trackers[h.to].Merge(w.now, h.confirmed, h.attempted, 1)
+			w.trackers[h.to].Merge(w.now, h.confirmed, h.attempted, 1, 1)
 		}
 	}
 }
@@ -161,7 +168,7 @@
 	const daemons, pages = 2000, 4
 	perSecond := map[int]int{}
 	for i := range daemons {
-		tracker := New(start, uint64(i))
+		tracker := newTracker(uint64(i))
 		for now := start; now.Before(start.Add(30 * time.Second)); now = now.Add(step) {
 			if tracker.Overdue(now, daemons) {
 				perSecond[int(now.Sub(start)/time.Second)]++
@@ -200,7 +207,9 @@
 }
 
 func TestAges(t *testing.T) {
-	tracker := New(start, 1)
+	tracker := newTracker(1)
+	settings, roster := int64(5), int64(9)
+	tracker.State = func() (int64, int64) { return settings, roster }
 	if confirmed, attempted := tracker.Ages(start); confirmed != Unknown || attempted != Unknown {
 		t.Errorf("ages %v and %v at the start", confirmed, attempted)
 	}
@@ -211,12 +220,16 @@
 		confirmed, attempted time.Duration
 		revision             int64
 	}{
-		{"unknown ages", func() { tracker.Merge(now, Unknown, Unknown, 9) }, Unknown, Unknown, 0},
-		{"an attempt elsewhere", func() { tracker.Merge(now, Unknown, 3*time.Second, 9) }, Unknown, 3 * time.Second, 0},
-		{"a confirmation", func() { tracker.Merge(now, 4*time.Second, 3*time.Second, 9) }, 4 * time.Second, 3 * time.Second, 9},
-		{"an older one", func() { tracker.Merge(now, 5*time.Second, 5*time.Second, 8) }, 4 * time.Second, 3 * time.Second, 9},
-		{"an own attempt", func() { tracker.Attempt(now.Add(-time.Second)) }, 4 * time.Second, time.Second, 9},
-		{"an own confirmation", func() { tracker.Confirm(now.Add(-time.Second/2), 10) }, time.Second / 2, time.Second / 2, 10},
+		{"unknown ages", func() { tracker.Merge(now, Unknown, Unknown, 5, 9) }, Unknown, Unknown, 0},
+		{"an attempt elsewhere", func() { tracker.Merge(now, Unknown, 3*time.Second, 5, 9) }, Unknown, 3 * time.Second, 0},
+		{"a confirmation", func() { tracker.Merge(now, 4*time.Second, 3*time.Second, 5, 9) }, 4 * time.Second, 3 * time.Second, 9},
+		{"an older one", func() { tracker.Merge(now, 5*time.Second, 5*time.Second, 4, 8) }, 4 * time.Second, 3 * time.Second, 9},
+		{"one of newer settings", func() { tracker.Merge(now, 3*time.Second, 2*time.Second, 6, 9) }, 4 * time.Second, 3 * time.Second, 9},
+		{"the newer settings", func() { settings = 6 }, 3 * time.Second, 2 * time.Second, 9},
+		{"one of a newer roster", func() { tracker.Merge(now, 2*time.Second, 2*time.Second, 6, 10) }, 3 * time.Second, 2 * time.Second, 9},
+		{"the newer roster", func() { roster = 11 }, 2 * time.Second, 2 * time.Second, 10},
+		{"an own attempt", func() { tracker.Attempt(now.Add(-time.Second)) }, 2 * time.Second, time.Second, 10},
+		{"an own confirmation", func() { tracker.Confirm(now.Add(-time.Second/2), 12) }, time.Second / 2, time.Second / 2, 12},
 	} {
 		tt.do()
 		if confirmed, attempted := tracker.Ages(now); confirmed != tt.confirmed || attempted != tt.attempted || tracker.Revision() != tt.revision {
@@ -225,3 +238,37 @@
 		}
 	}
 }
+
+// Guards against calls of all daemons while registrations change so often that each
+// heartbeat names a revision that its receiver gets only later.
+func TestChangingStateIsConfirmed(t *testing.T) {
+	const lag = 5
+	tracker := newTracker(1)
+	newest := int64(1)
+	tracker.State = func() (settings, roster int64) { return 1, newest - lag }
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(step) {
+		newest++
+		if now.Sub(start)%heartbeatInterval == 0 {
+			tracker.Merge(now, heartbeatInterval, 0, 1, newest)
+		}
+		if tracker.Overdue(now, 300) {
+			t.Fatalf("overdue %v after the start", now.Sub(start))
+		}
+	}
+}
+
+// Guards against a daemon that hears of newer revisions, does not get them, and yet relies
+// on those that ask the store.
+func TestDaemonThatStaysBehindAsksTheStore(t *testing.T) {
+	tracker := newTracker(1)
+	tracker.Merge(start, 0, 0, 1, 1)
+	const bound = maxAge + minSpread + step
+	for now := start; !tracker.Overdue(now, 24); now = now.Add(step) {
+		if now.Sub(start) > bound {
+			t.Fatalf("not overdue after %v", bound)
+		}
+		if now.Sub(start)%heartbeatInterval == 0 {
+			tracker.Merge(now, 0, 0, 2, 1)
+		}
+	}
+}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -263,21 +263,9 @@
 	g.compareRevisions(h.Revision, &from)
 	g.compareRosters(h.Roster, &from)
 	g.compareDigests(now, h.Digest, &from)
-	g.mergeAges(&h)
-}
-
-// mergeAges takes over what the sender of a heartbeat knows of the freshness of its state,
-// if the own state is as new.
-func (g *Gossip) mergeAges(h *Heartbeat) {
-	if g.Roster == nil {
-		return
-	}
-	confirmed := ageOf(h.ConfirmedMillis)
-	if g.Keeper.Current().Change.Revision < h.Revision || g.Roster.Revision() < h.Roster {
-		// The difference has been requested; a later heartbeat will confirm it.
-		confirmed = fresh.Unknown
+	if g.Roster != nil {
+		g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Revision, h.Roster)
 	}
-	g.Fresh.Merge(mono.Now(), confirmed, ageOf(h.AttemptedMillis), h.Roster)
 }
 
 // ageMillis and ageOf convert an age that may be unknown.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -197,6 +197,7 @@
 	n.Keeper = epoch.NewKeeper()
 	n.Roster = roster.New()
 	n.fresh = fresh.New(mono.Now(), rand.Uint64())
+	n.fresh.State = func() (settings, roster int64) { return n.Keeper.Current().Change.Revision, n.Roster.Revision() }
 	n.usageMonitor = &usage.Monitor{Cores: n.Setup.Cores, BytesPerSecond: n.Setup.LinkBytes}
 	n.allocator = &alloc.Allocator{Window: n.Setup.RetryBudget.Window, First: n.Setup.FirstStart}
 	n.Poison = poison.New()
