Repeat each part of a registration until it is done

If only the registration ran into its timeout, it was next looked at with the renewal of the lease, 4 to 5 s later; and if the record was written but the others' records were not read, they never were. Until then the others refuse the daemon's connections.

Change: feed.KeepRegistered does what is left of the registration until it is done, at most half a second apart, or more in a large tier, and then renews the lease. Joining waits only for the first attempt.

TestRegistrationIsRepeatedAfterOutage: within 2 s of an outage that ends at any of 22 steps of a registration.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -12,7 +12,9 @@
 // # Usage
 //
 //	f := &feed.Feed{Source: source, Table: table, Roster: roster, Fresh: tracker, Meter: m, Log: l, Watchers: 2, ApplySettings: apply, Registered: registered, MembersChanged: changed}
-//	err := f.Enter(ctx)    // registers this daemon and reads the other members
+//	f.Init()
+//	go f.KeepRegistered(ctx)
+//	<-f.Registering()         // this daemon is registered, or the first attempt has failed
 //	err = f.LoadOnce(ctx, 0)  // if no other daemon can be asked
 //	go f.Run(ctx)
 package feed
@@ -82,7 +84,7 @@
 	// Members reads the records of daemons, which may be some seconds old.
 	Members(ctx context.Context) ([]member.Member, error)
 	// Register writes a record under a lease. If the given lease is zero, it creates
-	// one. It returns the lease that holds the record.
+	// one. It returns the lease, also if only the record could not be written.
 	Register(ctx context.Context, lease int64, record *member.Member, ttl time.Duration) (int64, error)
 	// Renew extends a lease.
 	Renew(ctx context.Context, lease int64) error
@@ -115,8 +117,17 @@
 	// renews its lease, and renewInterval is the time between renewals.
 	leaseTTL      = 12 * time.Second
 	renewInterval = 4 * time.Second
-	minRetryDelay = 150 * time.Millisecond
-	maxRetryDelay = 1500 * time.Millisecond
+	// registerTimeout is the timeout of one attempt to register or to renew the lease. A
+	// call that began in an outage of the store may not be answered after it.
+	registerTimeout = time.Second
+	// minRegisterDelay is the least maximum delay between attempts to register. In a large
+	// tier it is longer: all daemons together make at most maxWriteRate calls per second,
+	// half of what the store grants.
+	minRegisterDelay      = 500 * time.Millisecond
+	writesPerRegistration = 2
+	maxWriteRate          = 200
+	minRetryDelay         = 150 * time.Millisecond
+	maxRetryDelay         = 1500 * time.Millisecond
 	// minLapseOutage is the shortest outage in which registrations can lapse: targets
 	// write theirs about once per second, and lapse after three missing writes in a
 	// row.
@@ -124,7 +135,7 @@
 )
 
 // Feed follows the store on behalf of one daemon. Exported fields are set before
-// Enter and Run.
+// Init.
 type Feed struct {
 	Source Source
 	Table  *member.Table
@@ -142,13 +153,15 @@
 	// new records, or this daemon lost or regained the store.
 	MembersChanged func(news []member.Member)
 
-	// lease holds the daemon's record. Enter sets it before Run begins; afterwards
-	// only the goroutine that renews the lease sets it.
-	lease int64
+	// registering is closed after the first attempt to register.
+	registering chan struct{}
 	// lostSince is when the store stopped answering; zero while it answers.
 	lostSince time.Time
 }
 
+// Init prepares the feed.
+func (f *Feed) Init() { f.registering = make(chan struct{}) }
+
 // followers returns the daemons that follow the store: in each data centre the
 // first ones that reach it. The leader is the first of all followers.
 func (f *Feed) followers(now time.Time) (names []string, leader string) {
@@ -177,9 +190,8 @@
 	return slices.Contains(names, f.Table.Self(now).Name)
 }
 
-// Run follows the store while this daemon is chosen, and renews its record.
+// Run follows the store while this daemon is chosen.
 func (f *Feed) Run(ctx context.Context) {
-	go f.keepRegistered(ctx)
 	following := false
 	for ctx.Err() == nil {
 		chosen := f.Chosen(time.Now())
@@ -413,22 +425,6 @@
 	return nil
 }
 
-// Enter registers this daemon and merges the records of the others into the table.
-// It writes the own record first, so that of two daemons that start at the same
-// time at least one finds the other.
-func (f *Feed) Enter(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	self := f.Table.Self(time.Now())
-	lease, err := f.Source.Register(ctx, 0, &self, leaseTTL)
-	if err != nil {
-		return err
-	}
-	f.lease = lease
-	f.Log.State("registered in the store", "lease", lease)
-	return f.readMembers(ctx)
-}
-
 // readMembers reads the records of the other daemons.
 func (f *Feed) readMembers(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -442,35 +438,87 @@
 	return nil
 }
 
-// keepRegistered keeps this daemon's record in the store, where new daemons find
-// it as a seed. Nothing else depends on the record, so a lapsed lease does no
-// harm.
-func (f *Feed) keepRegistered(ctx context.Context) {
+// registration is what this daemon has done to be known to the others.
+type registration struct {
+	lease int64
+	// recorded is true once the record is in the store, and membersRead once the records
+	// of the others have been read after that.
+	recorded, membersRead bool
+}
+
+// KeepRegistered keeps this daemon's record in the store, where new daemons find it as a
+// seed, until ctx ends.
+func (f *Feed) KeepRegistered(ctx context.Context) {
+	var r registration
+	err := f.register(ctx, &r)
+	close(f.registering)
 	retry := newBackoff()
-	for sleep.For(ctx, renewInterval+rand.N(renewInterval/4)) {
-		for ctx.Err() == nil {
-			err := f.renew(ctx)
-			if err == nil {
-				retry.Reset()
-				break
-			}
-			var e *Error
-			if errors.As(err, &e) && e.Kind == KindLapsed {
-				f.lease = 0
+	for {
+		if err == nil {
+			retry.Reset()
+			if !sleep.For(ctx, renewInterval+rand.N(renewInterval/4)) {
+				return
 			}
-			f.Meter.CountDecision("LeaseNotRenewed")
-			sleep.For(ctx, retry.NextBackOff())
+			err = f.register(ctx, &r)
+			continue
 		}
+		f.Meter.CountDecision("LeaseNotRenewed")
+		retry.MaxInterval = maxRetryDelay
+		if !r.recorded || !r.membersRead {
+			f.Log.State("the store did not complete this daemon's registration", "recorded", r.recorded, "error", err)
+			retry.MaxInterval = registerRetryDelay(f.Table.Live())
+		}
+		if !sleep.For(ctx, retry.NextBackOff()) {
+			return
+		}
+		err = f.register(ctx, &r)
 	}
 }
 
-func (f *Feed) renew(ctx context.Context) error {
-	if f.lease == 0 {
-		return f.Enter(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// Registering returns a channel that is closed once this daemon is registered or its first
+// attempt has failed.
+func (f *Feed) Registering() <-chan struct{} { return f.registering }
+
+// register does what is left of a registration, or renews the lease. The daemon writes
+// its own record before it reads those of the others, so that of two daemons that start
+// at the same time at least one finds the other.
+func (f *Feed) register(ctx context.Context, r *registration) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	return f.Source.Renew(ctx, f.lease)
+	if r.recorded && r.membersRead {
+		err := f.Source.Renew(ctx, r.lease)
+		r.forgetLapsed(err)
+		return err
+	}
+	if !r.recorded {
+		self := f.Table.Self(time.Now())
+		lease, err := f.Source.Register(ctx, r.lease, &self, leaseTTL)
+		r.lease = lease
+		r.forgetLapsed(err)
+		if err != nil {
+			return err
+		}
+		r.recorded = true
+		f.Log.State("registered in the store", "lease", lease)
+	}
+	err := f.readMembers(ctx)
+	r.membersRead = err == nil
+	return err
+}
+
+// forgetLapsed makes the daemon register anew if the error says that the lease has ended.
+func (r *registration) forgetLapsed(err error) {
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindLapsed {
+		*r = registration{}
+	}
+}
+
+// registerRetryDelay returns the maximum delay between attempts to register, of one of
+// the given number of daemons.
+func registerRetryDelay(daemons int) time.Duration {
+	writes := daemons * writesPerRegistration
+	return max(minRegisterDelay, time.Duration(writes)*time.Second/maxWriteRate)
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -25,6 +25,10 @@
 	loads, memberReads atomic.Int64
 	// records are the daemons that the store holds.
 	records []member.Member
+	// registrations counts the records that were written, and renewals the renewals.
+	registrations, renewals atomic.Int64
+	// lapsed is true if the lease of an earlier record has ended.
+	lapsed atomic.Bool
 }
 
 func (s *quietStore) Load(ctx context.Context, _ int) (*Changes, error) {
@@ -52,16 +56,32 @@
 	return &Changes{Revision: 1}, nil
 }
 
-func (s *quietStore) Members(context.Context) ([]member.Member, error) {
+func (s *quietStore) Members(ctx context.Context) ([]member.Member, error) {
+	if _, err := s.answer(ctx, 0); err != nil {
+		return nil, err
+	}
 	s.memberReads.Add(1)
 	return s.records, nil
 }
 
-func (*quietStore) Register(context.Context, int64, *member.Member, time.Duration) (int64, error) {
+func (s *quietStore) Register(ctx context.Context, lease int64, _ *member.Member, _ time.Duration) (int64, error) {
+	if _, err := s.answer(ctx, 0); err != nil {
+		return lease, err
+	}
+	s.registrations.Add(1)
 	return 1, nil
 }
 
-func (*quietStore) Renew(context.Context, int64) error { return nil }
+func (s *quietStore) Renew(ctx context.Context, _ int64) error {
+	if _, err := s.answer(ctx, 0); err != nil {
+		return err
+	}
+	if s.lapsed.Swap(false) {
+		return &Error{Op: "renew", Kind: KindLapsed}
+	}
+	s.renewals.Add(1)
+	return nil
+}
 
 // followerBeside returns a feed that follows the store in its data centre, beside a leader
 // of another one.
@@ -149,9 +169,9 @@
 				time.Sleep(time.Second)
 				cancel()
 				<-done
-				if store.loads.Load() != tt.loads || store.calls.Load() != tt.calls || store.memberReads.Load() != tt.calls {
+				if store.loads.Load() != tt.loads || store.calls.Load() != 2*tt.calls || store.memberReads.Load() != tt.calls {
 					t.Errorf("%d calls, of these %d of the whole store, and %d of the members; want %d, %d, %d",
-						store.calls.Load(), store.loads.Load(), store.memberReads.Load(), tt.calls, tt.loads, tt.calls)
+						store.calls.Load(), store.loads.Load(), store.memberReads.Load(), 2*tt.calls, tt.loads, tt.calls)
 				}
 				if tt.calls > 0 && len(news) != len(store.records) {
 					t.Errorf("news %v", news)
@@ -183,3 +203,51 @@
 		}
 	}
 }
+
+// Guards against a daemon that stays unknown to the others after an outage of the store in
+// which it has started, at whatever step of its registration the outage ends.
+func TestRegistrationIsRepeatedAfterOutage(t *testing.T) {
+	// bound covers a call that was made in the outage, and a delay before the next.
+	const bound = 2 * time.Second
+	for outage := time.Duration(0); outage < 4*time.Second; outage += 190 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &quietStore{}
+				store.silent.Store(true)
+				f := unchosen(store)
+				f.Init()
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); f.KeepRegistered(ctx) }()
+				time.Sleep(outage)
+				store.silent.Store(false)
+				time.Sleep(bound)
+				if store.registrations.Load() != 1 || store.memberReads.Load() != 1 {
+					t.Errorf("%v after the outage: %d registrations, %d reads of the members; want one each",
+						bound, store.registrations.Load(), store.memberReads.Load())
+				}
+				time.Sleep(renewInterval + renewInterval/4)
+				if store.renewals.Load() == 0 {
+					t.Error("the lease is not renewed")
+				}
+				store.lapsed.Store(true)
+				time.Sleep(renewInterval + renewInterval/4 + minRegisterDelay)
+				if store.registrations.Load() != 2 {
+					t.Errorf("%d registrations after the lease had ended, want 2", store.registrations.Load())
+				}
+				cancel()
+				<-done
+			})
+		})
+	}
+}
+
+// Guards against daemons of a large tier that overload the store with their registrations.
+func TestRegistrationsOfLargeTierAreSpread(t *testing.T) {
+	if delay := registerRetryDelay(2000); delay < 2000*writesPerRegistration*time.Second/maxWriteRate {
+		t.Errorf("delay %v", delay)
+	}
+	if delay := registerRetryDelay(10); delay != minRegisterDelay {
+		t.Errorf("delay %v of a small tier, want %v", delay, minRegisterDelay)
+	}
+}
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -16,28 +16,25 @@
 // join finds other daemons and gets settings and registrations, from other daemons
 // if possible and else from the store. It then follows the store until ctx ends.
 func (n *Node) join(ctx context.Context) {
-	registrationTried, round := false, 0
-	if !n.membership.Join(ctx, func(ctx context.Context) bool { round++; return n.joinRound(ctx, &registrationTried, round) }) {
+	go n.feed.KeepRegistered(ctx)
+	round := 0
+	if !n.membership.Join(ctx, func(ctx context.Context) bool { round++; return n.joinRound(ctx, round) }) {
 		return
 	}
 	n.shareTargets(time.Now())
 	close(n.serving)
 	n.Log.State("ready", "uptimeMillis", time.Since(n.started).Milliseconds(), "members", n.Table.Live(),
 		"targets", n.Roster.Len(), "revision", n.Keeper.Current().Change.Revision)
-	n.entering.Wait()
+	n.awaitRegistration(ctx)
 	n.feed.Run(ctx)
 }
 
 // joinRound is one round of joining. It reports whether the daemon can serve. A
 // daemon that restarts reads the store while it registers, since its callers wait;
 // at the first start of all, one daemon of each data centre reads it for the others.
-func (n *Node) joinRound(ctx context.Context, registrationTried *bool, round int) bool {
-	if !*registrationTried {
-		*registrationTried = true
-		n.entering.Go(func() { n.enter(ctx) })
-		if n.Setup.FirstStart || !n.loadEarly(ctx) {
-			n.entering.Wait()
-		}
+func (n *Node) joinRound(ctx context.Context, round int) bool {
+	if round == 1 && (n.Setup.FirstStart || !n.loadEarly(ctx)) {
+		n.awaitRegistration(ctx)
 	}
 	if n.hasRoutesAndTargets() {
 		return n.finishJoin(ctx)
@@ -49,8 +46,8 @@
 	}
 	// When all daemons start at once, one daemon of each data centre reads the store,
 	// and the others get the content from it.
-	if !n.hasRoutesAndTargets() && (round > peerOnlyRounds || n.feed.Chosen(time.Now())) && !n.load(ctx) {
-		*registrationTried = false
+	if !n.hasRoutesAndTargets() && (round > peerOnlyRounds || n.feed.Chosen(time.Now())) {
+		n.load(ctx)
 	}
 	return n.hasRoutesAndTargets() && n.finishJoin(ctx)
 }
@@ -67,10 +64,11 @@
 	return true
 }
 
-// enter registers this daemon in the store and reads the records of the others.
-func (n *Node) enter(ctx context.Context) {
-	if err := n.feed.Enter(ctx); err != nil {
-		n.Log.State("the store did not complete this daemon's registration", "error", err)
+// awaitRegistration waits until the daemon is registered or its first attempt has failed.
+func (n *Node) awaitRegistration(ctx context.Context) {
+	select {
+	case <-n.feed.Registering():
+	case <-ctx.Done():
 	}
 }
 
@@ -87,14 +85,13 @@
 	return n.hasRoutesAndTargets()
 }
 
-// load reads the whole store and reports whether it did.
-func (n *Node) load(ctx context.Context) bool {
+// load reads the whole store.
+func (n *Node) load(ctx context.Context) {
 	err := n.feed.LoadOnce(ctx, 0)
 	n.storeLost.Store(err != nil)
 	if err != nil {
 		n.Log.State("the store could not be read during startup; retrying", "error", err)
 	}
-	return err == nil
 }
 
 // peerLinks lists the link addresses of known daemons: first those of this data
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -165,10 +165,8 @@
 	// tableReady is true once Table is set.
 	tableReady atomic.Bool
 	joined     atomic.Bool
-	// serving is closed once the daemon has what it needs to serve, and entering is
-	// done once it has registered in the store.
-	serving  chan struct{}
-	entering sync.WaitGroup
+	// serving is closed once the daemon has what it needs to serve.
+	serving chan struct{}
 	// storeLost is true while the daemon joins and the store does not answer.
 	storeLost atomic.Bool
 	refused   refusals
@@ -257,6 +255,7 @@
 		Source: n.Source, Table: n.Table, Roster: n.Roster, Fresh: n.fresh, Meter: n.Meter, Log: n.Log, Watchers: watchersPerDataCentre,
 		ApplySettings: n.gossip.ApplySettings, Registered: n.gossip.AnnounceRegistrations, MembersChanged: n.gossip.MembersChanged,
 	}
+	n.feed.Init()
 	n.tableReady.Store(true)
 	return nil
 }
