Send a silent daemon what is believed of it, and correct older claims

Seen once in 35 runs of TestDaemonsRestartedInOutageFindEachOther with a line that names the records: a daemon holds a live one for silent at version 1, which itself is at version 2, for 5 s and more. It had missed the refutation. A heartbeat to a daemon that is held for silent did not say so, and a claim of an older version was ignored, not corrected; only the comparison of whole tables healed it, after 3 s or more.

Such a heartbeat now carries the record, and a daemon that gets an outdated record of itself (silent, gone, or an earlier process) sends its present one, whatever the version.

--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -171,7 +171,12 @@
 	}
 	body := g.encode(now, updates)
 	for i := range to {
-		g.Link.Send(to[i].Link, link.Heartbeat, body)
+		if to[i].State < member.Silent {
+			g.Link.Send(to[i].Link, link.Heartbeat, body)
+			continue
+		}
+		// If it lives, it corrects the record.
+		g.Link.Send(to[i].Link, link.Heartbeat, g.encode(now, append(slices.Clip(updates), to[i])))
 	}
 }
 
@@ -249,7 +254,7 @@
 		g.Push()
 	}
 	from, known := g.Table.RecordHeartbeat(now, h.From)
-	if known && slices.ContainsFunc(news, func(m member.Member) bool { return m.Name == g.Table.Name() }) {
+	if known && (g.Table.Outdated(h.Updates) || slices.ContainsFunc(news, func(m member.Member) bool { return m.Name == g.Table.Name() })) {
 		// The sender had a false record of this daemon; send it the correct one.
 		g.Link.Send(from.Link, link.Heartbeat, g.encode(now, []member.Member{g.Table.Self(now)}))
 	}
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -285,6 +285,17 @@
 	return true
 }
 
+// Outdated reports whether one of the records, which another daemon has sent, describes
+// this daemon as silent or gone, or describes an earlier process. The sender then needs
+// the present record, whichever version it has.
+func (t *Table) Outdated(records []Member) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(records, func(m Member) bool {
+		return m.Name == t.self.Name && (m.State >= Silent && m.State > t.self.State || m.Incarnation < t.self.Incarnation)
+	})
+}
+
 // RecordHeartbeat processes the sender's part of a heartbeat and returns the record of the
 // sender. The second result is false if the table lacks that record or holds one
 // of another incarnation.
--- a/internal/process/member/member_test.go
+++ b/internal/process/member/member_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -109,10 +110,17 @@
 		}
 		c.sent++
 		self := from.Self(c.now)
+		updates := updates
+		if n.State >= Silent {
+			updates = append(slices.Clip(updates), n)
+		}
 		if n.DataCentre != self.DataCentre {
 			c.crossCentreRecords += len(updates)
 		}
 		to.MergeFrom(c.now, name, updates)
+		if to.Outdated(updates) && !c.partitioned(n.Name, name) {
+			from.Merge(c.now, []Member{to.Self(c.now)})
+		}
 		record, known := to.RecordHeartbeat(c.now, self.Brief())
 		if known && record.State != self.State && !c.partitioned(n.Name, name) {
 			if len(from.Merge(c.now, []Member{record})) > 0 {
@@ -270,6 +278,60 @@
 	}
 }
 
+// Guards against a live daemon that stays silent in the tables of some others, which have
+// missed its refutation.
+func TestMissedRefutationIsRepeated(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, believers := range []int{1, 2, 6} {
+		c := newCluster(20, 1)
+		for range 40 {
+			c.runInterval(random)
+		}
+		subject := c.tables["d7"]
+		subject.SetState(c.now, Ready)
+		for range 20 {
+			c.runInterval(random)
+		}
+		if !c.agree(20) {
+			t.Fatal("the daemons do not have each other's records")
+		}
+		for i := range believers {
+			e := c.tables[fmt.Sprint("d", 10+i)].members["d7"]
+			e.State, e.Version, e.sends = Silent, subject.self.Version-1, 0
+			c.tables[fmt.Sprint("d", 10+i)].dirty = true
+		}
+		// bound is as long as it takes to find a daemon silent.
+		const bound = 2 * time.Second
+		began := c.now
+		for c.now.Sub(began) < bound && !c.agree(20) {
+			c.runInterval(random)
+		}
+		if !c.agree(20) {
+			t.Errorf("%d daemons hold a live one for silent for %v", believers, bound)
+		}
+	}
+}
+
+func TestOutdatedRecords(t *testing.T) {
+	table := New(start, Member{Name: "a", Incarnation: 2, Version: 3, State: Ready}, 1)
+	for _, tt := range []struct {
+		name string
+		in   Member
+		want bool
+	}{
+		{"an older claim of silence", Member{Name: "a", Incarnation: 2, Version: 2, State: Silent}, true},
+		{"a claim of silence", Member{Name: "a", Incarnation: 2, Version: 3, State: Silent}, true},
+		{"an earlier process", Member{Name: "a", Incarnation: 1, Version: 9, State: Ready}, true},
+		{"an older record", Member{Name: "a", Incarnation: 2, Version: 2, State: Joining}, false},
+		{"the record", Member{Name: "a", Incarnation: 2, Version: 3, State: Ready}, false},
+		{"another daemon", Member{Name: "b", Incarnation: 1, State: Silent}, false},
+	} {
+		if got := table.Outdated([]Member{tt.in}); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+}
+
 func TestUptimeIsCarriedForward(t *testing.T) {
 	table := New(start, Member{Name: "a", State: Ready}, 1)
 	table.Merge(start, []Member{{Name: "b", Incarnation: 1, State: Ready, UptimeMillis: 5000}})
