Daemons of the own interface read the settings if no watcher confirms them

The class of the fault of restarted daemons, on the own interface: who watches the settings is chosen among the records in the table, and a daemon that is not chosen had no bound on the age of what it believes. Where the watchers by its table are gone or out of reach, it learned of no change.

The ages in heartbeats now work for both. Watchers read the key every 8 s instead of 10, and other daemons read it when nobody is known to have watched for SilentAfter, or to have read it for 12 to 15 s, so within the 19 s of a change. The time after which a daemon is cut off follows the setting SilentAfter on the platform as well.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -26,12 +26,14 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/gossip"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/hosts"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/joiner"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/server"
@@ -90,6 +92,7 @@
 	self       member.Member
 	link       *link.Link
 	gossip     *gossip.Gossip
+	fresh      *fresh.Tracker
 	store      *store.Store
 	watch      *watch.Watch
 	hosts      *hosts.Hosts
@@ -118,12 +121,15 @@
 	d.peerContext, d.endPeerContext = context.WithCancelCause(context.Background())
 	d.Meter = meter.New()
 	d.Keeper = epoch.NewKeeper()
+	d.fresh = fresh.New(mono.Now(), rand.Uint64())
+	d.fresh.Patience = watch.Patience
+	d.fresh.State = func() (settings, roster int64) { return d.Keeper.Current().Change.Revision, 0 }
 	d.Poison = poison.New()
 	d.Quota = quota.New(d.Setup.Name)
 	d.hosts = &hosts.Hosts{URL: d.Setup.HostList}
 	d.link = &link.Link{Address: d.Setup.Link, Keys: d.Keys, Handle: d.handle, WrapSocket: d.WrapLink}
 	d.gossip = &gossip.Gossip{
-		Link: d.link, Keeper: d.Keeper, Poison: d.Poison, Quota: d.Quota, Meter: d.Meter,
+		Link: d.link, Keeper: d.Keeper, Fresh: d.fresh, Poison: d.Poison, Quota: d.Quota, Meter: d.Meter,
 		Accepted: d.applySettings, Execute: d.executeForwarded,
 	}
 	d.gossip.Init()
@@ -134,7 +140,7 @@
 	if len(d.Setup.Store) > 0 {
 		count := func(call string) { d.Meter.StoreCalls.WithLabelValues(call).Inc() }
 		d.store = &store.Store{Endpoints: d.Setup.Store, Count: count}
-		d.watch = &watch.Watch{Store: d.store, Keeper: d.Keeper, Table: d.Table, Meter: d.Meter, ApplySettings: d.gossip.ApplySettings}
+		d.watch = &watch.Watch{Store: d.store, Keeper: d.Keeper, Table: d.Table, Fresh: d.fresh, Clock: mono.Now, Meter: d.Meter, ApplySettings: d.gossip.ApplySettings}
 	}
 	ctx, d.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	go d.join(ctx)
--- a/internal/process/daemon/loops.go
+++ b/internal/process/daemon/loops.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/joiner"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/tenant"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
@@ -137,6 +138,9 @@
 	sent, heard := d.link.Bytes()
 	set := func(name string, value float64) { d.Meter.Gauges.WithLabelValues(name).Set(value) }
 	set("SettingsRevision", float64(d.Keeper.Current().Change.Revision))
+	confirmed, attempted := d.fresh.Ages(mono.Now())
+	set("SecondsSinceConfirmed", confirmed.Seconds())
+	set("SecondsSinceStoreAsked", attempted.Seconds())
 	set("Members", float64(d.Table.Live()))
 	set("IdempotencyKeys", float64(d.home.Keys()))
 	set("Quarantined", float64(d.Poison.Count(now)))
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	f := &feed.Feed{Source: source, Table: table, Roster: roster, Fresh: tracker, Meter: m, Log: l, Watchers: 2, ApplySettings: apply, Registered: registered, MembersChanged: changed}
+//	f := &feed.Feed{Source: source, Table: table, Roster: roster, Fresh: tracker, Meter: m, Log: l, Watchers: 2, SilentAfter: silentAfter, ApplySettings: apply, Registered: registered, MembersChanged: changed}
 //	f.Init()
 //	go f.KeepRegistered(ctx)
 //	<-f.Registering()         // this daemon is registered, or the first attempt has failed
@@ -145,6 +145,8 @@
 	Log    *logger.Log
 	// Watchers is the number of daemons of each data centre that follow the store.
 	Watchers int
+	// SilentAfter returns the time after which a daemon without heartbeats is silent.
+	SilentAfter func() time.Duration
 	// ApplySettings is called with each change of the settings that the store holds.
 	ApplySettings func(epoch.Change)
 	// Registered is called with the pools whose registrations have changed.
@@ -203,7 +205,7 @@
 			f.follow(ctx)
 			continue
 		}
-		if f.Fresh.Overdue(mono.Now(), f.Table.Live()) {
+		if f.Fresh.Overdue(mono.Now(), f.Table.Live(), f.SilentAfter()) {
 			f.refresh(ctx)
 		}
 		sleep.For(ctx, electionInterval)
--- a/internal/process/fresh/fresh.go
+++ b/internal/process/fresh/fresh.go
@@ -22,7 +22,7 @@
 //	t.Confirm(asked, revision) // the store has answered
 //	confirmed, attempted := t.Ages(now) // for a heartbeat
 //	t.Merge(now, confirmed, attempted, settings, roster) // from a heartbeat
-//	if t.Overdue(now, daemons) {
+//	if t.Overdue(now, daemons, 2*time.Second) {
 //		// ask the store
 //	}
 package fresh
@@ -37,9 +37,6 @@
 const (
 	// Unknown is the age of an event that has not occurred.
 	Unknown = -time.Second
-	// maxAge is the age of the last attempt at which a daemon that lacks a confirmation
-	// takes itself for cut off. It covers a wait of the leader and a few heartbeats.
-	maxAge = 2 * time.Second
 	// minSpread is the time over which daemons that are cut off at the same time spread
 	// their calls.
 	minSpread = 500 * time.Millisecond
@@ -53,9 +50,9 @@
 	// maxClaims is the maximum number of claims that wait for newer revisions. They take a
 	// fraction of a second to arrive.
 	maxClaims = 16
-	// patience multiplies maxAge while others look after the store: it covers a store that
-	// turns away some daemons, whose successors take over.
-	patience = 3
+	// DefaultPatience covers a store that turns away some daemons, whose successors take
+	// over.
+	DefaultPatience = 3
 )
 
 // Tracker tracks the freshness of one daemon's settings and registrations. Its methods
@@ -64,6 +61,9 @@
 	// State returns the revisions of the settings and of the registrations that this daemon
 	// has.
 	State func() (settings, roster int64)
+	// Patience multiplies the time after which a daemon is overdue while others look after
+	// the store.
+	Patience int
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -88,7 +88,7 @@
 
 // New returns the tracker of a daemon that knows nothing yet.
 func New(now time.Time, seed uint64) *Tracker {
-	t := &Tracker{random: rand.New(rand.NewPCG(seed, 0)), since: now}
+	t := &Tracker{Patience: DefaultPatience, random: rand.New(rand.NewPCG(seed, 0)), since: now}
 	t.delay = t.random.Float64()
 	return t
 }
@@ -169,14 +169,16 @@
 }
 
 // Overdue reports whether the daemon, one of the given number, should ask the store
-// itself. After it has returned true, it returns false until as much time has passed again.
-func (t *Tracker) Overdue(now time.Time, daemons int) bool {
+// itself: no daemon is known to have asked for silentAfter, the time after which a daemon
+// without heartbeats is silent, or none has got an answer for longer. After it has returned
+// true, it returns false until as much time has passed again.
+func (t *Tracker) Overdue(now time.Time, daemons int, silentAfter time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.settle()
-	limit := maxAge + time.Duration(t.delay*float64(spread(daemons)))
+	limit := silentAfter + time.Duration(t.delay*float64(spread(daemons)))
 	alone := now.Sub(later(t.since, t.attempted)) > limit
-	unconfirmed := now.Sub(later(t.since, t.confirmed)) > patience*limit
+	unconfirmed := now.Sub(later(t.since, t.confirmed)) > time.Duration(t.Patience)*limit
 	if !alone && !unconfirmed {
 		return false
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	g := &gossip.Gossip{Table: table, Link: l, Keeper: keeper, Poison: register, Quota: q, Meter: m, Accepted: apply}
+//	g := &gossip.Gossip{Table: table, Link: l, Keeper: keeper, Fresh: tracker, Poison: register, Quota: q, Meter: m, Accepted: apply}
 //	g.Init()
 //	l.Handle = g.Handle
 //	g.Join(ctx, seeds, 3)
@@ -98,7 +98,7 @@
 	// called with the pools whose registrations have changed.
 	Roster     *roster.Roster
 	Registered func(pools []string)
-	// Fresh tracks what the settings and the roster rest on. It is set if Roster is.
+	// Fresh tracks what the settings and the roster rest on.
 	Fresh *fresh.Tracker
 	// Users returns the other daemons that use targets, in random order: those of the
 	// own region if local is true, otherwise all. It must be set if Stall, Resume or
@@ -191,10 +191,10 @@
 	if g.Quota != nil {
 		h.Claims = g.Quota.Claims(now)
 	}
+	// The ages come first: what is read after them is as new as they say, or newer.
+	confirmed, attempted := g.Fresh.Ages(mono.Now())
+	h.ConfirmedMillis, h.AttemptedMillis = ageMillis(confirmed), ageMillis(attempted)
 	if g.Roster != nil {
-		// The ages come first: what is read after them is as new as they say, or newer.
-		confirmed, attempted := g.Fresh.Ages(mono.Now())
-		h.ConfirmedMillis, h.AttemptedMillis = ageMillis(confirmed), ageMillis(attempted)
 		h.Roster = g.Roster.Revision()
 	}
 	h.Revision = g.Keeper.Current().Change.Revision
@@ -268,9 +268,7 @@
 	g.compareRevisions(h.Revision, &from)
 	g.compareRosters(h.Roster, &from)
 	g.compareDigests(now, h.Digest, &from)
-	if g.Roster != nil {
-		g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Revision, h.Roster)
-	}
+	g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Revision, h.Roster)
 }
 
 // ageMillis and ageOf convert an age that may be unknown.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -253,6 +253,7 @@
 	n.membership = &joiner.Membership{Table: n.Table, Push: n.gossip.Push, JoinInterval: joinInterval}
 	n.feed = &feed.Feed{
 		Source: n.Source, Table: n.Table, Roster: n.Roster, Fresh: n.fresh, Meter: n.Meter, Log: n.Log, Watchers: watchersPerDataCentre,
+		SilentAfter:   func() time.Duration { return n.Keeper.Current().Tree.Resolve("", "", "").SilentAfter },
 		ApplySettings: n.gossip.ApplySettings, Registered: n.gossip.AnnounceRegistrations, MembersChanged: n.gossip.MembersChanged,
 	}
 	n.feed.Init()
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -2,11 +2,12 @@
 // of each data centre watch, chosen by rendezvous hashing over the members in each
 // daemon's table; the others get changes from them by gossip. Two watchers too
 // many do no harm, and a missing one is replaced as soon as the daemons see that
-// the membership has changed.
+// the membership has changed. Until then, or if no watcher can be reached, a daemon
+// reads the settings itself when nothing has confirmed them for too long.
 //
 // # Usage
 //
-//	w := &watch.Watch{Store: s, Keeper: keeper, Table: table, ApplySettings: g.ApplySettings, Meter: m}
+//	w := &watch.Watch{Store: s, Keeper: keeper, Table: table, Fresh: tracker, Clock: mono.Now, ApplySettings: g.ApplySettings, Meter: m}
 //	go w.Run(ctx)
 package watch
 
@@ -22,6 +23,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
@@ -47,7 +49,12 @@
 	maxRetryDelay    = 10 * time.Second
 	// rereadInterval is the time between reads of a watched key, in case the watch no
 	// longer delivers changes.
-	rereadInterval = 10 * time.Second
+	rereadInterval = 8 * time.Second
+	// Patience makes other daemons wait for longer than the time between two reads before
+	// they read the settings themselves.
+	Patience = 6
+	// refreshTimeout is the timeout of such a read.
+	refreshTimeout = time.Second
 )
 
 // Watch follows the settings on behalf of one daemon. Exported fields are set
@@ -57,6 +64,10 @@
 	Keeper *epoch.Keeper
 	Table  *member.Table
 	Meter  *meter.Meter
+	// Fresh tracks what the settings rest on.
+	Fresh *fresh.Tracker
+	// Clock returns the time on a clock that advances while the host is suspended.
+	Clock func() time.Time
 	// ApplySettings is called with each change that the store returns.
 	ApplySettings func(epoch.Change)
 }
@@ -80,6 +91,7 @@
 			stop()
 			stop = nil
 		}
+		w.checkFreshness(ctx, chosen)
 		select {
 		case <-ctx.Done():
 			if stop != nil {
@@ -91,6 +103,31 @@
 	}
 }
 
+// checkFreshness records that this daemon watches the store or, if it does not, reads the
+// settings when nothing has confirmed them for too long.
+func (w *Watch) checkFreshness(ctx context.Context, watching bool) {
+	now := w.Clock()
+	if watching {
+		w.Fresh.Attempt(now)
+		return
+	}
+	silentAfter := w.Keeper.Current().Tree.Resolve("", "", "").SilentAfter
+	if !w.Fresh.Overdue(now, w.Table.Live(), silentAfter) {
+		return
+	}
+	confirmed, attempted := w.Fresh.Ages(now)
+	klog.InfoS("nothing confirms the settings, reading the store", "revision", w.Keeper.Current().Change.Revision,
+		"confirmedMillisAgo", confirmed.Milliseconds(), "attemptedMillisAgo", attempted.Milliseconds())
+	w.Meter.CountDecision("RefreshFromStore")
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+		defer cancel()
+		if err := w.ReadOnce(ctx); err != nil {
+			klog.InfoS("the store could not be read to confirm the settings", "error", err)
+		}
+	}()
+}
+
 // Chosen reports whether this daemon is among the watchers of its data centre.
 func (w *Watch) Chosen(now time.Time) bool {
 	self := w.Table.Self(now)
@@ -124,11 +161,13 @@
 }
 
 func (w *Watch) read(ctx context.Context) (int64, error) {
+	asked := w.Clock()
 	item, err := w.Store.Get(ctx, SettingsKey)
 	if err != nil {
 		return 0, err
 	}
 	w.apply(item)
+	w.Fresh.Confirm(asked, item.Revision)
 	return item.Revision, nil
 }
 
