A reply to HEAD ends with its head

The length that a reply to HEAD states was waited for as a body, so that the reply counted as a broken connection, and sound targets counted as silent.

Such a reply is now whole with its head, the connection is kept, and the caller gets the length that the target states.

TestRepliesWithoutBody: five of ten cases of RFC 9112, section 6.3, failed before.

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -224,12 +224,17 @@
 		_ = response.Body.Close()
 	}()
 	c.used = true
-	body, err := c.readBody(response, bodyBudget)
-	if err != nil {
-		return nil, false, err
+	// A reply to HEAD states the length that a reply to GET would have, and ends with its
+	// head. http.ReadResponse handles the statuses without a body.
+	bodiless := request.Method == http.MethodHead
+	var body []byte
+	if !bodiless {
+		if body, err = c.readBody(response, bodyBudget); err != nil {
+			return nil, false, err
+		}
 	}
 	reply = &Reply{Status: response.StatusCode, Header: response.Header, Body: body}
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	framed := bodiless || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 	keep = framed && !response.Close && c.reader.Buffered() == 0
 	c.expiresAt = time.Now().Add(idleTimeout(response.Header.Get("Keep-Alive")))
 	return reply, keep, nil
--- a/internal/conn/pass/pass.go
+++ b/internal/conn/pass/pass.go
@@ -6,7 +6,7 @@
 //	pass.DropHopByHop(in.Header)
 //	out := pass.Request(in.Method, in.RequestURI, in.Host, header, body)
 //	...
-//	err := pass.Answer(w, reply.Status, reply.Body)
+//	err := pass.Reply(w, in.Method, reply.Status, reply.Header.Get("Content-Length"), reply.Body)
 package pass
 
 import (
@@ -92,3 +92,16 @@
 	_, err := w.Write(body)
 	return err
 }
+
+// Reply is Answer for what targets have replied to a request of the given method. A reply
+// to HEAD has no body, and the length that the target states, if any.
+func Reply(w http.ResponseWriter, method string, status int, length string, body []byte) error {
+	if method != http.MethodHead {
+		return Answer(w, status, body)
+	}
+	if length != "" {
+		w.Header().Set("Content-Length", length)
+	}
+	w.WriteHeader(status)
+	return nil
+}
--- a/internal/conn/plain/plain.go
+++ b/internal/conn/plain/plain.go
@@ -53,14 +53,14 @@
 	switch answer.Result {
 	case relay.Passed:
 		pass.Header(header, answer.Reply.Header, wire.HeaderLoad)
-		return pass.Answer(w, answer.Reply.Status, answer.Reply.Body)
+		return pass.Reply(w, request.Method, answer.Reply.Status, answer.Reply.Header.Get("Content-Length"), answer.Reply.Body)
 	case relay.Gathered, relay.Partial:
 		answered := len(answer.Signatures)
 		header.Set(wire.HeaderRequest, request.ID)
 		header.Set(wire.HeaderServedBy, strings.Join(answer.Signatures, ", "))
 		header.Set(wire.HeaderCoverage, fmt.Sprintf("%d/%d", answered, answered+answer.Missing))
 		header.Set("Content-Type", "application/octet-stream")
-		return pass.Answer(w, http.StatusOK, answer.Body)
+		return pass.Reply(w, request.Method, http.StatusOK, "", answer.Body)
 	default:
 	}
 	header.Set(wire.HeaderRequest, request.ID)
