Daemons take any bytes in callers' requests from each other

The message to the daemon there carries the caller's header and URI as CBOR text, and its decoder refused text that is not UTF-8.

Messages that carry parts of callers' requests are now decoded without that check; the decoder of all other messages is as strict as before.

--- a/internal/conn/codec/codec.go
+++ b/internal/conn/codec/codec.go
@@ -39,14 +39,20 @@
 )
 
 var (
-	encoder = must(cbor.EncOptions{}.EncMode())
-	decoder = must(cbor.DecOptions{
+	encoder     = must(cbor.EncOptions{}.EncMode())
+	decoder     = must(decodeOptions(cbor.UTF8RejectInvalid).DecMode())
+	byteDecoder = must(decodeOptions(cbor.UTF8DecodeInvalid).DecMode())
+)
+
+func decodeOptions(text cbor.UTF8Mode) cbor.DecOptions {
+	return cbor.DecOptions{
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
 		MaxNestedLevels:  maxNesting,
 		IndefLength:      cbor.IndefLengthForbidden,
-	}.DecMode())
-)
+		UTF8:             text,
+	}
+}
 
 func must[T any](mode T, err error) T {
 	if err != nil {
@@ -72,6 +78,15 @@
 	return nil
 }
 
+// DecodeBytes is Decode for messages that carry parts of callers' requests, such as header
+// values, which may hold any bytes: it takes text that is not UTF-8.
+func DecodeBytes(data []byte, value any) error {
+	if err := byteDecoder.Unmarshal(data, value); err != nil {
+		return &Error{Op: "decode", Kind: KindDecode, Err: err}
+	}
+	return nil
+}
+
 // Pack returns the value as compressed CBOR.
 func Pack(value any) ([]byte, error) {
 	data, err := Encode(value)
--- a/internal/conn/codec/codec_test.go
+++ b/internal/conn/codec/codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"errors"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -48,3 +49,23 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// Guards against messages between daemons that are refused since a caller has sent bytes that
+// are not UTF-8.
+func TestDecodeBytesTakesAnyText(t *testing.T) {
+	value := map[string][]string{"X-Name": {"Jos\xe9", "\xff\x00\x80"}, "caf\xe9": {"\xc3\x28"}}
+	data, err := Encode(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got map[string][]string
+	if err := DecodeBytes(data, &got); err != nil || !reflect.DeepEqual(got, value) {
+		t.Errorf("got %q, %v", got, err)
+	}
+	if err := Decode(data, &got); err == nil {
+		t.Error("Decode takes text that is not UTF-8")
+	}
+	if err := DecodeBytes(append(data, 0), &got); err == nil {
+		t.Error("DecodeBytes takes trailing bytes")
+	}
+}
--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -18,7 +18,7 @@
 func (r *Runner) Assist(ctx context.Context, body []byte, confirmed <-chan struct{}) []byte {
 	now := time.Now()
 	var remote remoteRequest
-	if err := codec.Decode(body, &remote); err != nil || len(remote.Pools) == 0 || remote.MaxAttempts < 1 {
+	if err := codec.DecodeBytes(body, &remote); err != nil || len(remote.Pools) == 0 || remote.MaxAttempts < 1 {
 		r.Log.State("cannot decode a peer's gather request", "error", err)
 		return nil
 	}
--- a/internal/request/relay/remote.go
+++ b/internal/request/relay/remote.go
@@ -184,7 +184,7 @@
 		}
 		if reply, err = x.runner.RemotePeers.Ask(ctx, call.peer, body, accepted); err == nil {
 			result.reply = &remoteReply{}
-			err = codec.Decode(reply, result.reply)
+			err = codec.DecodeBytes(reply, result.reply)
 		}
 	}
 	result.err = err
--- a/internal/request/relay/remote_test.go
+++ b/internal/request/relay/remote_test.go
@@ -116,6 +116,30 @@
 	}
 }
 
+// Guards against gathers through peers that fail because a header value or the query of the
+// caller has bytes that are not UTF-8.
+func TestRemoteGatherPassesAnyBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := historyRoute()
+		c := newCluster(t, 0, 3, 8, route.Gather...)
+		c.query, c.callerName = "?q=caf\xe9", "Jos\xe9"
+		assister := c.addDaemon("here", 2)
+		asker := c.addDaemon("away", 2)
+		asker.RemotePeers = &fakePeer{runner: assister}
+		c.daemons = []*Runner{asker}
+		for range 10 {
+			c.ask(route, workTime, testCallerTimeout, false)
+			time.Sleep(700 * time.Millisecond)
+		}
+		c.settle()
+		for i := range c.results {
+			if r := &c.results[i]; r.answer.Result != Gathered {
+				t.Errorf("request %d: %s, %s", i, r.answer.Result, r.answer.Reason)
+			}
+		}
+	})
+}
+
 // Guards against searches that fail although all targets are healthy: a peer accepts
 // late, and the budget doesn't allow an attempt beside the one that it makes.
 func TestLatePeerIsAwaitedWithoutBudget(t *testing.T) {
