Handshakes that hang hold up nothing else

A handshake with a peer takes up to a second if the peer does not answer, and so does the next for each message that waits. It held the lock under which an incoming connection of that peer is recorded and served, so a daemon did not listen to a peer that it failed to reach, and under which connections to earlier processes are closed, so whoever had read new records waited for peers that are down: each handler of a heartbeat, and since the records of the store are treated alike, also what follows the store.

The lock of the connection and that of the handshake are two now, and a message uses a connection that the peer has opened meanwhile.

TestHangingHandshakeHoldsUpNothingElse: failed before, held up for over 0.5 s.

--- a/internal/conn/link/link_test.go
+++ b/internal/conn/link/link_test.go
@@ -140,3 +140,33 @@
 		t.Errorf("%v, want one over the limit of pending messages and %d unreachable", kinds, maxPendingSends)
 	}
 }
+
+// Guards against a daemon that does not listen to a peer, or is held up, while its own
+// handshakes with that peer hang.
+func TestHangingHandshakeHoldsUpNothingElse(t *testing.T) {
+	a, _ := startLink(t, "127.0.0.1:0")
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	address := silent.LocalAddr().String()
+	for range maxPendingSends {
+		a.Send(address, Heartbeat, []byte("to nobody"))
+	}
+	time.Sleep(50 * time.Millisecond)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		a.Renew(address, []byte("another"))
+		// An incoming connection of the peer is recorded under the same lock.
+		p := a.peer(address)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+	}()
+	select {
+	case <-done:
+	case <-time.After(handshakeTimeout / 2):
+		t.Error("held up by a handshake with the peer")
+	}
+}
--- a/internal/conn/link/peers.go
+++ b/internal/conn/link/peers.go
@@ -13,8 +13,10 @@
 
 // peer holds the connection to one address.
 type peer struct {
-	mu           sync.Mutex
-	conn         *quic.Conn
+	mu   sync.Mutex // guards conn, and is not held during a handshake
+	conn *quic.Conn
+	// dialing is held by the one that dials, so that there is one handshake at a time.
+	dialing      sync.Mutex
 	pendingSends atomic.Int32
 }
 
@@ -55,13 +57,30 @@
 	p.conn = nil
 }
 
-// connect returns an open connection to an address and dials if there is none.
-func (l *Link) connect(ctx context.Context, address string) (*quic.Conn, error) {
-	p := l.peer(address)
+// open returns the open connection to the peer, or nil.
+func (p *peer) open() *quic.Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn != nil && p.conn.Context().Err() == nil {
-		return p.conn, nil
+		return p.conn
+	}
+	return nil
+}
+
+// connect returns an open connection to an address and dials if there is none.
+func (l *Link) connect(ctx context.Context, address string) (*quic.Conn, error) {
+	p := l.peer(address)
+	if conn := p.open(); conn != nil {
+		return conn, nil
+	}
+	p.dialing.Lock()
+	defer p.dialing.Unlock()
+	// Another dial, or the peer itself, may have connected meanwhile.
+	if conn := p.open(); conn != nil {
+		return conn, nil
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
 	}
 	remote, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
@@ -73,7 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
+	p.mu.Lock()
 	p.conn = conn
+	p.mu.Unlock()
 	l.serve(conn)
 	return conn, nil
 }
