Renew the lease also while the records of other daemons can't be read

Read in the new KeepRegistered: a daemon whose record is written repeated only the read of the others' records until it succeeded, and let the lease end after 12 s.

TestLeaseIsRenewedWhileMembersAreNotRead: no renewal within 6 s before, one each now.

--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -487,12 +487,13 @@
 func (f *Feed) register(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if r.recorded && r.membersRead {
+	if r.recorded {
 		err := f.Source.Renew(ctx, r.lease)
 		r.forgetLapsed(err)
-		return err
-	}
-	if !r.recorded {
+		if err != nil || r.membersRead {
+			return err
+		}
+	} else {
 		self := f.Table.Self(time.Now())
 		lease, err := f.Source.Register(ctx, r.lease, &self, leaseTTL)
 		r.lease = lease
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -27,8 +27,9 @@
 	records []member.Member
 	// registrations counts the records that were written, and renewals the renewals.
 	registrations, renewals atomic.Int64
-	// lapsed is true if the lease of an earlier record has ended.
-	lapsed atomic.Bool
+	// lapsed is true if the lease of an earlier record has ended, and withoutMembers if the
+	// records of daemons can't be read.
+	lapsed, withoutMembers atomic.Bool
 }
 
 func (s *quietStore) Load(ctx context.Context, _ int) (*Changes, error) {
@@ -60,6 +61,9 @@
 	if _, err := s.answer(ctx, 0); err != nil {
 		return nil, err
 	}
+	if s.withoutMembers.Load() {
+		return nil, &Error{Op: "read members", Kind: KindUnavailable}
+	}
 	s.memberReads.Add(1)
 	return s.records, nil
 }
@@ -242,6 +246,33 @@
 	}
 }
 
+// Guards against a lease that ends while the records of the others can't be read.
+func TestLeaseIsRenewedWhileMembersAreNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &quietStore{}
+		store.withoutMembers.Store(true)
+		f := unchosen(store)
+		f.Init()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.KeepRegistered(ctx) }()
+		for range 5 {
+			before := store.renewals.Load()
+			time.Sleep(leaseTTL / 2)
+			if store.renewals.Load() == before {
+				t.Errorf("no renewal within %v", leaseTTL/2)
+			}
+		}
+		store.withoutMembers.Store(false)
+		time.Sleep(2 * minRegisterDelay)
+		if store.registrations.Load() != 1 || store.memberReads.Load() != 1 {
+			t.Errorf("%d registrations, %d reads of the members; want one each", store.registrations.Load(), store.memberReads.Load())
+		}
+		cancel()
+		<-done
+	})
+}
+
 // Guards against daemons of a large tier that overload the store with their registrations.
 func TestRegistrationsOfLargeTierAreSpread(t *testing.T) {
 	if delay := registerRetryDelay(2000); delay < 2000*writesPerRegistration*time.Second/maxWriteRate {
