One place writes requests for targets

Found in the read-through: the exact request line was written in http1, while pass built a URL that net/http writes almost exactly, only for tests that write requests with net/http. So there were two ways, and what the tests of platform/proto checked was not what is sent.

pass.Write is the one way now; http1 and those tests use it, and the URL of the other one is gone. The tests check the same as before, on the bytes that are sent.

--- a/internal/conn/pass/pass.go
+++ b/internal/conn/pass/pass.go
@@ -5,8 +5,9 @@
 //
 //	pass.DropHopByHop(in.Header)
 //	out := pass.Request(in.Method, in.RequestURI, in.Host, header, body)
+//	err := pass.Write(connection, out)
 //	...
-//	err := pass.Reply(w, in.Method, reply.Status, reply.Header.Get("Content-Length"), reply.Body)
+//	err = pass.Reply(w, in.Method, reply.Status, reply.Header.Get("Content-Length"), reply.Body)
 package pass
 
 import (
@@ -51,15 +52,14 @@
 }
 
 // Request returns a request with the given method, URI, host, header and body, whose
-// RequestURI is the URI. Package http1 sends it unchanged; net/http alone would escape some
-// paths anew. It uses the header without a copy and may add a field.
+// RequestURI is the URI, for Write. It uses the header without a copy and may add a field.
 func Request(method, uri, host string, header http.Header, body []byte) *http.Request {
 	if _, sent := header["User-Agent"]; !sent {
 		// Keep net/http from adding its own.
 		header["User-Agent"] = []string{""}
 	}
 	out := &http.Request{
-		Method: method, URL: exactURL(uri), RequestURI: uri, Host: host, Header: header,
+		Method: method, URL: &url.URL{Path: "/"}, RequestURI: uri, Host: host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(body) > 0 {
@@ -69,22 +69,6 @@
 	return out
 }
 
-// exactURL returns a URL that net/http writes as the given URI, but for some characters of
-// paths that begin with two slashes: net/http would read such a path as a host, so exactURL
-// splits such a URI into its parts.
-func exactURL(uri string) *url.URL {
-	if !strings.HasPrefix(uri, "//") {
-		return &url.URL{Opaque: uri}
-	}
-	raw, query, found := strings.Cut(uri, "?")
-	path, err := url.PathUnescape(raw)
-	if err != nil {
-		// net/http refuses such a path when it reads the caller's request.
-		path = raw
-	}
-	return &url.URL{Path: path, RawPath: raw, RawQuery: query, ForceQuery: found && query == ""}
-}
-
 // Answer writes the status and the body with its length; the caller of Answer sets
 // the headers before. An error means that the answer was not written whole.
 func Answer(w http.ResponseWriter, status int, body []byte) error {
