--- /dev/null
+++ b/review/stand2/stuck.go
@@ -0,0 +1,166 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	stuckShards  = 20
+	stuckTimeout = 1500 * time.Millisecond
+	// stuckDeadline is the requesters' deadline.
+	stuckDeadline = 4 * time.Second
+	// stuckRate is the number of requests a second at all daemons together.
+	stuckRate = 250
+	// shedTime, shedSearchers and shedShare are the dose of the disruption.
+	shedTime      = 9 * time.Second
+	shedSearchers = 0.8
+	shedShare     = 0.6
+)
+
+// playStuck restarts the daemons one after the other, while searchers of many shards reject
+// part of their requests, and then checks that every request gets its final answer.
+func playStuck(w *world) (result, error) {
+	var shedding atomic.Bool
+	shed := func(s *searcher, writer http.ResponseWriter, r *http.Request) bool {
+		if !shedding.Load() || rand.Float64() >= shedShare {
+			return false
+		}
+		s.notRun(writer, r, http.StatusServiceUnavailable)
+		return true
+	}
+	var names []string
+	var services []service
+	index := 0
+	for shard := range stuckShards {
+		name := fmt.Sprintf("lathe%02d", shard)
+		names = append(names, name)
+		services = append(services, service{Name: name, Health: "/health", Connections: 26})
+		for replica, zone := range []string{"zagreb-a", "rijeka-a"} {
+			s := &searcher{ID: fmt.Sprintf("i-%s-%d", name, replica), Service: name, Zone: zone, Slots: 2, Queue: 12, Work: 4 * time.Millisecond}
+			if index++; float64(index%10) < shedSearchers*10 {
+				s.Behave = shed
+			}
+			if err := w.addSearcher(s); err != nil {
+				return result{}, err
+			}
+		}
+	}
+	routes := []route{{
+		Name: "profile-lookup", Host: "radic.example", Prefix: "/profile/", Kind: "idempotent", Timeout: int(stuckTimeout.Milliseconds()),
+		Target: 250, Priority: 1, Gather: names, Attempts: 2, Top: 10, Least: 0.89,
+	}}
+	if err := w.configure(1, routes, services); err != nil {
+		return result{}, err
+	}
+	if err := w.start("zagreb-a", "zagreb-a", "zagreb-a"); err != nil {
+		return result{}, err
+	}
+	load := &load{World: w, Rate: stuckRate, Resolver: &resolver{Directories: w.directories(), Host: "radic.example", Region: "zagreb", Zone: "zagreb-a"}}
+	load.start()
+	for _, d := range w.daemons {
+		d.terminate()
+		if err := d.start(false); err != nil {
+			return result{}, err
+		}
+		if err := d.awaitReady(); err != nil {
+			return result{}, err
+		}
+		if w.Trouble {
+			w.record.line("%.0f%% of the searchers reject %.0f%% of their requests", 100*shedSearchers, 100*shedShare)
+		}
+		shedding.Store(w.Trouble)
+		time.Sleep(shedTime)
+		shedding.Store(false)
+		w.record.line("the searchers serve all requests")
+	}
+	time.Sleep(stability)
+	from := time.Now()
+	w.record.line("the check begins")
+	time.Sleep(2 * stability)
+	load.stop()
+	return judgeTimeouts(w, load.calls, from), nil
+}
+
+// load sends requests at a constant rate, each to one of the daemons that the resolver names.
+type load struct {
+	World    *world
+	Rate     int
+	Resolver *resolver
+
+	conns connections
+	mu    sync.Mutex
+	calls []*call
+	group sync.WaitGroup
+	done  chan struct{}
+}
+
+func (l *load) start() {
+	l.done = make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(time.Second / time.Duration(l.Rate))
+		defer ticker.Stop()
+		for {
+			select {
+			case <-l.done:
+				return
+			case <-ticker.C:
+			}
+			l.group.Go(l.send)
+		}
+	}()
+}
+
+func (l *load) send() {
+	addresses := l.Resolver.addresses()
+	if len(addresses) == 0 {
+		return
+	}
+	l.conns.drop(addresses)
+	id := newID()
+	c := &call{ID: id, Method: http.MethodGet, Host: "radic.example", URI: "/profile/" + id, Deadline: stuckDeadline}
+	l.conns.do(addresses[rand.IntN(len(addresses))], c)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls = append(l.calls, c)
+}
+
+func (l *load) stop() {
+	close(l.done)
+	l.group.Wait()
+}
+
+// judgeTimeouts checks that requests sent later than from, which are still unanswered at the
+// timeout of their route, have a final answer half a second later.
+func judgeTimeouts(w *world, calls []*call, from time.Time) result {
+	late, unanswered := map[string]int{}, map[string]int{}
+	total, totalLate, totalUnanswered := 0, 0, 0
+	for _, c := range calls {
+		w.record.line("request %s sent at %.3f to %s: status %d after %d ms, error %v", c.ID, c.Sent.Sub(w.record.start).Seconds(),
+			w.nameOf(c.Daemon), c.Status, c.Done.Sub(c.Sent).Milliseconds(), c.Err)
+		if c.Sent.Before(from) {
+			continue
+		}
+		total++
+		if c.Done.Sub(c.Sent) <= stuckTimeout {
+			continue
+		}
+		late[w.nameOf(c.Daemon)]++
+		totalLate++
+		if c.Done.Sub(c.Sent) > stuckTimeout+500*time.Millisecond {
+			unanswered[w.nameOf(c.Daemon)]++
+			totalUnanswered++
+		}
+	}
+	text := fmt.Sprintf("%d requests in the check; %d unanswered at the timeout, of which %d half a second later", total, totalLate, totalUnanswered)
+	for _, d := range w.daemons {
+		text += fmt.Sprintf("; %s: %d, %d", d.Name, late[d.Name], unanswered[d.Name])
+	}
+	return result{Broken: totalUnanswered >= 8 && 4*totalUnanswered > totalLate, Text: text}
+}
--- /dev/null
+++ b/review/stand2/world.go
@@ -0,0 +1,305 @@
+//go:build review
+
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/platform/fakes"
+)
+
+const (
+	// gracePeriod is the time from SIGTERM to SIGKILL.
+	gracePeriod = 6 * time.Second
+	// stability is the bound stabilityWindowMs.
+	stability = 5 * time.Second
+	// readyTimeout is how long a case waits for its daemons.
+	readyTimeout = 20 * time.Second
+)
+
+// errEnvironment is the cause for which a case cannot run.
+var errEnvironment = errors.New("the case cannot run")
+
+// world is a small deployment: a store, searchers and daemons.
+type world struct {
+	// Trouble is true unless the case runs without its disruption.
+	Trouble bool
+	Folder  string
+
+	store     *fakes.Store
+	searchers []*searcher
+	daemons   []*daemon
+	temporary string
+	record    *record
+}
+
+// record is the file that tells what was sent, answered and run.
+type record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+func (r *record) line(format string, values ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f "+format+"\n", append([]any{time.Since(r.start).Seconds()}, values...)...)
+}
+
+func newWorld(folder string, trouble bool) (*world, error) {
+	file, err := os.Create(filepath.Join(folder, "record.txt"))
+	if err != nil {
+		return nil, err
+	}
+	temporary, err := os.MkdirTemp("", "review")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{Trouble: trouble, Folder: folder, temporary: temporary, record: &record{file: file, start: time.Now()}}
+	w.store = fakes.NewStore()
+	w.record.line("case %s, trouble %t", filepath.Base(folder), trouble)
+	return w, nil
+}
+
+// close ends everything that the world has started.
+func (w *world) close() {
+	for _, d := range w.daemons {
+		d.kill()
+	}
+	for _, s := range w.searchers {
+		s.stop()
+	}
+	w.store.Close()
+	_ = os.RemoveAll(w.temporary)
+	_ = w.record.file.Close()
+}
+
+// addSearcher starts a searcher and registers it.
+func (w *world) addSearcher(s *searcher) error {
+	if err := s.start(); err != nil {
+		return err
+	}
+	w.searchers = append(w.searchers, s)
+	w.store.Put("servers/"+s.ID, s.entry("ready"))
+	return nil
+}
+
+// route and service are parts of the operator's configuration.
+type route struct {
+	Name     string   `json:"name"`
+	Host     string   `json:"host"`
+	Prefix   string   `json:"prefix"`
+	Kind     string   `json:"kind"`
+	Timeout  int      `json:"timeoutMs"`
+	Target   int      `json:"targetLatencyMs"`
+	Priority int      `json:"priority"`
+	Service  string   `json:"service,omitempty"`
+	Gather   []string `json:"gather,omitempty"`
+	Attempts int      `json:"maxAttempts"`
+	Top      int      `json:"topK,omitempty"`
+	Least    float64  `json:"minShardFraction,omitempty"`
+}
+
+type service struct {
+	Name        string `json:"name"`
+	Health      string `json:"healthCheckPath"`
+	Connections int    `json:"maxConnections"`
+}
+
+// configure writes the operator's configuration.
+func (w *world) configure(version int, routes []route, services []service) error {
+	value, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes, "services": services,
+		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	if err != nil {
+		return err
+	}
+	w.store.Put("op/config", value)
+	return nil
+}
+
+const settings = `nodeName: "%[1]s"
+role: "relay"
+machineClass: "frontend"
+serves: ["frontend", "directory"]
+ip: "%[2]s"
+zone: "%[3]s"
+region: "%[4]s"
+zones: {zagreb-a: "zagreb", rijeka-a: "rijeka", osijek-a: "osijek"}
+listenAddresses: {front: "%[2]s:%[5]d", ready: "%[2]s:%[6]d", control: "%[2]s:%[7]d", directory: "%[2]s:%[8]d"}
+internalPortRange: [%[9]d, %[9]d]
+seeds: []
+bootstrap: %[10]t
+inTolerance: false
+limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, fileDescriptors: 4100, linkBandwidthMbps: 1000.0, diskMb: 0}
+dataDirectory: null
+discovery: "platform"
+entry: "directory"
+heartbeatIntervalMs: 1200
+bounds: {seedLagS: 3, addressReuseS: 2, stabilityWindowMs: 5000, ackTimeoutMs: 6000, catchUpS: 4, drainTimeoutMs: 4000, gracePeriodS: 6, lossSlackMs: 200, configApplyMs: 4000, downgradeSlackMs: 250, maxStretchMs: 15000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 54, recoveryS: 12, ttl_max_s: 5}
+platform: {address: "%[11]s", form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
+`
+
+// daemon is a process of the project.
+type daemon struct {
+	Name string
+	Zone string
+
+	ip        string
+	front     string
+	ready     string
+	directory string
+	ports     [5]int
+	world     *world
+	command   *exec.Cmd
+	exited    chan struct{}
+}
+
+// addDaemon starts a daemon at loopback address 127.46.0.N.
+func (w *world) addDaemon(zone string) (*daemon, error) {
+	n := len(w.daemons) + 1
+	d := &daemon{Name: "frontend-" + zone + "-" + strconv.Itoa(n), Zone: zone, ip: fmt.Sprintf("127.46.%d.%d", os.Getpid()%250, n), world: w}
+	for i := range d.ports {
+		port, err := freePort(d.ip)
+		if err != nil {
+			return nil, err
+		}
+		d.ports[i] = port
+	}
+	d.front = net.JoinHostPort(d.ip, strconv.Itoa(d.ports[0]))
+	d.ready = net.JoinHostPort(d.ip, strconv.Itoa(d.ports[1]))
+	d.directory = net.JoinHostPort(d.ip, strconv.Itoa(d.ports[3]))
+	w.daemons = append(w.daemons, d)
+	return d, d.start(true)
+}
+
+// freePort returns a port that is free for TCP and UDP.
+func freePort(ip string) (int, error) {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer listener.Close()
+	port := listener.Addr().(*net.TCPAddr).Port
+	socket, err := net.ListenPacket("udp", net.JoinHostPort(ip, strconv.Itoa(port)))
+	if err != nil {
+		return 0, err
+	}
+	return port, socket.Close()
+}
+
+// start starts the process as the deploy file says.
+func (d *daemon) start(bootstrap bool) error {
+	region := d.Zone[:len(d.Zone)-2]
+	path := filepath.Join(d.world.temporary, d.Name+".yaml")
+	content := fmt.Sprintf(settings, d.Name, d.ip, d.Zone, region, d.ports[0], d.ports[1], d.ports[2], d.ports[3], d.ports[4], bootstrap, d.world.store.Address())
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(d.world.temporary, d.Name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	command := exec.Command("target/magnoliarelay-node")
+	command.Env = []string{"MAGNOLIARELAY_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG")}
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	d.command, d.exited = command, exited
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	d.world.record.line("daemon %s started, process %d", d.Name, command.Process.Pid)
+	return nil
+}
+
+// kill ends the process.
+func (d *daemon) kill() {
+	if d.command != nil {
+		_ = d.command.Process.Kill()
+		<-d.exited
+	}
+}
+
+// terminate stops the process as the platform does, and reports whether it ended by itself
+// within its grace period.
+func (d *daemon) terminate() (inTime bool) {
+	d.world.record.line("daemon %s: SIGTERM", d.Name)
+	_ = d.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-d.exited:
+		d.world.record.line("daemon %s ended", d.Name)
+		return true
+	case <-time.After(gracePeriod):
+		d.world.record.line("daemon %s: SIGKILL at the end of its grace period", d.Name)
+		d.kill()
+		return false
+	}
+}
+
+// awaitReady waits until the daemon says that it is ready.
+func (d *daemon) awaitReady() error {
+	client := http.Client{Timeout: time.Second}
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		response, err := client.Get("http://" + d.ready + "/readiness")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			d.world.record.line("daemon %s is ready", d.Name)
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: daemon %s is not ready", errEnvironment, d.Name)
+}
+
+// start starts daemons in the zones and waits until all are ready.
+func (w *world) start(zones ...string) error {
+	for _, zone := range zones {
+		if _, err := w.addDaemon(zone); err != nil {
+			return err
+		}
+	}
+	for _, d := range w.daemons {
+		if err := d.awaitReady(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// directories returns the addresses that requesters ask where to connect.
+func (w *world) directories() []string {
+	var list []string
+	for _, d := range w.daemons {
+		list = append(list, d.directory)
+	}
+	return list
+}
+
+// nameOf returns the name of the daemon with the address.
+func (w *world) nameOf(front string) string {
+	for _, d := range w.daemons {
+		if d.front == front {
+			return d.Name
+		}
+	}
+	return front
+}
