--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -26,6 +26,7 @@
 
 var cases = map[string]func(w *world) (result, error){
 	"stuck":   playStuck,
+	"promise": playPromise,
 }
 
 func main() { os.Exit(run()) }
