--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,7 @@
 }
 
 var cases = map[string]func(w *world) (result, error){
+	"cut":     playCut,
 	"stuck":   playStuck,
 	"promise": playPromise,
 }
--- a/review/stand2/stuck.go
+++ b/review/stand2/stuck.go
@@ -18,10 +18,10 @@
 	stuckDeadline = 4 * time.Second
 	// stuckRate is the number of requests a second at all daemons together.
 	stuckRate = 250
-	// shedTime, shedSearchers and shedShare are the dose of the disruption.
-	shedTime      = 9 * time.Second
-	shedSearchers = 0.8
-	shedShare     = 0.6
+	// shedTime and shedShare are the dose of the disruption. One of the two searchers of each
+	// shard rejects.
+	shedTime  = 9 * time.Second
+	shedShare = 0.6
 )
 
 // playStuck restarts the daemons one after the other, while searchers of many shards reject
@@ -37,14 +37,13 @@
 	}
 	var names []string
 	var services []service
-	index := 0
 	for shard := range stuckShards {
 		name := fmt.Sprintf("lathe%02d", shard)
 		names = append(names, name)
 		services = append(services, service{Name: name, Health: "/health", Connections: 26})
 		for replica, zone := range []string{"zagreb-a", "rijeka-a"} {
 			s := &searcher{ID: fmt.Sprintf("i-%s-%d", name, replica), Service: name, Zone: zone, Slots: 2, Queue: 12, Work: 4 * time.Millisecond}
-			if index++; float64(index%10) < shedSearchers*10 {
+			if replica == 0 {
 				s.Behave = shed
 			}
 			if err := w.addSearcher(s); err != nil {
@@ -73,7 +72,7 @@
 			return result{}, err
 		}
 		if w.Trouble {
-			w.record.line("%.0f%% of the searchers reject %.0f%% of their requests", 100*shedSearchers, 100*shedShare)
+			w.record.line("one searcher of each shard rejects %.0f%% of its requests", 100*shedShare)
 		}
 		shedding.Store(w.Trouble)
 		time.Sleep(shedTime)
