--- a/review/stand2/cut.go
+++ b/review/stand2/cut.go
@@ -109,7 +109,7 @@
 		searchers = append(searchers, s)
 	}
 	routes := []route{{
-		Name: "cert", Host: "radic.example", Prefix: "/cert/", Kind: "idempotent", Timeout: 4000, Target: 800, Priority: 2, Service: "ledger", Attempts: 2,
+		Name: "cert", Host: "radic.example", Prefix: "/cert/", Timeout: 4000, Target: 800, Priority: 2, Service: "ledger", Attempts: 2,
 	}}
 	if err := w.configure(1, routes, []service{{Name: "ledger", Health: "/health", Connections: 100}}); err != nil {
 		return result{}, err
--- a/review/stand2/promise.go
+++ b/review/stand2/promise.go
@@ -77,7 +77,7 @@
 		}
 	}
 	routes := []route{{
-		Name: "cert", Host: "radic.example", Prefix: "/cert/", Kind: "non_idempotent", Timeout: 4000, Target: 800, Priority: 2, Service: "ledger", Attempts: 2,
+		Name: "cert", Host: "radic.example", Prefix: "/cert/", OnlyOnce: true, Timeout: 4000, Target: 800, Priority: 2, Service: "ledger", Attempts: 2,
 	}}
 	if err := w.configure(1, routes, []service{{Name: "ledger", Health: "/health", Connections: 100}}); err != nil {
 		return result{}, err
--- a/review/stand2/searcher.go
+++ b/review/stand2/searcher.go
@@ -13,16 +13,6 @@
 	"time"
 )
 
-// The headers of the platform.
-const (
-	headerID        = "Magnoliarelay-Request-Id"
-	headerDeadline  = "Magnoliarelay-Request-Deadline"
-	headerInstance  = "Magnoliarelay-Expected-Instance"
-	headerSignature = "Magnoliarelay-Response-Signature"
-	headerNotRun    = "Magnoliarelay-Not-Executed"
-	headerLoad      = "Magnoliarelay-Server-Load"
-)
-
 // searcher is a stand-in for one searcher. Its exported fields are set before start.
 type searcher struct {
 	ID      string
@@ -65,7 +55,7 @@
 
 // entry is the searcher's registration in the store.
 func (s *searcher) entry(state string) []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"coldRemainingMs":0,"sequence":1,"born":%d}`,
+	return fmt.Appendf(nil, entryFormat,
 		s.Service, s.address, s.Zone, s.Slots, state, s.born)
 }
 
@@ -83,7 +73,7 @@
 
 func (s *searcher) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/health" {
-		w.Header().Set("Magnoliarelay-Instance-Id", s.ID)
+		w.Header().Set(headerOwnID, s.ID)
 		return
 	}
 	if expected := r.Header.Get(headerInstance); expected != "" && expected != s.ID {
--- a/review/stand2/stuck.go
+++ b/review/stand2/stuck.go
@@ -52,7 +52,7 @@
 		}
 	}
 	routes := []route{{
-		Name: "profile-lookup", Host: "radic.example", Prefix: "/profile/", Kind: "idempotent", Timeout: int(stuckTimeout.Milliseconds()),
+		Name: "profile-lookup", Host: "radic.example", Prefix: "/profile/", Timeout: int(stuckTimeout.Milliseconds()),
 		Target: 250, Priority: 1, Gather: names, Attempts: 2, Top: 10, Least: 0.89,
 	}}
 	if err := w.configure(1, routes, services); err != nil {
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -3,7 +3,7 @@
 package main
 
 import (
-	"encoding/json"
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -97,61 +97,36 @@
 
 // route and service are parts of the operator's configuration.
 type route struct {
-	Name     string   `json:"name"`
-	Host     string   `json:"host"`
-	Prefix   string   `json:"prefix"`
-	Kind     string   `json:"kind"`
-	Timeout  int      `json:"timeoutMs"`
-	Target   int      `json:"targetLatencyMs"`
-	Priority int      `json:"priority"`
-	Service  string   `json:"service,omitempty"`
-	Gather   []string `json:"gather,omitempty"`
-	Attempts int      `json:"maxAttempts"`
-	Top      int      `json:"topK,omitempty"`
-	Least    float64  `json:"minShardFraction,omitempty"`
+	Name, Host, Prefix string
+	// OnlyOnce is true if a request may run once at most.
+	OnlyOnce bool
+	// Timeout and Target are in milliseconds.
+	Timeout, Target    int
+	Priority, Attempts int
+	// Service is the route's service, or Gather its shards.
+	Service string
+	Gather  []string
+	Top     int
+	Least   float64
 }
 
 type service struct {
-	Name        string `json:"name"`
-	Health      string `json:"healthCheckPath"`
-	Connections int    `json:"maxConnections"`
+	Name        string
+	Health      string
+	Connections int
 }
 
 // configure writes the operator's configuration.
 func (w *world) configure(version int, routes []route, services []service) error {
-	value, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": services,
-		"limits": map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	var out bytes.Buffer
+	err := configuration.Execute(&out, map[string]any{"Version": version, "Routes": routes, "Services": services})
 	if err != nil {
 		return err
 	}
-	w.store.Put("op/config", value)
+	w.store.Put(names.ConfigKey, out.Bytes())
 	return nil
 }
 
-const settings = `nodeName: "%[1]s"
-role: "relay"
-machineClass: "frontend"
-serves: ["frontend", "directory"]
-ip: "%[2]s"
-zone: "%[3]s"
-region: "%[4]s"
-zones: {zagreb-a: "zagreb", rijeka-a: "rijeka", osijek-a: "osijek"}
-listenAddresses: {front: "%[2]s:%[5]d", ready: "%[2]s:%[6]d", control: "%[2]s:%[7]d", directory: "%[2]s:%[8]d"}
-internalPortRange: [%[9]d, %[9]d]
-seeds: []
-bootstrap: %[10]t
-inTolerance: false
-limits: {cpuShare: 0.4, cores: 1, memoryMb: 284, fileDescriptors: 4100, linkBandwidthMbps: 1000.0, diskMb: 0}
-dataDirectory: null
-discovery: "platform"
-entry: "directory"
-heartbeatIntervalMs: 1200
-bounds: {seedLagS: 3, addressReuseS: 2, stabilityWindowMs: 5000, ackTimeoutMs: 6000, catchUpS: 4, drainTimeoutMs: 4000, gracePeriodS: 6, lossSlackMs: 200, configApplyMs: 4000, downgradeSlackMs: 250, maxStretchMs: 15000, retryBudgetRatio: 0.2, budgetWindowS: 10, retryBudgetSlack: 54, recoveryS: 12, ttl_max_s: 5}
-platform: {address: "%[11]s", form: "kv", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000}
-`
-
 // daemon is a process of the project.
 type daemon struct {
 	Name string
