--- a/review/stand2/stuck.go
+++ b/review/stand2/stuck.go
@@ -22,6 +22,8 @@
 	// shard rejects.
 	shedTime  = 9 * time.Second
 	shedShare = 0.6
+	// restartRounds is how often each daemon is restarted.
+	restartRounds = 2
 )
 
 // playStuck restarts the daemons one after the other, while searchers of many shards reject
@@ -63,7 +65,8 @@
 	}
 	load := &load{World: w, Rate: stuckRate, Resolver: &resolver{Directories: w.directories(), Host: "radic.example", Region: "zagreb", Zone: "zagreb-a"}}
 	load.start()
-	for _, d := range w.daemons {
+	for i := range restartRounds * len(w.daemons) {
+		d := w.daemons[i%len(w.daemons)]
 		d.terminate()
 		if err := d.start(false); err != nil {
 			return result{}, err
@@ -79,12 +82,9 @@
 		shedding.Store(false)
 		w.record.line("the searchers serve all requests")
 	}
-	time.Sleep(stability)
-	from := time.Now()
-	w.record.line("the check begins")
 	time.Sleep(2 * stability)
 	load.stop()
-	return judgeTimeouts(w, load.calls, from), nil
+	return judgeTimeouts(w, load.calls), nil
 }
 
 // load sends requests at a constant rate, each to one of the daemons that the resolver names.
@@ -135,29 +135,32 @@
 	l.group.Wait()
 }
 
-// judgeTimeouts checks that requests sent later than from, which are still unanswered at the
+// judgeTimeouts checks that requests to daemons in touch, which are still unanswered at the
 // timeout of their route, have a final answer half a second later.
-func judgeTimeouts(w *world, calls []*call, from time.Time) result {
+func judgeTimeouts(w *world, calls []*call) result {
+	const bound = stuckTimeout + 500*time.Millisecond
 	late, unanswered := map[string]int{}, map[string]int{}
 	total, totalLate, totalUnanswered := 0, 0, 0
 	for _, c := range calls {
+		d := w.daemonAt(c.Daemon)
+		took := c.Done.Sub(c.Sent)
 		w.record.line("request %s sent at %.3f to %s: status %d after %d ms, error %v", c.ID, c.Sent.Sub(w.record.start).Seconds(),
-			w.nameOf(c.Daemon), c.Status, c.Done.Sub(c.Sent).Milliseconds(), c.Err)
-		if c.Sent.Before(from) {
+			d.Name, c.Status, took.Milliseconds(), c.Err)
+		if !d.inTouch(c.Sent, c.Sent.Add(bound)) {
 			continue
 		}
 		total++
-		if c.Done.Sub(c.Sent) <= stuckTimeout {
+		if took <= stuckTimeout {
 			continue
 		}
-		late[w.nameOf(c.Daemon)]++
+		late[d.Name]++
 		totalLate++
-		if c.Done.Sub(c.Sent) > stuckTimeout+500*time.Millisecond {
-			unanswered[w.nameOf(c.Daemon)]++
+		if took > bound {
+			unanswered[d.Name]++
 			totalUnanswered++
 		}
 	}
-	text := fmt.Sprintf("%d requests in the check; %d unanswered at the timeout, of which %d half a second later", total, totalLate, totalUnanswered)
+	text := fmt.Sprintf("%d requests to daemons in touch; %d unanswered at the timeout, of which %d half a second later", total, totalLate, totalUnanswered)
 	for _, d := range w.daemons {
 		text += fmt.Sprintf("; %s: %d, %d", d.Name, late[d.Name], unanswered[d.Name])
 	}
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -140,6 +141,19 @@
 	world     *world
 	command   *exec.Cmd
 	exited    chan struct{}
+	// lives are the times from a start of the process to its SIGTERM.
+	lives []life
+}
+
+// life is the life of one process; to is zero while it lasts.
+type life struct{ from, to time.Time }
+
+// inTouch reports whether the process ran undisturbed for the stability window before a
+// time and until another one.
+func (d *daemon) inTouch(from, to time.Time) bool {
+	return slices.ContainsFunc(d.lives, func(l life) bool {
+		return !from.Before(l.from.Add(stability)) && (l.to.IsZero() || to.Before(l.to))
+	})
 }
 
 // addDaemon starts a daemon at loopback address 127.46.0.N.
@@ -196,6 +210,7 @@
 	}
 	exited := make(chan struct{})
 	d.command, d.exited = command, exited
+	d.lives = append(d.lives, life{from: time.Now()})
 	go func() {
 		_ = command.Wait()
 		close(exited)
@@ -216,6 +231,7 @@
 // within its grace period.
 func (d *daemon) terminate() (inTime bool) {
 	d.world.record.line("daemon %s: SIGTERM", d.Name)
+	d.lives[len(d.lives)-1].to = time.Now()
 	_ = d.command.Process.Signal(syscall.SIGTERM)
 	select {
 	case <-d.exited:
@@ -269,12 +285,15 @@
 	return list
 }
 
-// nameOf returns the name of the daemon with the address.
-func (w *world) nameOf(front string) string {
+// daemonAt returns the daemon with the address.
+func (w *world) daemonAt(front string) *daemon {
 	for _, d := range w.daemons {
 		if d.front == front {
-			return d.Name
+			return d
 		}
 	}
-	return front
+	return &daemon{Name: front}
 }
+
+// nameOf returns the name of the daemon with the address.
+func (w *world) nameOf(front string) string { return w.daemonAt(front).Name }
