--- a/review/stand2/cut.go
+++ b/review/stand2/cut.go
@@ -18,8 +18,8 @@
 
 const (
 	cutSearchers = 6
-	cutRate      = 150
-	cutTime      = 11 * time.Second
+	cutRate      = 250
+	cutTime      = 32 * time.Second
 	cutDeadline  = 4 * time.Second
 	// cutBody is the size of a request's body; the operator allows 262,144 bytes.
 	cutBody = 200_000
@@ -29,6 +29,9 @@
 	spoilTime      = 5 * time.Second
 	spoilSearchers = 3
 	spoilShare     = 0.05
+	// spoilEvery is the time from one disruption to the next.
+	spoilEvery = 10 * time.Second
+	spoilStart = 2 * time.Second
 )
 
 // plainSearcher is a searcher whose answers have no length and end with the connection.
@@ -126,7 +129,8 @@
 	query := bytes.Repeat([]byte("q"), cutBody)
 	for begin := time.Now(); time.Since(begin) < cutTime; {
 		<-ticker.C
-		spoiling.Store(w.Trouble && time.Since(begin) > 2*time.Second && time.Since(begin) < 2*time.Second+spoilTime)
+		since := time.Since(begin) - spoilStart
+		spoiling.Store(w.Trouble && since > 0 && since%spoilEvery < spoilTime)
 		group.Go(func() {
 			addresses := resolver.addresses()
 			if len(addresses) == 0 {
