--- a/review/stand2/cut.go
+++ b/review/stand2/cut.go
@@ -25,10 +25,9 @@
 	cutBody = 200_000
 	// cutRecords is the number of records in an answer.
 	cutRecords = 200
-	// spoilTime, spoilSearchers and spoilShare are the dose of the disruption.
-	spoilTime      = 5 * time.Second
-	spoilSearchers = 3
-	spoilShare     = 0.05
+	// spoilTime and spoilShare are the dose of the disruption.
+	spoilTime  = 5 * time.Second
+	spoilShare = 0.05
 	// spoilEvery is the time from one disruption to the next.
 	spoilEvery = 10 * time.Second
 	spoilStart = 2 * time.Second
@@ -102,7 +101,9 @@
 	var searchers []*plainSearcher
 	for i := range cutSearchers {
 		s := &plainSearcher{searcher: searcher{ID: fmt.Sprintf("i-ledger-%d", i), Service: "ledger", Zone: zones[i%len(zones)], Slots: 6, Work: 10 * time.Millisecond}, record: w.record}
-		s.spoils = func() bool { return i < spoilSearchers && spoiling.Load() && rand.Float64() < spoilShare }
+		// Half of the searchers, among them both in the zone of the requesters.
+		spoiler := i == 1 || s.Zone == zones[0]
+		s.spoils = func() bool { return spoiler && spoiling.Load() && rand.Float64() < spoilShare }
 		if err := s.listen(); err != nil {
 			return result{}, err
 		}
