--- a/review/stand2/cut.go
+++ b/review/stand2/cut.go
@@ -70,7 +70,7 @@
 		return
 	}
 	id := r.Header.Get(headerID)
-	if r.Header.Get(headerInstance) != s.ID {
+	if expected := r.Header.Get(headerInstance); expected != "" && expected != s.ID {
 		_, _ = io.Copy(io.Discard, r.Body)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", headerID, id, headerNotRun)
 		return
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,9 +25,8 @@
 }
 
 var cases = map[string]func(w *world) (result, error){
-	"cut":     playCut,
-	"stuck":   playStuck,
-	"promise": playPromise,
+	"cut":   playCut,
+	"stuck": playStuck,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand2/searcher.go
+++ b/review/stand2/searcher.go
@@ -21,13 +21,9 @@
 	Slots   int
 	Queue   int
 	Work    time.Duration
-	// Run, if set, is called when the searcher begins to work on a request.
-	Run func(s *searcher, r *http.Request)
 	// Behave, if set, is asked before a request runs and may answer it instead; it returns
 	// true if it has.
 	Behave func(s *searcher, w http.ResponseWriter, r *http.Request) bool
-	// Finish, if set, answers a request that has run; otherwise the answer is a success.
-	Finish func(s *searcher, w http.ResponseWriter, r *http.Request)
 
 	address string
 	born    int64
@@ -98,18 +94,11 @@
 		s.running.Add(-1)
 		<-s.slots
 	}()
-	if s.Run != nil {
-		s.Run(s, r)
-	}
 	select {
 	case <-time.After(s.Work):
 	case <-r.Context().Done():
 		return
 	}
-	if s.Finish != nil {
-		s.Finish(s, w, r)
-		return
-	}
 	s.succeed(w, r)
 }
 
--- a/review/stand2/stuck.go
+++ b/review/stand2/stuck.go
@@ -87,21 +87,56 @@
 	return judgeTimeouts(w, load.calls), nil
 }
 
-// load sends requests at a constant rate, each to one of the daemons that the resolver names.
+// load sends requests at a constant rate, each from one of several requesters, and a few
+// directly to each daemon that is ready.
 type load struct {
 	World    *world
 	Rate     int
 	Resolver *resolver
 
-	conns connections
-	mu    sync.Mutex
-	calls []*call
-	group sync.WaitGroup
-	done  chan struct{}
+	requesters []*requester
+	mu         sync.Mutex
+	calls      []*call
+	group      sync.WaitGroup
+	done       chan struct{}
 }
 
+// requester keeps connections, and avoids the daemons that have failed it.
+type requester struct {
+	conns  connections
+	mu     sync.Mutex
+	failed map[string]bool
+}
+
+// pick returns a random address of those that have not failed the requester, or of all if
+// each of them has.
+func (r *requester) pick(addresses []string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sound []string
+	for _, address := range addresses {
+		if !r.failed[address] {
+			sound = append(sound, address)
+		}
+	}
+	if len(sound) == 0 {
+		r.failed = map[string]bool{}
+		sound = addresses
+	}
+	return sound[rand.IntN(len(sound))]
+}
+
+const (
+	stuckRequesters = 60
+	// directInterval is the time between two requests that are sent directly to a daemon.
+	directInterval = 500 * time.Millisecond
+)
+
 func (l *load) start() {
 	l.done = make(chan struct{})
+	for range stuckRequesters {
+		l.requesters = append(l.requesters, &requester{failed: map[string]bool{}})
+	}
 	go func() {
 		ticker := time.NewTicker(time.Second / time.Duration(l.Rate))
 		defer ticker.Stop()
@@ -114,6 +149,9 @@
 			l.group.Go(l.send)
 		}
 	}()
+	for _, d := range l.World.daemons {
+		go l.sendDirectly(d)
+	}
 }
 
 func (l *load) send() {
@@ -121,13 +159,45 @@
 	if len(addresses) == 0 {
 		return
 	}
-	l.conns.drop(addresses)
+	r := l.requesters[rand.IntN(len(l.requesters))]
+	r.conns.drop(addresses)
+	address := r.pick(addresses)
+	if c := l.call(&r.conns, address); !c.Answered {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.failed[address] = true
+	}
+}
+
+// sendDirectly sends requests to a daemon while it says that it is ready.
+func (l *load) sendDirectly(d *daemon) {
+	var conns connections
+	client := http.Client{Timeout: time.Second}
+	for {
+		select {
+		case <-l.done:
+			return
+		case <-time.After(directInterval):
+		}
+		response, err := client.Get("http://" + d.ready + "/readiness")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			l.group.Go(func() { l.call(&conns, d.front) })
+		}
+	}
+}
+
+func (l *load) call(conns *connections, address string) *call {
 	id := newID()
 	c := &call{ID: id, Method: http.MethodGet, Host: "radic.example", URI: "/profile/" + id, Deadline: stuckDeadline}
-	l.conns.do(addresses[rand.IntN(len(addresses))], c)
+	conns.do(address, c)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.calls = append(l.calls, c)
+	return c
 }
 
 func (l *load) stop() {
