Call nothing outside package fleet while a fleet is locked

Cause: Fleet.Pick and Fleet.Wait called Query.RetryCost with Fleet.mu held. The relay's RetryCost looks up the retry budget in Pools, which takes Pools.mu; Pools.SetSharers, Register and SetDrainTimeout hold Pools.mu while they call the fleets. Two goroutines that met took the two locks in both orders and waited for each other for good.

Ruled out: a missed wake-up or a limit of attempts that never recovers.

Change: a fleet makes no call of a function that it was given while it is locked. RetryCost is a value, which Group computes before; LateAfter is called between the choice and the record of the send; OnStateChange, OnNotice, OnKept, OnRemoved and the wake functions of waiting requests are called, in order, when the lock is released; regionOf before it is taken. So any of them may take any lock.

--- a/internal/process/fleet/expect.go
+++ b/internal/process/fleet/expect.go
@@ -78,11 +78,7 @@
 		score = max(score, t.responses.wait(now, t.inFlight)) + t.expectedLossCost(now, q.LostAnswerCost)
 	}
 	if t.rejections.rate > 0 {
-		retryCost := time.Duration(0)
-		if q.RetryCost != nil {
-			retryCost = q.RetryCost()
-		}
-		score += t.rejections.expectedCost(retryCost)
+		score += t.rejections.expectedCost(q.RetryCost)
 	}
 	return score
 }
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -23,17 +23,16 @@
 	// Registered is true for a pool whose targets come from SetEntries.
 	Registered bool
 	// OnStateChange, if set, is called when the daemon's view of whether a target
-	// serves requests changes; why is the outcome that changed it. It must not
-	// call the fleet.
+	// serves requests changes; why is the outcome that changed it.
 	OnStateChange func(t *Target, state State, why Outcome)
 	// OnNotice, if set, is called when a target begins to leave or to pause, or when it
-	// changes its limit. It must not call the fleet.
+	// changes its limit.
 	OnNotice func(t *Target, n Notice)
 	// OnKept, if set, is called for each request that is kept away from a target that
-	// leaves, pauses or limits its requests. It must not call the fleet.
+	// leaves, pauses or limits its requests.
 	OnKept func(why NoticeKind)
 	// OnRemoved, if set, is called when a registered target is removed or replaced that has
-	// not said before that it leaves. It must not call the fleet.
+	// not said before that it leaves.
 	OnRemoved func(t *Target)
 	// Seed makes the selection of targets repeatable.
 	Seed uint64
@@ -64,6 +63,7 @@
 	drainTimeout    time.Duration
 	// limitFraction is this daemon's fraction of the limits that targets name.
 	limitFraction float64
+	calls         calls
 }
 
 // New returns an empty fleet with the default settings.
@@ -87,14 +87,14 @@
 // Configure applies the service's settings.
 func (f *Fleet) Configure(settings *tree.Settings) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	f.settings = settings
 }
 
 // SetDaemons sets the number of live daemons that share the targets.
 func (f *Fleet) SetDaemons(count int) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	if count = max(count, 1); count != f.daemons {
 		f.daemons = count
 		f.viewsStale = true
@@ -105,7 +105,7 @@
 // are removed; hosts that are marked as leaving get no new work.
 func (f *Fleet) SetHosts(now time.Time, hosts []wire.Host) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	listed := make(map[string]bool, len(hosts))
 	for i := range hosts {
 		listed[hosts[i].Address] = true
@@ -172,7 +172,7 @@
 // process, starts with a clean record.
 func (f *Fleet) Report(now time.Time, address string, status *wire.TargetStatus) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	t := f.targets[address]
 	if t == nil {
 		return
@@ -206,7 +206,7 @@
 // answer.
 func (f *Fleet) Unreachable(address string, refused bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	t := f.targets[address]
 	switch {
 	case t == nil || t.state == StateLeaving:
@@ -220,7 +220,7 @@
 // Forget records that a target no longer holds an index version.
 func (f *Fleet) Forget(t *Target, version uint64) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	kept := make([]wire.Index, 0, len(t.indexes))
 	for i := range t.indexes {
 		if t.indexes[i].Version != version || t.indexes[i].Service != f.config.Service {
@@ -235,7 +235,7 @@
 // target is known.
 func (f *Fleet) Plan() *View {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	f.refresh()
 	return f.plan
 }
@@ -244,7 +244,7 @@
 // successfully or not.
 func (f *Fleet) AllPolled() bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	for _, t := range f.order {
 		if t.state == StateUnknown {
 			return false
@@ -257,7 +257,7 @@
 // holds it.
 func (f *Fleet) PlanVersion(version uint64) *View {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	f.refresh()
 	for _, v := range f.views {
 		if v.Version == version {
@@ -293,7 +293,7 @@
 // more queries than that are needed to keep the bottleneck busy.
 func (f *Fleet) Capacity(now time.Time) int {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	f.refresh()
 	if f.plan == nil {
 		return 0
@@ -344,7 +344,7 @@
 // polled.
 func (f *Fleet) PollDue(now time.Time, interval time.Duration) []string {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	var due []string
 	routineAllowed := now.Sub(f.lastRoutinePoll) >= routineInterval
 	for _, t := range f.order {
@@ -377,7 +377,7 @@
 // Rows returns the state of every target, sorted by address.
 func (f *Fleet) Rows(now time.Time) []Row {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	rows := make([]Row, 0, len(f.order))
 	for _, t := range f.order {
 		rows = append(rows, Row{
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -56,9 +56,9 @@
 	// LostAnswerCost is the time that a lost answer is assumed to cost; it is zero
 	// for requests that may be sent again.
 	LostAnswerCost time.Duration
-	// RetryCost, if set, returns the time that a retry is assumed to cost beyond the
-	// time until it is sent.
-	RetryCost func() time.Duration
+	// RetryCost is the time that a retry is assumed to cost beyond the time until it is
+	// sent.
+	RetryCost time.Duration
 	// Granted is the ID of a target at which another daemon has taken a token for this
 	// attempt; it is usually empty.
 	Granted string
@@ -67,7 +67,7 @@
 	// less than a whole request.
 	Draw float64
 	// LateAfter, if set, returns how long after its send an attempt counts as
-	// late.
+	// late. The fleet isn't locked meanwhile.
 	LateAfter func(t *Target) time.Duration
 }
 
@@ -81,15 +81,28 @@
 
 // Pick chooses a target for a shard and counts the attempt as in flight.
 func (f *Fleet) Pick(now time.Time, q Query) Choice {
+	choice := f.pick(now, q)
+	if choice.Target != nil {
+		f.recordSend(now, choice.Target, q.Late(choice.Target))
+	}
+	return choice
+}
+
+func (f *Fleet) recordSend(now time.Time, t *Target, late time.Duration) {
+	f.mu.Lock()
+	defer f.unlock()
+	t.responses.recordSend(now, late)
+}
+
+func (f *Fleet) pick(now time.Time, q Query) Choice {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	choice := f.choose(now, q)
 	if choice.Target != nil {
 		choice.Target.inFlight++
 		if choice.Target.ID != q.Granted {
 			f.spend(choice.Target)
 		}
-		choice.Target.responses.recordSend(now, q.Late(choice.Target))
 	}
 	if len(f.selfReports.byBoot) > 0 {
 		f.countPassedOver(now, q.View.Replicas[q.Shard], choice.Target)
@@ -270,7 +283,7 @@
 // Finish records the end of an attempt. Latency is in seconds.
 func (f *Fleet) Finish(now time.Time, t *Target, shard int, outcome Outcome, latency float64, load *wire.Load) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	t.inFlight--
 	if f.config.Registered {
 		if outcome == Refused || outcome == Withheld {
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -50,8 +50,12 @@
 // registered are removed; a target that was restarted starts with a clean
 // record. It returns the IDs of targets that were removed or replaced.
 func (f *Fleet) SetEntries(now time.Time, entries []roster.Entry, regionOf func(dataCentre string) string) (gone []string) {
+	regions := make([]string, len(entries))
+	for i := range entries {
+		regions[i] = regionOf(entries[i].DataCentre)
+	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	listed := make(map[string]bool, len(entries))
 	for i := range entries {
 		e := &entries[i]
@@ -61,7 +65,7 @@
 			if t != nil {
 				gone = append(gone, f.remove(t))
 			}
-			t = f.newRegistered(now, e, regionOf(e.DataCentre))
+			t = f.newRegistered(now, e, regions[i])
 			f.targets[e.ID] = t
 			f.viewsStale = true
 		}
@@ -86,7 +90,7 @@
 // remove ends the use of a registered target and returns its ID.
 func (f *Fleet) remove(t *Target) string {
 	if f.config.OnRemoved != nil && t.state != StateLeaving && !t.selfReport.leaving() {
-		f.config.OnRemoved(t)
+		f.afterUnlock(func() { f.config.OnRemoved(t) })
 	}
 	t.state = StateLeaving
 	return t.ID
@@ -130,7 +134,7 @@
 // together.
 func (f *Fleet) SetConnections(count int) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	for _, t := range f.order {
 		if t.connections != count {
 			t.connections = count
@@ -142,7 +146,7 @@
 // SetLocalDaemons sets how many of the live daemons are in this daemon's region.
 func (f *Fleet) SetLocalDaemons(count int) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	f.localDaemons = count
 }
 
@@ -150,7 +154,7 @@
 // for the given time.
 func (f *Fleet) RecordPeerStall(now time.Time, id string, since time.Duration) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	t := f.targets[id]
 	if t == nil {
 		return
@@ -289,7 +293,7 @@
 // time.
 func (f *Fleet) RecordPeerLoss(id string, at time.Time) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	if t := f.targets[id]; t != nil && at.After(t.lostAnswerAt) {
 		t.lostAnswerAt = at
 	}
@@ -318,7 +322,7 @@
 		before = StateReady
 	}
 	if state != before && f.config.OnStateChange != nil {
-		f.config.OnStateChange(t, state, why)
+		f.afterUnlock(func() { f.config.OnStateChange(t, state, why) })
 	}
 	t.reportedState = state
 }
--- a/internal/process/fleet/wait.go
+++ b/internal/process/fleet/wait.go
@@ -12,16 +12,16 @@
 // Wait registers wake to be called once when a replica of the shard may have
 // room. Waiters with a lower priority value are woken first. If a replica has
 // got room since the Pick that returned Busy, wake is called at once. The
-// returned function cancels the wait.
+// returned function cancels the wait; a call of wake that is under way may still follow.
 func (f *Fleet) Wait(now time.Time, q Query, priority int, wake func(shard int)) (cancel func()) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	shard := q.Shard
+	w := &waiter{priority: priority, wake: wake}
+	f.mu.Lock()
+	defer f.unlock()
 	if f.choose(now, q).Verdict != Busy {
-		wake(shard)
+		f.afterUnlock(func() { wake(shard) })
 		return func() {}
 	}
-	w := &waiter{priority: priority, wake: wake}
 	queue := f.waiters[shard]
 	at := len(queue)
 	for at > 0 && queue[at-1].priority > priority {
@@ -36,7 +36,7 @@
 
 func (f *Fleet) cancelWait(shard int, w *waiter) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	defer f.unlock()
 	if w.done {
 		return
 	}
@@ -86,7 +86,7 @@
 	w := queue[0]
 	w.done = true
 	f.setQueue(shard, queue[1:])
-	w.wake(shard)
+	f.afterUnlock(func() { w.wake(shard) })
 	return true
 }
 
--- a/internal/process/node/notices.go
+++ b/internal/process/node/notices.go
@@ -7,8 +7,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/gossip"
 )
 
-// reportNotice logs what a target says of itself, and tells peers of its limit. A fleet
-// calls it with its lock held.
+// reportNotice logs what a target says of itself, and tells peers of its limit.
 func (n *Node) reportNotice(pool string, t *fleet.Target, notice fleet.Notice) {
 	n.Meter.CountDecision("Target" + string(notice.Kind))
 	common := []any{"pool", pool, "target", t.ID, "address", t.Address, "born", notice.Born}
