Decide on tickets without the lock of the admission queue

Today's only receiver sends to a buffered channel; nothing has gone wrong.

Change: the deferred calls of package fleet move to package calls, which the queue uses too.

Before: TestDecideMayUseTheQueue failed (a call does not return, 5 s). After: it passes, and so do the tests of packages fleet, calls and admit.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/calls"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -63,7 +64,8 @@
 	drainTimeout    time.Duration
 	// limitFraction is this daemon's fraction of the limits that targets name.
 	limitFraction float64
-	calls         calls
+	// calls are those of functions from outside the package, which are made without mu.
+	calls calls.Queue
 }
 
 // New returns an empty fleet with the default settings.
@@ -87,14 +89,14 @@
 // Configure applies the service's settings.
 func (f *Fleet) Configure(settings *tree.Settings) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	f.settings = settings
 }
 
 // SetDaemons sets the number of live daemons that share the targets.
 func (f *Fleet) SetDaemons(count int) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if count = max(count, 1); count != f.daemons {
 		f.daemons = count
 		f.viewsStale = true
@@ -105,7 +107,7 @@
 // are removed; hosts that are marked as leaving get no new work.
 func (f *Fleet) SetHosts(now time.Time, hosts []wire.Host) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	listed := make(map[string]bool, len(hosts))
 	for i := range hosts {
 		listed[hosts[i].Address] = true
@@ -172,7 +174,7 @@
 // process, starts with a clean record.
 func (f *Fleet) Report(now time.Time, address string, status *wire.TargetStatus) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	t := f.targets[address]
 	if t == nil {
 		return
@@ -206,7 +208,7 @@
 // answer.
 func (f *Fleet) Unreachable(address string, refused bool) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	t := f.targets[address]
 	switch {
 	case t == nil || t.state == StateLeaving:
@@ -220,7 +222,7 @@
 // Forget records that a target no longer holds an index version.
 func (f *Fleet) Forget(t *Target, version uint64) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	kept := make([]wire.Index, 0, len(t.indexes))
 	for i := range t.indexes {
 		if t.indexes[i].Version != version || t.indexes[i].Service != f.config.Service {
@@ -235,7 +237,7 @@
 // target is known.
 func (f *Fleet) Plan() *View {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	f.refresh()
 	return f.plan
 }
@@ -244,7 +246,7 @@
 // successfully or not.
 func (f *Fleet) AllPolled() bool {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	for _, t := range f.order {
 		if t.state == StateUnknown {
 			return false
@@ -257,7 +259,7 @@
 // holds it.
 func (f *Fleet) PlanVersion(version uint64) *View {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	f.refresh()
 	for _, v := range f.views {
 		if v.Version == version {
@@ -293,7 +295,7 @@
 // more queries than that are needed to keep the bottleneck busy.
 func (f *Fleet) Capacity(now time.Time) int {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	f.refresh()
 	if f.plan == nil {
 		return 0
@@ -344,7 +346,7 @@
 // polled.
 func (f *Fleet) PollDue(now time.Time, interval time.Duration) []string {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	var due []string
 	routineAllowed := now.Sub(f.lastRoutinePoll) >= routineInterval
 	for _, t := range f.order {
@@ -377,7 +379,7 @@
 // Rows returns the state of every target, sorted by address.
 func (f *Fleet) Rows(now time.Time) []Row {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	rows := make([]Row, 0, len(f.order))
 	for _, t := range f.order {
 		rows = append(rows, Row{
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -137,7 +137,7 @@
 	spread := min(max(in/retrySpreadDivisor, minRetrySpread), maxRetrySpread)
 	f := g.fleets[slices.IndexFunc(g.fleets, func(f *Fleet) bool { return f != nil })]
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	return in + time.Duration(f.random.Int64N(int64(spread))), true
 }
 
@@ -175,7 +175,7 @@
 
 func (f *Fleet) hasAvailable(now time.Time, replicas []*Target, draw float64, rank int) bool {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	return f.admits(now, replicas, draw, rank)
 }
 
@@ -189,7 +189,7 @@
 		return nil, false
 	}
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	replicas := g.View.Replicas[shard]
 	for i, t := range replicas {
 		switch {
@@ -218,7 +218,7 @@
 func (g *Group) Overdue(now time.Time, shard int, t *Target) bool {
 	f := g.fleets[shard]
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	return t.overdue(now)
 }
 
@@ -227,6 +227,6 @@
 func (g *Group) OnlyAttempt(now time.Time, shard int, t *Target, within time.Duration) bool {
 	f := g.fleets[shard]
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	return t.inFlight == 1 && t.responses.typicalLatency(now) <= within
 }
--- a/internal/process/fleet/latency.go
+++ b/internal/process/fleet/latency.go
@@ -94,7 +94,7 @@
 // others.
 func (f *Fleet) HedgeDelay(now time.Time, share float64) time.Duration {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	delay, _ := f.latency.quantile(now, share)
 	return delay
 }
@@ -103,6 +103,6 @@
 // least 1.
 func (f *Fleet) Slowness(shard int) float64 {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	return f.latency.slowness(shard)
 }
--- a/internal/process/fleet/limit.go
+++ b/internal/process/fleet/limit.go
@@ -43,7 +43,7 @@
 // fractions of all daemons add up to one at most.
 func (f *Fleet) SetLimitFraction(now time.Time, fraction float64) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if fraction == f.limitFraction {
 		return
 	}
@@ -153,7 +153,7 @@
 // limit; ok is false if none takes one now.
 func (f *Fleet) Grant(now time.Time, replicas []*Target, region string, draw float64) (id string, ok bool) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	var best *Target
 	for i, t := range replicas {
 		if t.Region != region || !t.available(now) {
@@ -205,7 +205,7 @@
 // any more if the rate is zero. It reports whether that was news.
 func (f *Fleet) RecordPeerLimit(now time.Time, id string, born int64, rate float64) bool {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	t := f.targets[id]
 	if t == nil || t.born != born || !(rate == 0 || rate >= MinLimit && !math.IsInf(rate, 1)) {
 		return false
--- a/internal/process/fleet/pick.go
+++ b/internal/process/fleet/pick.go
@@ -90,13 +90,13 @@
 
 func (f *Fleet) recordSend(now time.Time, t *Target, late time.Duration) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	t.responses.recordSend(now, late)
 }
 
 func (f *Fleet) pick(now time.Time, q Query) Choice {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	choice := f.choose(now, q)
 	if choice.Target != nil {
 		choice.Target.inFlight++
@@ -283,7 +283,7 @@
 // Finish records the end of an attempt. Latency is in seconds.
 func (f *Fleet) Finish(now time.Time, t *Target, shard int, outcome Outcome, latency float64, load *wire.Load) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	t.inFlight--
 	if f.config.Registered {
 		if outcome == Refused || outcome == Withheld {
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -55,7 +55,7 @@
 		regions[i] = regionOf(entries[i].DataCentre)
 	}
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	listed := make(map[string]bool, len(entries))
 	for i := range entries {
 		e := &entries[i]
@@ -90,7 +90,7 @@
 // remove ends the use of a registered target and returns its ID.
 func (f *Fleet) remove(t *Target) string {
 	if f.config.OnRemoved != nil && t.state != StateLeaving && !t.selfReport.leaving() {
-		f.afterUnlock(func() { f.config.OnRemoved(t) })
+		f.calls.Add(func() { f.config.OnRemoved(t) })
 	}
 	t.state = StateLeaving
 	return t.ID
@@ -134,7 +134,7 @@
 // together.
 func (f *Fleet) SetConnections(count int) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	for _, t := range f.order {
 		if t.connections != count {
 			t.connections = count
@@ -146,7 +146,7 @@
 // SetLocalDaemons sets how many of the live daemons are in this daemon's region.
 func (f *Fleet) SetLocalDaemons(count int) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	f.localDaemons = count
 }
 
@@ -154,7 +154,7 @@
 // for the given time.
 func (f *Fleet) RecordPeerStall(now time.Time, id string, since time.Duration) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	t := f.targets[id]
 	if t == nil {
 		return
@@ -293,7 +293,7 @@
 // time.
 func (f *Fleet) RecordPeerLoss(id string, at time.Time) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if t := f.targets[id]; t != nil && at.After(t.lostAnswerAt) {
 		t.lostAnswerAt = at
 	}
@@ -322,7 +322,7 @@
 		before = StateReady
 	}
 	if state != before && f.config.OnStateChange != nil {
-		f.afterUnlock(func() { f.config.OnStateChange(t, state, why) })
+		f.calls.Add(func() { f.config.OnStateChange(t, state, why) })
 	}
 	t.reportedState = state
 }
--- a/internal/process/fleet/selfreport.go
+++ b/internal/process/fleet/selfreport.go
@@ -191,14 +191,14 @@
 // it leaves.
 func (f *Fleet) SetDrainTimeout(timeout time.Duration) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	f.drainTimeout = timeout
 }
 
 // RecordStatement records what a reply of a target says of the target.
 func (f *Fleet) RecordStatement(now time.Time, t *Target, s Statement) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if !s.Leaving && s.Pause <= 0 && s.InvalidPause == "" && s.Limit == nil && s.InvalidLimit == "" && !f.selfReports.find(t.boot()).limited() {
 		return
 	}
@@ -240,7 +240,7 @@
 func (f *Fleet) notify(t *Target, n Notice) {
 	if f.config.OnNotice != nil {
 		n.Born = t.born
-		f.afterUnlock(func() { f.config.OnNotice(t, n) })
+		f.calls.Add(func() { f.config.OnNotice(t, n) })
 	}
 }
 
@@ -261,7 +261,7 @@
 		return true
 	}
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	report := t.selfReport
 	if report == nil {
 		report = f.selfReports.find(t.boot())
@@ -281,7 +281,7 @@
 		return nil
 	}
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if t.recalled == nil {
 		t.recalled = make(chan struct{})
 	}
@@ -300,7 +300,7 @@
 	case r.leaving():
 		why = NoticeLeaving
 	}
-	f.afterUnlock(func() { f.config.OnKept(why) })
+	f.calls.Add(func() { f.config.OnKept(why) })
 }
 
 // countPassedOver counts the replicas that a request passes over since they leave or
@@ -320,7 +320,7 @@
 // allow another request; ok is false if the replicas lack neither.
 func (f *Fleet) resumesAt(now time.Time, replicas []*Target) (at time.Time, ok bool) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if in, limited := f.nextToken(now, replicas); limited {
 		at, ok = now.Add(in), true
 	}
--- a/internal/process/fleet/wait.go
+++ b/internal/process/fleet/wait.go
@@ -17,9 +17,9 @@
 	shard := q.Shard
 	w := &waiter{priority: priority, wake: wake}
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if f.choose(now, q).Verdict != Busy {
-		f.afterUnlock(func() { wake(shard) })
+		f.calls.Add(func() { wake(shard) })
 		return func() {}
 	}
 	queue := f.waiters[shard]
@@ -36,7 +36,7 @@
 
 func (f *Fleet) cancelWait(shard int, w *waiter) {
 	f.mu.Lock()
-	defer f.unlock()
+	defer f.calls.Unlock(&f.mu)
 	if w.done {
 		return
 	}
@@ -86,7 +86,7 @@
 	w := queue[0]
 	w.done = true
 	f.setQueue(shard, queue[1:])
-	f.afterUnlock(func() { w.wake(shard) })
+	f.calls.Add(func() { w.wake(shard) })
 	return true
 }
 
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/calls"
 )
 
 const (
@@ -53,7 +55,7 @@
 	Deadline time.Time
 	// QueueLength is the maximum number of waiting tickets of the class.
 	QueueLength int
-	// Decide is called with the decision, at most once.
+	// Decide is called with the decision, at most once. It may use the queue.
 	Decide func(Decision)
 
 	started time.Time
@@ -72,6 +74,8 @@
 	// meanRunTime and runTimeDeviation are in seconds.
 	meanRunTime      float64
 	runTimeDeviation float64
+	// calls are those of Ticket.Decide, which are made without mu.
+	calls calls.Queue
 }
 
 // New returns a queue with a capacity of one.
@@ -82,7 +86,7 @@
 // SetCapacity sets how many requests may run at once. The minimum is one.
 func (q *Queue) SetCapacity(now time.Time, capacity int) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.calls.Unlock(&q.mu)
 	q.capacity = max(capacity, 1)
 	q.admitWaiting(now)
 }
@@ -90,7 +94,7 @@
 // Arrive admits, queues or refuses a ticket.
 func (q *Queue) Arrive(now time.Time, t *Ticket) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.calls.Unlock(&q.mu)
 	c := q.class(t)
 	c.lastArrival = now
 	if q.waitingAhead(t.Priority) == 0 && q.mayRun(now, c) {
@@ -99,11 +103,11 @@
 	}
 	wait := q.expectedWait(c, t)
 	if now.Add(wait + q.likelyRunTime()).After(t.Deadline) {
-		t.Decide(Decision{Verdict: TooLate, RetryAfter: max(wait, minRetryAfter)})
+		q.decide(t, Decision{Verdict: TooLate, RetryAfter: max(wait, minRetryAfter)})
 		return
 	}
 	if c.waiting >= t.QueueLength && !q.makeRoom(c, t, wait) {
-		t.Decide(Decision{Verdict: Full, RetryAfter: max(wait, minRetryAfter)})
+		q.decide(t, Decision{Verdict: Full, RetryAfter: max(wait, minRetryAfter)})
 		return
 	}
 	t.waiting = true
@@ -114,7 +118,7 @@
 // Decide. It reports whether the ticket was admitted and had not left before.
 func (q *Queue) Leave(now time.Time, t *Ticket) bool {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.calls.Unlock(&q.mu)
 	c := q.class(t)
 	if t.waiting {
 		t.waiting = false
@@ -135,7 +139,7 @@
 // Load returns the capacity and the numbers of running and waiting requests.
 func (q *Queue) Load() (capacity, running, waiting int) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	defer q.calls.Unlock(&q.mu)
 	for _, c := range q.classes {
 		waiting += c.waiting
 	}
@@ -222,10 +226,14 @@
 	evicted := longest.tickets[len(longest.tickets)-1]
 	evicted.waiting = false
 	c.remove(evicted)
-	evicted.Decide(Decision{Verdict: Full, RetryAfter: max(wait, minRetryAfter)})
+	q.decide(evicted, Decision{Verdict: Full, RetryAfter: max(wait, minRetryAfter)})
 	return true
 }
 
+func (q *Queue) decide(t *Ticket, d Decision) {
+	q.calls.Add(func() { t.Decide(d) })
+}
+
 func (q *Queue) admit(now time.Time, c *class, t *Ticket) {
 	t.waiting = false
 	t.running = true
@@ -233,7 +241,7 @@
 	q.running++
 	c.running++
 	q.admissions++
-	t.Decide(Decision{Verdict: Admitted})
+	q.decide(t, Decision{Verdict: Admitted})
 }
 
 // admitWaiting admits waiting tickets while the capacity allows it.
@@ -246,7 +254,7 @@
 		t := c.pop()
 		if now.Add(q.likelyRunTime()).After(t.Deadline) {
 			t.waiting = false
-			t.Decide(Decision{Verdict: TooLate, RetryAfter: minRetryAfter})
+			q.decide(t, Decision{Verdict: TooLate, RetryAfter: minRetryAfter})
 			continue
 		}
 		q.admit(now, c, t)
--- a/internal/request/admit/admit_test.go
+++ b/internal/request/admit/admit_test.go
@@ -146,3 +146,39 @@
 	}, gen.SliceOfN(150, gen.IntRange(0, 100000))))
 	properties.TestingRun(t)
 }
+
+// Guards against a deadlock between the lock of a queue and others: a decision may make its
+// receiver use the queue, as one that leaves at once does.
+func TestDecideMayUseTheQueue(t *testing.T) {
+	const timeout = 5 * time.Second
+	q := New()
+	var decided []Verdict
+	ticket := func(wait time.Duration) *Ticket {
+		ticket := &Ticket{Class: "A", Caller: "c", Deadline: start.Add(wait), QueueLength: 1}
+		ticket.Decide = func(d Decision) {
+			decided = append(decided, d.Verdict)
+			q.Leave(start, ticket)
+		}
+		return ticket
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		q.Arrive(start, ticket(time.Second))
+		q.Arrive(start, ticket(time.Second))
+		running := ticket(time.Second)
+		running.Decide = func(Decision) {}
+		q.Arrive(start, running)
+		q.Arrive(start, ticket(time.Second))
+		q.Arrive(start, ticket(-time.Second))
+		q.Leave(start, running)
+	}()
+	select {
+	case <-done:
+	case <-time.After(timeout):
+		t.Fatal("a call does not return")
+	}
+	if got, want := fmt.Sprint(decided), fmt.Sprint([]Verdict{Admitted, Admitted, TooLate, Admitted}); got != want {
+		t.Errorf("decided %v, want %v", got, want)
+	}
+}
--- a/internal/request/admit/doc.go
+++ b/internal/request/admit/doc.go
@@ -14,6 +14,5 @@
 //	q.Arrive(now, ticket)        // calls decide at once or later, with Admitted or a refusal
 //	q.Leave(now, ticket)         // after an admitted request has ended
 //
-// Decide is called while the queue is locked, so it must not block or call the
-// queue.
+// Decide should not block: while it runs, other tickets wait for their decisions.
 package admit
