Ask for the state's revisions without the lock of the freshness tracker

State takes the locks of the settings and of the registrations. Neither calls the tracker today; nothing has gone wrong.

Change: each method asks for the revisions before it takes its lock. Claims that the revisions settle meanwhile are settled by the next call.

Before: TestStateMayUseTheTracker failed (a call does not return, 5 s). After: it passes, and so do the tests of packages fresh, feed, gossip, watch.

--- a/internal/process/fresh/fresh.go
+++ b/internal/process/fresh/fresh.go
@@ -59,7 +59,7 @@
 // may be called from any goroutine. Exported fields are set before the first call.
 type Tracker struct {
 	// State returns the revisions of the settings and of the registrations that this daemon
-	// has.
+	// has. The tracker isn't locked meanwhile.
 	State func() (settings, roster int64)
 	// Patience multiplies the time after which a daemon is overdue while others look after
 	// the store.
@@ -88,7 +88,8 @@
 
 // New returns the tracker of a daemon that knows nothing yet.
 func New(now time.Time, seed uint64) *Tracker {
-	t := &Tracker{Patience: DefaultPatience, random: rand.New(rand.NewPCG(seed, 0)), since: now}
+	noState := func() (settings, roster int64) { return 0, 0 }
+	t := &Tracker{State: noState, Patience: DefaultPatience, random: rand.New(rand.NewPCG(seed, 0)), since: now}
 	t.delay = t.random.Float64()
 	return t
 }
@@ -124,21 +125,18 @@
 	if attempted >= 0 {
 		c.attempted = now.Add(-attempted)
 	}
+	ownSettings, ownRoster := t.State()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.settle()
+	t.settle(ownSettings, ownRoster)
 	if len(t.claims) < maxClaims {
 		t.claims = append(t.claims, c)
-		t.settle()
+		t.settle(ownSettings, ownRoster)
 	}
 }
 
 // settle accepts the claims for revisions that this daemon has by now.
-func (t *Tracker) settle() {
-	if len(t.claims) == 0 {
-		return
-	}
-	settings, roster := t.State()
+func (t *Tracker) settle(settings, roster int64) {
 	t.claims = slices.DeleteFunc(t.claims, func(c claim) bool {
 		if c.settings > settings || c.roster > roster {
 			return false
@@ -153,18 +151,20 @@
 
 // Ages returns the time since the last confirmation and since the last attempt.
 func (t *Tracker) Ages(now time.Time) (confirmed, attempted time.Duration) {
+	settings, roster := t.State()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.settle()
+	t.settle(settings, roster)
 	return age(now, t.confirmed), age(now, t.attempted)
 }
 
 // Revision returns the store's revision up to which the settings and registrations are
 // complete, or zero.
 func (t *Tracker) Revision() int64 {
+	settings, roster := t.State()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.settle()
+	t.settle(settings, roster)
 	return t.revision
 }
 
@@ -173,9 +173,10 @@
 // without heartbeats is silent, or none has got an answer for longer. After it has returned
 // true, it returns false until as much time has passed again.
 func (t *Tracker) Overdue(now time.Time, daemons int, silentAfter time.Duration) bool {
+	settings, roster := t.State()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.settle()
+	t.settle(settings, roster)
 	limit := silentAfter + time.Duration(t.delay*float64(spread(daemons)))
 	alone := now.Sub(later(t.since, t.attempted)) > limit
 	unconfirmed := now.Sub(later(t.since, t.confirmed)) > time.Duration(t.Patience)*limit
--- a/internal/process/fresh/fresh_test.go
+++ b/internal/process/fresh/fresh_test.go
@@ -273,3 +273,36 @@
 		}
 	}
 }
+
+// Guards against a deadlock between the lock of a tracker and those of the state that it
+// asks for.
+func TestStateMayUseTheTracker(t *testing.T) {
+	const timeout = 5 * time.Second
+	tracker := New(start, 1)
+	tracker.State = func() (settings, roster int64) { return 0, 0 }
+	tracker.Merge(start, 0, 0, 1, 1)
+	asking := false
+	tracker.State = func() (settings, roster int64) {
+		if !asking {
+			asking = true
+			defer func() { asking = false }()
+			tracker.Confirm(start, tracker.Revision())
+		}
+		return 1, 1
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		tracker.Merge(start, 0, 0, 1, 1)
+		tracker.Ages(start)
+		tracker.Overdue(start, 1, silentAfter)
+	}()
+	select {
+	case <-done:
+	case <-time.After(timeout):
+		t.Fatal("a call does not return")
+	}
+	if got := tracker.Revision(); got != 1 {
+		t.Errorf("revision %d, want 1", got)
+	}
+}
