--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -16,11 +16,11 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/world"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
@@ -97,7 +97,7 @@
 	// Notes are measurements that a scenario adds to the result.
 	Notes map[string]float64
 
-	mu             sync.Mutex
+	mu             mutex.Mutex
 	reportedNotRun []string
 	reportedRan    []string
 }
--- a/internal/bench/churn.go
+++ b/internal/bench/churn.go
@@ -7,6 +7,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -118,7 +119,7 @@
 func measureAdmitted(ctx context.Context, d *daemon.Daemon, duration time.Duration, rate float64) (mean, peak float64) {
 	start := time.Now()
 	perSecond := map[int]int{}
-	var mu sync.Mutex
+	var mu mutex.Mutex
 	var group sync.WaitGroup
 	for n := 0; time.Since(start) < duration && ctx.Err() == nil; n++ {
 		time.Sleep(time.Until(start.Add(time.Duration(float64(n) / rate * float64(time.Second)))))
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/shard"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -211,7 +212,7 @@
 
 // sampler reads the counters every sampleInterval.
 type sampler struct {
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	samples []counters
 }
 
--- a/internal/bench/traffic.go
+++ b/internal/bench/traffic.go
@@ -13,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -41,7 +42,7 @@
 	seed    uint64
 	callers map[string]*caller.Caller
 
-	mu         sync.Mutex
+	mu         mutex.Mutex
 	total      *tally
 	classes    map[string]*tally
 	refusals   map[string]int
--- a/internal/conn/drain/drain.go
+++ b/internal/conn/drain/drain.go
@@ -30,11 +30,11 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // Kind classifies an Error.
@@ -85,7 +85,7 @@
 	interrupt context.CancelCauseFunc
 	leaving   atomic.Bool
 
-	mu          sync.Mutex
+	mu          mutex.Mutex
 	refusing    bool
 	next        uint64
 	requests    map[uint64]request
--- a/internal/conn/http1/pool.go
+++ b/internal/conn/http1/pool.go
@@ -6,13 +6,13 @@
 	"math"
 	"net/http"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/dial"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // Correlator matches replies to requests by ID. A target may reply to a request twice,
@@ -39,7 +39,7 @@
 	Correlator Correlator
 
 	defaultBodyBudget *bulk.Budget
-	mu                sync.Mutex
+	mu                mutex.Mutex
 	idle              []*conn
 	closed            bool
 }
--- a/internal/conn/link/link.go
+++ b/internal/conn/link/link.go
@@ -17,7 +17,6 @@
 	"errors"
 	"io"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +24,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // Type is the first byte of a message.
@@ -117,7 +117,7 @@
 	socket        net.PacketConn
 	transport     *quic.Transport
 	listener      *quic.Listener
-	mu            sync.Mutex
+	mu            mutex.Mutex
 	peers         map[string]*peer
 	closed        bool
 	sentBytes     atomic.Int64
--- a/internal/conn/link/peers.go
+++ b/internal/conn/link/peers.go
@@ -3,20 +3,20 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // peer holds the connection to one address.
 type peer struct {
-	mu   sync.Mutex // guards conn, and is not held during a handshake
+	mu   mutex.Mutex // guards conn, and is not held during a handshake
 	conn *quic.Conn
 	// dialing is held by the one that dials, so that there is one handshake at a time.
-	dialing      sync.Mutex
+	dialing      mutex.Mutex
 	pendingSends atomic.Int32
 }
 
--- a/internal/conn/target/target.go
+++ b/internal/conn/target/target.go
@@ -30,6 +30,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/dial"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -234,7 +235,7 @@
 
 // Pool holds a client for each target.
 type Pool struct {
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	clients map[string]*Client
 }
 
--- a/internal/fake/corpus/corpus.go
+++ b/internal/fake/corpus/corpus.go
@@ -14,10 +14,10 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/merge"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -35,7 +35,7 @@
 	service   string
 	documents int
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	indexes map[indexKey]*Index
 }
 
--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -19,6 +19,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -71,7 +73,7 @@
 
 	group   sync.WaitGroup
 	stopped chan struct{}
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	calls   []Call
 }
 
--- a/internal/fake/hosts/hosts.go
+++ b/internal/fake/hosts/hosts.go
@@ -12,9 +12,9 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -23,7 +23,7 @@
 	// Lag is the delay before a change becomes visible.
 	Lag time.Duration
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	history []snapshot
 	down    bool
 	calls   int64
--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -10,8 +10,9 @@
 
 import (
 	"net"
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // Faults are the faults that a test can inject.
@@ -40,7 +41,7 @@
 	Target string
 
 	listener net.Listener
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	faults   Faults
 	open     map[net.Conn]struct{}
 }
--- a/internal/fake/shard/searcher.go
+++ b/internal/fake/shard/searcher.go
@@ -7,11 +7,11 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/corpus"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -81,7 +81,7 @@
 	// OnQuery, if set, is called with the text of each search that arrives.
 	OnQuery func(query string)
 
-	mu            sync.Mutex
+	mu            mutex.Mutex
 	behaviour     Behaviour
 	random        *rand.Rand
 	indexes       []heldIndex
--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -17,12 +17,12 @@
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"golang.org/x/time/rate"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/etcd"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // Faults are the faults that a test can inject.
@@ -40,7 +40,7 @@
 	// CallsPerSecond is the rate above which calls are refused; zero means no limit.
 	CallsPerSecond float64
 
-	mu              sync.Mutex
+	mu              mutex.Mutex
 	faults          Faults
 	revision        int64
 	compactRevision int64
--- a/internal/fake/world/world.go
+++ b/internal/fake/world/world.go
@@ -17,7 +17,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +28,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/keys"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/change"
@@ -106,7 +106,7 @@
 	authority *keys.Authority
 	linkBytes atomic.Int64
 	// mu guards Running and listed, which change while requests are in flight.
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	listed []wire.Host
 }
 
--- a/internal/layer/layer_test.go
+++ b/internal/layer/layer_test.go
@@ -1,6 +1,7 @@
 package layer
 
 import (
+	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
@@ -98,3 +99,38 @@
 		}
 	}
 }
+
+// Guards against locks that the check of the lock order doesn't see.
+func TestLocksAreThoseOfPackageMutex(t *testing.T) {
+	for _, folder := range []string{"internal", "platform", "pkg", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, folder), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			if entry.IsDir() && path == filepath.Join(root, "internal/process/mutex") {
+				return fs.SkipDir
+			}
+			if entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return nil
+			}
+			parsed, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+			if err != nil {
+				return err
+			}
+			ast.Inspect(parsed, func(n ast.Node) bool {
+				selector, ok := n.(*ast.SelectorExpr)
+				if !ok {
+					return true
+				}
+				if name, ok := selector.X.(*ast.Ident); ok && name.Name == "sync" && strings.HasSuffix(selector.Sel.Name, "Mutex") {
+					t.Errorf("%s uses sync.%s", path, selector.Sel.Name)
+				}
+				return true
+			})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/process/budget/budget.go
+++ b/internal/process/budget/budget.go
@@ -18,9 +18,9 @@
 package budget
 
 import (
-	"sync"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/ticks"
 )
 
@@ -36,7 +36,7 @@
 
 // Budget is one budget. Its methods are safe for concurrent use.
 type Budget struct {
-	mu          sync.Mutex
+	mu          mutex.Mutex
 	ring        [buckets]bucket
 	ticks       ticks.Ticks
 	currentSlot int64
--- a/internal/process/calls/calls.go
+++ b/internal/process/calls/calls.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	type Fleet struct {
-//		mu    sync.Mutex
+//		mu    mutex.Mutex
 //		calls calls.Queue // guarded by mu
 //	}
 //
--- a/internal/process/crash/crash.go
+++ b/internal/process/crash/crash.go
@@ -20,8 +20,9 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -56,7 +57,7 @@
 // Tracker holds the attempts of one daemon. Its methods may be called from any
 // goroutine.
 type Tracker struct {
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	boots map[string]*record
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -18,7 +18,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +33,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/server"
@@ -109,7 +109,7 @@
 	hostsLoaded    atomic.Bool
 	seeds          atomic.Pointer[[]string]
 
-	mu      sync.RWMutex
+	mu      mutex.Mutex
 	tenants map[string]*tenant.Tenant
 }
 
@@ -184,9 +184,9 @@
 
 // handle passes messages to gossip; it drops them until listen has finished.
 func (d *Daemon) handle(ctx context.Context, from net.Addr, kind link.Type, body []byte) []byte {
-	d.mu.RLock()
+	d.mu.Lock()
 	ready := d.gossip.Table != nil
-	d.mu.RUnlock()
+	d.mu.Unlock()
 	if !ready {
 		return nil
 	}
@@ -345,12 +345,12 @@
 }
 
 func (d *Daemon) eachTenant(do func(deployment, service string, t *tenant.Tenant)) {
-	d.mu.RLock()
+	d.mu.Lock()
 	tenants := make(map[string]*tenant.Tenant, len(d.tenants))
 	for name, t := range d.tenants {
 		tenants[name] = t
 	}
-	d.mu.RUnlock()
+	d.mu.Unlock()
 	for name, t := range tenants {
 		deployment, service, _ := strings.Cut(name, "/")
 		do(deployment, service, t)
@@ -375,8 +375,8 @@
 }
 
 func (d *Daemon) findTenant(deployment, service string) *tenant.Tenant {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	return d.tenants[deployment+"/"+service]
 }
 
--- a/internal/process/daemon/opaque.go
+++ b/internal/process/daemon/opaque.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -12,6 +11,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/plain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/tenant"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/timing"
@@ -26,7 +26,7 @@
 	runner *relay.Runner
 	server *edge.Server
 
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	conns map[string]*http1.Pool
 }
 
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -4,10 +4,10 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/calls"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -44,7 +44,7 @@
 type Fleet struct {
 	config Config
 
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	random   *rand.Rand
 	settings *tree.Settings
 	daemons  int
--- a/internal/process/fresh/fresh.go
+++ b/internal/process/fresh/fresh.go
@@ -30,8 +30,9 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -65,7 +66,7 @@
 	// the store.
 	Patience int
 
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	random *rand.Rand
 	// confirmed is when the store was asked, by any daemon, for the answer that the state
 	// rests on, and attempted is when a daemon has last asked it; zero if none has.
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -16,7 +16,6 @@
 	"math"
 	"net"
 	"slices"
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -27,6 +26,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
@@ -320,7 +320,7 @@
 // mismatchTimer holds the time since which the own table has differed from all
 // others.
 type mismatchTimer struct {
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	since time.Time
 }
 
--- a/internal/process/gossip/pull.go
+++ b/internal/process/gossip/pull.go
@@ -1,13 +1,13 @@
 package gossip
 
-import "sync"
+import "github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 
 // pulls decides which daemon to request data from when other daemons have
 // announced a newer revision. It allows one request at a time and moves on to the
 // next daemon as soon as one fails: a daemon that has announced a revision and
 // then died must not block requests to the others.
 type pulls struct {
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	running bool
 	// offers are the daemons that have announced a revision during the running
 	// request, oldest first.
--- a/internal/process/gossip/stall.go
+++ b/internal/process/gossip/stall.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -9,6 +8,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -45,7 +45,7 @@
 
 // noticeLimiter limits the rate of notices about each target.
 type noticeLimiter struct {
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	until map[string]time.Time
 }
 
--- a/internal/process/keys/keys.go
+++ b/internal/process/keys/keys.go
@@ -23,10 +23,10 @@
 	"encoding/pem"
 	"math/big"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // Kind classifies an Error.
@@ -60,7 +60,7 @@
 	// connection.
 	Trusted func(fingerprint []byte) bool
 
-	mu            sync.Mutex
+	mu            mutex.Mutex
 	pair          *tls.Certificate
 	pool          *x509.CertPool
 	lastCheck     time.Time
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -5,10 +5,11 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // State is a daemon's state. Within one version of a record, the later state wins.
@@ -123,7 +124,7 @@
 	// happens after a wall clock was set back. It is set before the first call.
 	RaiseIncarnation bool
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	self    *entry
 	started time.Time
 	members map[string]*entry
--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -11,11 +11,12 @@
 
 import (
 	"net/http"
-	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const namespace = "magnoliarelay"
@@ -60,7 +61,7 @@
 	// StoreCalls counts the calls to the store by kind.
 	StoreCalls *prometheus.CounterVec
 
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	violated map[string]int
 }
 
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -16,7 +16,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +33,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/pools"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
@@ -139,7 +139,7 @@
 	Pools  *pools.Pools
 	Poison *poison.Register
 
-	mu           sync.Mutex // guards Setup after the start
+	mu           mutex.Mutex // guards Setup after the start
 	started      time.Time
 	keys         *keys.Keys
 	link         *link.Link
@@ -155,7 +155,7 @@
 	// active holds the active daemons as last chosen.
 	active atomic.Pointer[activeSet]
 	// sharingMu guards allocator, usageMonitor and activeSince.
-	sharingMu   sync.Mutex
+	sharingMu   mutex.Mutex
 	activeSince time.Time
 	// assistsInFlight counts gathers in flight for other daemons.
 	assistsInFlight atomic.Int64
--- a/internal/process/node/remote.go
+++ b/internal/process/node/remote.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // peerRetryDelay is how long no message is sent to a peer that did not answer in time.
@@ -20,7 +20,7 @@
 type remotePeers struct {
 	node *Node
 
-	mu        sync.Mutex
+	mu        mutex.Mutex
 	downUntil map[string]time.Time
 }
 
--- a/internal/process/node/trust.go
+++ b/internal/process/node/trust.go
@@ -1,8 +1,9 @@
 package node
 
 import (
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // refusalLogInterval is the minimum time between two log lines about refused peers: each
@@ -11,7 +12,7 @@
 
 // refusals counts connections of peers whose certificate no record in the table has.
 type refusals struct {
-	mu sync.Mutex
+	mu mutex.Mutex
 	// count is the number of refusals since the last line.
 	count  int
 	logged time.Time
--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -25,10 +25,11 @@
 package poison
 
 import (
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -107,7 +108,7 @@
 // Register holds the suspect queries of one daemon and the queries that succeeded
 // recently. Its methods are safe for concurrent use.
 type Register struct {
-	mu           sync.Mutex
+	mu           mutex.Mutex
 	suspects     map[uint64]*suspect
 	recentLosses []recentLoss
 	// succeeded maps a fingerprint to the last success of the query; succeededBefore is
--- a/internal/process/pools/pools.go
+++ b/internal/process/pools/pools.go
@@ -12,7 +12,6 @@
 package pools
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +20,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -57,7 +57,7 @@
 	// leaves.
 	DrainTimeout time.Duration
 
-	mu                sync.RWMutex
+	mu                mutex.Mutex
 	pools             map[string]*pool
 	conns             map[string]*http1.Pool
 	daemons           int
@@ -78,9 +78,9 @@
 }
 
 func (p *Pools) get(name string) *pool {
-	p.mu.RLock()
+	p.mu.Lock()
 	found := p.pools[name]
-	p.mu.RUnlock()
+	p.mu.Unlock()
 	if found != nil {
 		return found
 	}
@@ -222,12 +222,12 @@
 // Sweep closes connections that have been idle for too long, and idle ones that
 // the target has closed.
 func (p *Pools) Sweep(now time.Time) {
-	p.mu.RLock()
+	p.mu.Lock()
 	conns := make([]*http1.Pool, 0, len(p.conns))
 	for _, c := range p.conns {
 		conns = append(conns, c)
 	}
-	p.mu.RUnlock()
+	p.mu.Unlock()
 	for _, c := range conns {
 		c.Sweep(now)
 	}
@@ -244,8 +244,8 @@
 // MostSpent returns the usage of the retry budget that has the smallest share
 // left. Pool is empty while no pool has made any extra attempt.
 func (p *Pools) MostSpent(now time.Time) Spent {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var most Spent
 	for name, found := range p.pools {
 		requests, extras, allowed := found.budget.Usage(now)
--- a/internal/process/quota/quota.go
+++ b/internal/process/quota/quota.go
@@ -19,8 +19,9 @@
 import (
 	"cmp"
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -79,7 +80,7 @@
 type Quota struct {
 	daemon string
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	callers map[string]*localCaller
 	claims  map[claimKey]remoteClaim
 }
--- a/internal/process/retry/retry.go
+++ b/internal/process/retry/retry.go
@@ -16,10 +16,10 @@
 package retry
 
 import (
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/alloc"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/ticks"
 )
 
@@ -48,7 +48,7 @@
 // Budget is one pool's budget at one daemon. Its methods are safe for concurrent
 // use.
 type Budget struct {
-	mu                sync.Mutex
+	mu                mutex.Mutex
 	terms             Terms
 	allowanceFraction float64
 	ring              [buckets + marginBuckets]bucket
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -20,8 +20,9 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -72,7 +73,7 @@
 
 // Roster holds the registrations. Its methods may be called from any goroutine.
 type Roster struct {
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	revision int64
 	entries  map[string]Entry
 	// pools holds the IDs of each pool's entries, and centres the number of entries of
--- a/internal/process/timing/timing.go
+++ b/internal/process/timing/timing.go
@@ -13,8 +13,9 @@
 
 import (
 	"slices"
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -53,7 +54,7 @@
 // Tracker holds the response times of all routes and regions. Its methods are safe for
 // concurrent use.
 type Tracker struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	routes map[key]*responseTimes
 }
 
--- a/internal/request/admit/admit.go
+++ b/internal/request/admit/admit.go
@@ -2,10 +2,10 @@
 
 import (
 	"math"
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/calls"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 const (
@@ -66,7 +66,7 @@
 // Queue is the admission queue of one service. Its methods may be called from
 // any goroutine.
 type Queue struct {
-	mu         sync.Mutex
+	mu         mutex.Mutex
 	capacity   int
 	running    int
 	classes    map[string]*class
--- a/internal/request/inbox/inbox.go
+++ b/internal/request/inbox/inbox.go
@@ -8,7 +8,7 @@
 //	events = in.Take(events)
 package inbox
 
-import "sync"
+import "github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 
 // Inbox holds the events that its owner has not taken yet. Put never blocks, even
 // after the owner has stopped taking events.
@@ -16,7 +16,7 @@
 	// Signal holds a value while there may be events.
 	Signal chan struct{}
 
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	events []E
 }
 
--- a/internal/request/once/once.go
+++ b/internal/request/once/once.go
@@ -22,10 +22,10 @@
 import (
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // Kind classifies an Error.
@@ -137,7 +137,7 @@
 type Home struct {
 	config Config
 
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	closed  bool
 	entries map[string]*Entry
 }
--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -117,7 +117,7 @@
 
 // roundTrips estimates the round trip between this daemon and each region.
 type roundTrips struct {
-	mu      sync.Mutex
+	mu      mutex.Mutex
 	regions map[string]time.Duration
 }
 
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -6,11 +6,11 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/inbox"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -48,7 +48,7 @@
 	cancelWaits map[int]func()
 	schedule    schedule
 
-	mu       sync.Mutex
+	mu       mutex.Mutex
 	inFlight map[uint64]*inFlightAttempt
 
 	bodies         [][]byte
--- a/internal/request/relay/split.go
+++ b/internal/request/relay/split.go
@@ -2,15 +2,15 @@
 
 import (
 	"slices"
-	"sync"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
 // splits distributes the requests of each route among its pools by weight, in
 // turns, so that even a few requests come close to the proportions.
 type splits struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	routes map[string]*split
 }
 
--- a/internal/request/relay/timeouts.go
+++ b/internal/request/relay/timeouts.go
@@ -1,8 +1,9 @@
 package relay
 
 import (
-	"sync"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
 // callerTimeouts learns the full timeout of the callers of each route: the
@@ -12,7 +13,7 @@
 // left, its callers use different timeouts, and a large difference does not show
 // how long a caller has waited.
 type callerTimeouts struct {
-	mu     sync.Mutex
+	mu     mutex.Mutex
 	routes map[string]*routeTimeout
 }
 
--- a/internal/version/epoch/epoch.go
+++ b/internal/version/epoch/epoch.go
@@ -15,10 +15,10 @@
 
 import (
 	"maps"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -61,7 +61,7 @@
 type Keeper struct {
 	current atomic.Pointer[Epoch]
 
-	mu    sync.Mutex
+	mu    mutex.Mutex
 	older []Change
 }
 
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/google/uuid"
 	lru "github.com/hashicorp/golang-lru/v2/expirable"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -85,11 +86,11 @@
 
 	once           sync.Once
 	client         *http.Client
-	mu             sync.Mutex
+	mu             mutex.Mutex
 	addressList    *wire.AddressList
 	listReceivedAt time.Time
 	rotation       atomic.Uint64
-	refreshMu      sync.Mutex
+	refreshMu      mutex.Mutex
 	homeByKey      *lru.LRU[string, wire.Address]
 }
 
