Tell a reset from an end of the stream also while a request is written

Cause: the answer has no length and ends with its connection, which is reset while the request's body is being written. The system tells the error of a connection once, to whichever call comes first. The writer, a goroutine of its own for bodies of more than 8 KB, got 'connection reset by peer'; the reader then saw an end of the stream, and exchange took the body for whole. The writer's error decided only whether the connection was kept.

Ruled out: that looking at the writer's error is enough (it may not have been passed on yet when the reader sees the end), and that waiting for the writer is (a sound target may answer in full, end its side and never read the rest).

Change: after a body that ends with the stream, the writing is ended by a deadline in the past and its error is looked at. A deadline, or no error, means that the writer was told nothing; a broken pipe, that the target ended its side before the reset. Anything else means that the body was cut. The wait is bounded by the time in which a goroutine that has been woken returns. What the connection told is kept apart, since net/http doesn't wrap it.

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -24,13 +24,11 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
-	"github.com/magnoliarelay/magnoliarelay/internal/conn/pass"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 )
 
@@ -155,44 +153,24 @@
 	return err == nil && nothingArrived
 }
 
-// countingConn counts the bytes written to the target.
-type countingConn struct {
-	net.Conn
-	sentBytes        int
-	transferredBytes *atomic.Int64
-}
-
-func (c *countingConn) Write(data []byte) (int, error) {
-	n, err := c.Conn.Write(data)
-	c.sentBytes += n
-	c.transferredBytes.Add(int64(n))
-	return n, err
-}
-
 // exchange sends one request and reads its reply; keep reports whether the
 // connection may be used again.
 func (c *conn) exchange(request *http.Request, deadline time.Time, p *Pool) (reply *Reply, keep bool, err error) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return nil, false, &Error{Op: "send", Kind: KindNotSent, Err: err}
 	}
-	counted := &countingConn{Conn: c.Conn, transferredBytes: c.limited.transferredBytes}
-	written := make(chan error, 1)
-	mismatched := 0
-	if request.ContentLength > maxInlineBodyBytes {
-		// A target may reply before it has read a long body.
-		go func() { written <- writeRequest(counted, request) }()
-	} else if err := writeRequest(counted, request); err != nil {
-		return nil, false, c.failure("send", counted.sentBytes == 0, err)
-	} else {
-		written <- nil
+	out := c.send(request)
+	if request.ContentLength <= maxInlineBodyBytes && out.err != nil {
+		return nil, false, c.failure("send", out.sentBytes == 0, out.err)
 	}
+	mismatched := 0
 	c.limited.remaining = maxHeadBytes
 	sent := time.Now()
 	if _, err := c.reader.Peek(1); err != nil && c.mayBeOverConnectionLimit(time.Since(sent)) && errors.Is(err, syscall.ECONNRESET) {
 		return nil, false, &Error{Op: "receive", Kind: KindReset, Err: err}
 	}
 	for range maxMismatchedReplies + 1 {
-		if reply, keep, err = c.receive(request, p.bodyBudget()); err != nil {
+		if reply, keep, err = c.receive(request, out, p.bodyBudget()); err != nil {
 			return nil, false, c.failure("receive", false, err)
 		}
 		if !p.isMismatched(c, reply) {
@@ -204,17 +182,11 @@
 	if mismatched > maxMismatchedReplies {
 		return nil, false, &Error{Op: "receive", Kind: KindCorrupt, Err: errMismatchedReplies}
 	}
-	select {
-	case err := <-written:
-		keep = keep && err == nil && mismatched == 0
-	default:
-		keep = false
-	}
-	return reply, keep, nil
+	return reply, keep && mismatched == 0 && out.isWhole(), nil
 }
 
 // receive reads one reply; keep reports whether the connection may carry another.
-func (c *conn) receive(request *http.Request, bodyBudget *bulk.Budget) (reply *Reply, keep bool, err error) {
+func (c *conn) receive(request *http.Request, out *outgoing, bodyBudget *bulk.Budget) (reply *Reply, keep bool, err error) {
 	response, err := c.readHead(request)
 	if err != nil {
 		return nil, false, err
@@ -236,27 +208,17 @@
 	}
 	reply = &Reply{Status: response.StatusCode, Header: response.Header, Body: body}
 	framed := bodiless || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	if !framed {
+		// The body ends with the stream, or was cut by a reset.
+		if err := out.endError(); err != nil {
+			return nil, false, err
+		}
+	}
 	keep = framed && !response.Close && c.reader.Buffered() == 0
 	c.expiresAt = time.Now().Add(idleTimeout(response.Header.Get("Keep-Alive")))
 	return reply, keep, nil
 }
 
-// writerPool holds the buffers for writing requests.
-var writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
-
-func writeRequest(out io.Writer, request *http.Request) error {
-	w := writerPool.Get().(*bufio.Writer)
-	defer func() {
-		w.Reset(nil)
-		writerPool.Put(w)
-	}()
-	w.Reset(out)
-	if err := pass.Write(w, request); err != nil {
-		return err
-	}
-	return w.Flush()
-}
-
 func (c *conn) failure(op string, notSent bool, err error) error {
 	kind := KindCorrupt
 	var network net.Error
