A reset of a new connection is no lost answer if the writer is told of it

If the writer of the request got the error, the exchange ended at 'send' as Broken, or the reader saw an end, which is Broken too: a loss, held against the target and against the request, which may be quarantined for it.

Change: an end of the stream before the first byte of a reply takes the writer's error, so that the reset counts as one; if no byte was sent, the request counts as not sent. A short request whose writing fails on the connection is no longer given up before the reply is read: the reset may have followed a reply.

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -159,15 +159,15 @@
 	if err := c.SetDeadline(deadline); err != nil {
 		return nil, false, &Error{Op: "send", Kind: KindNotSent, Err: err}
 	}
+	began := time.Now()
 	out := c.send(request)
-	if request.ContentLength <= maxInlineBodyBytes && out.err != nil {
-		return nil, false, c.failure("send", out.sentBytes == 0, out.err)
+	if err := out.localError(); err != nil {
+		return nil, false, c.failure("send", out.sentBytes == 0, err)
 	}
 	mismatched := 0
 	c.limited.remaining = maxHeadBytes
-	sent := time.Now()
-	if _, err := c.reader.Peek(1); err != nil && c.mayBeOverConnectionLimit(time.Since(sent)) && errors.Is(err, syscall.ECONNRESET) {
-		return nil, false, &Error{Op: "receive", Kind: KindReset, Err: err}
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, false, c.failureBeforeReply(out, err, time.Since(began))
 	}
 	for range maxMismatchedReplies + 1 {
 		if reply, keep, err = c.receive(request, out, p.bodyBudget()); err != nil {
@@ -219,6 +219,22 @@
 	return reply, keep, nil
 }
 
+// failureBeforeReply returns the failure of an exchange whose connection ended before the
+// first byte of a reply.
+func (c *conn) failureBeforeReply(out *outgoing, err error, took time.Duration) error {
+	notSent := false
+	if errors.Is(err, io.EOF) {
+		if lost := out.endError(); lost != nil {
+			err = lost
+		}
+		notSent = out.sentBytes == 0
+	}
+	if !notSent && c.mayBeOverConnectionLimit(took) && errors.Is(err, syscall.ECONNRESET) {
+		return &Error{Op: "receive", Kind: KindReset, Err: err}
+	}
+	return c.failure("receive", notSent, err)
+}
+
 func (c *conn) failure(op string, notSent bool, err error) error {
 	kind := KindCorrupt
 	var network net.Error
--- a/internal/conn/http1/outgoing.go
+++ b/internal/conn/http1/outgoing.go
@@ -70,6 +70,15 @@
 // isWhole reports whether the whole request has been written.
 func (o *outgoing) isWhole() bool { return o.hasEnded() && o.err == nil }
 
+// localError returns the error of a request that has failed and can't be replied to: no
+// byte of it was sent, or the connection is not the cause.
+func (o *outgoing) localError() error {
+	if !o.hasEnded() || o.sentBytes > 0 && o.connError != nil {
+		return nil
+	}
+	return o.err
+}
+
 // endError ends the writing after the reader has seen the end of the stream. It returns the
 // error that the connection ended with, or nil if the target ended the stream: the system
 // reports an error of a connection once, and if the writer gets it, the reader sees an end.
--- a/internal/conn/http1/reset_test.go
+++ b/internal/conn/http1/reset_test.go
@@ -159,3 +159,43 @@
 		})
 	}
 }
+
+// Guards against a target at its connection limit, which resets new connections, that
+// counts as having lost answers, as it did if the writer of the request was told first.
+func TestResetOfANewConnectionIsNoLostAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		read int
+	}{{"at once", 0}, {"after one byte", 1}} {
+		for _, body := range []int{0, 4 << 10, 9 << 10, 200 << 10, longBody} {
+			t.Run(fmt.Sprintf("%s, %d bytes", tt.name, body), func(t *testing.T) {
+				pool := startTarget(t, func(conn *net.TCPConn) {
+					_, _ = conn.Read(make([]byte, tt.read))
+					resetConn(conn)
+				})
+				kinds := map[Kind]int{}
+				for range resets {
+					raw, err := net.Dial("tcp", pool.Address)
+					if err != nil {
+						// The reset came before the connection was open.
+						kinds[KindNotSent]++
+						continue
+					}
+					c := newConn(raw, nil)
+					// A slow machine must not make the reset look late.
+					c.connectTime = time.Minute
+					_, _, err = c.exchange(request(strings.Repeat("x", body)), time.Now().Add(10*time.Second), pool)
+					c.close()
+					var e *Error
+					if !errors.As(err, &e) {
+						t.Fatalf("%v, want an error", err)
+					}
+					kinds[e.Kind]++
+				}
+				if kinds[KindReset]+kinds[KindNotSent] < resets {
+					t.Errorf("kinds %v, want only %s and %s", kinds, KindReset, KindNotSent)
+				}
+			})
+		}
+	}
+}
