Ask for the cost of a retry only where a target has rejected requests

Change: a fleet says whether any of its targets has ever done so, and a request keeps its budgets instead of looking them up.

TestRetryCostIsAskedForOnlyAfterSuchARejection failed before: asked once before any rejection.

--- a/internal/process/fleet/callback_test.go
+++ b/internal/process/fleet/callback_test.go
@@ -177,3 +177,21 @@
 		t.Errorf("%d notices, want 2", notices)
 	}
 }
+
+// Guards against work for each pick that only matters once a target has rejected a request
+// although it had room.
+func TestRetryCostIsAskedForOnlyAfterSuchARejection(t *testing.T) {
+	f, _ := registeredPool(entries("a", "b")...)
+	g := NewGroup([]*Fleet{f})
+	asked := 0
+	g.RetryCost = func(time.Time, int) time.Duration { asked++; return 0 }
+	g.Finish(start, g.Pick(start, Query{View: g.View}).Target, 0, Success, 0, nil)
+	if asked != 0 {
+		t.Errorf("asked %d times before any rejection", asked)
+	}
+	rejectWithRoom(f, g)
+	asked = 0
+	if g.Pick(start, Query{View: g.View}); asked != 1 {
+		t.Errorf("asked %d times for a pick after a rejection, want 1", asked)
+	}
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/calls"
@@ -64,6 +65,9 @@
 	drainTimeout    time.Duration
 	// limitFraction is this daemon's fraction of the limits that targets name.
 	limitFraction float64
+	// hasRejected is true once a target has rejected a request with room to spare. Until
+	// then, requests need not find out what a retry costs.
+	hasRejected atomic.Bool
 	// calls are those of functions from outside the package, which are made without mu.
 	calls calls.Queue
 }
--- a/internal/process/fleet/group.go
+++ b/internal/process/fleet/group.go
@@ -29,7 +29,8 @@
 	// LostAnswerCost is the time that a lost answer is assumed to cost.
 	LostAnswerCost time.Duration
 	// RetryCost, if set, returns the time that a retry for a shard is assumed to cost
-	// beyond the time until it is sent.
+	// beyond the time until it is sent. It is called only if a target of the shard has
+	// rejected a request although it had room.
 	RetryCost func(now time.Time, shard int) time.Duration
 	// UsefulUntil, if set, returns the time after which an answer is useless;
 	// zero means that it stays useful.
@@ -69,7 +70,7 @@
 // request.
 func (g *Group) addGroupOptions(now time.Time, q *Query) {
 	q.LateAfter, q.LostAnswerCost, q.Draw = g.LateAfter, g.LostAnswerCost, g.Draw
-	if g.RetryCost != nil {
+	if g.RetryCost != nil && g.fleets[q.Shard].hasRejected.Load() {
 		q.RetryCost = g.RetryCost(now, q.Shard)
 	}
 	if g.Granted != nil && len(q.Tried) == 0 {
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -264,7 +264,7 @@
 			t.markFull(now)
 			return
 		}
-		t.rejections.recordRejection(now.Sub(sent))
+		f.recordRejection(t, now.Sub(sent))
 	case Failed:
 		// A target that fails a request has at least answered.
 		t.responses.recordSignOfLife()
@@ -289,6 +289,12 @@
 	}
 }
 
+// recordRejection records that a target with room has rejected a request.
+func (f *Fleet) recordRejection(t *Target, took time.Duration) {
+	t.rejections.recordRejection(took)
+	f.hasRejected.Store(true)
+}
+
 // RecordPeerLoss records the notice of a peer that a target lost an answer at the given
 // time.
 func (f *Fleet) RecordPeerLoss(id string, at time.Time) {
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/inbox"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -43,6 +44,7 @@
 	poolNames   []string
 	fingerprint uint64
 	group       *fleet.Group
+	budgets     []*retry.Budget
 	gather      *gather.Gather
 	inbox       *inbox.Inbox[event]
 	cancelWaits map[int]func()
@@ -72,17 +74,19 @@
 
 func (r *Runner) newExchange(request *Request, route *tree.Route, poolNames []string, fingerprint uint64, times schedule) *exchange {
 	fleets := make([]*fleet.Fleet, len(poolNames))
-	budgets := make([]gather.Budget, len(poolNames))
+	budgets := make([]*retry.Budget, len(poolNames))
+	shardBudgets := make([]gather.Budget, len(poolNames))
 	for i, name := range poolNames {
 		fleets[i] = r.Pools.Fleet(name)
 		budgets[i] = r.Pools.Budget(name)
+		shardBudgets[i] = budgets[i]
 		if times.assisting {
-			budgets[i] = uncountedBudget{budgets[i]}
+			shardBudgets[i] = uncountedBudget{budgets[i]}
 		}
 	}
 	x := &exchange{
 		runner: r, request: request, route: route, poolNames: poolNames, fingerprint: fingerprint,
-		group: fleet.NewGroup(fleets), inbox: inbox.New[event](), cancelWaits: map[int]func(){},
+		group: fleet.NewGroup(fleets), budgets: budgets, inbox: inbox.New[event](), cancelWaits: map[int]func(){},
 		inFlight: map[uint64]*inFlightAttempt{}, schedule: times,
 	}
 	x.group.LateAfter, x.group.Rank, x.group.Draw = x.lateAfter, route.Priority, rand.Float64()
@@ -93,7 +97,7 @@
 	settings := *tree.Default()
 	settings.MaxAttempts = route.MaxAttempts
 	config := gather.Config{
-		View: x.group.View, Targets: x.group, ShardBudgets: budgets, Settings: &settings,
+		View: x.group.View, Targets: x.group, ShardBudgets: shardBudgets, Settings: &settings,
 		Deadline: x.schedule.deadline, NonIdempotent: !route.Idempotent,
 		HedgeDelay: x.hedgeDelay, DeferExtras: times.assisting,
 	}
@@ -116,8 +120,7 @@
 // whose retry the budget doesn't allow may miss its latency target, so the cost rises
 // to that as the budget is spent.
 func (x *exchange) retryCost(now time.Time, shard int) time.Duration {
-	spent := x.runner.Pools.Budget(x.poolNames[shard]).SpentShare(now)
-	return time.Duration(spent * float64(x.schedule.partialAt.Sub(x.request.Arrived)))
+	return time.Duration(x.budgets[shard].SpentShare(now) * float64(x.schedule.partialAt.Sub(x.request.Arrived)))
 }
 
 // lateAfter returns how long an attempt at the target may take before it is
