One way to say when a lost attempt was sent

The product's own searches gave the register of losses the time of the send, the relay a number of milliseconds, rounded down, so that an attempt could look as if it had been sent up to a millisecond after the loss of another one. Both give the time now; milliseconds go to other daemons only, rounded by the register.

--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -72,14 +72,14 @@
 	Target string
 	// Domain is the failure domain of the target.
 	Domain string
-	// RanMillis is how long the target had had the query, and AgeMillis the time since
-	// the loss.
+	// RanMillis is how long the target had had the query, for other daemons, and AgeMillis
+	// the time since the loss.
 	RanMillis int64
 	AgeMillis int64
 	// Shared is true if the target was running other queries as well.
 	Shared bool
-	// Sent is when the query was sent to the target. It is more precise than RanMillis, which
-	// counts if Sent is zero, and stays at the daemon that has seen the loss.
+	// Sent is when the query was sent to the target, at the daemon that has seen the loss;
+	// other daemons get RanMillis instead.
 	Sent time.Time `cbor:"-"`
 }
 
--- a/internal/request/relay/crash.go
+++ b/internal/request/relay/crash.go
@@ -105,7 +105,7 @@
 func (r *Runner) recordLoss(now time.Time, t *fleet.Target, blamed crash.Blamed) {
 	query := poison.Query{Fingerprint: blamed.Fingerprint}
 	quarantined := r.Poison.Lost(now, query, poison.Loss{
-		Target: strconv.FormatUint(xxhash.Sum64String(t.BootID()), shortestBase), Domain: t.ID, RanMillis: now.Sub(blamed.Sent).Milliseconds(), Shared: blamed.Shared,
+		Target: strconv.FormatUint(xxhash.Sum64String(t.BootID()), shortestBase), Domain: t.ID, Sent: blamed.Sent, Shared: blamed.Shared,
 	})
 	a := r.Poison.Assess(now, query)
 	if !a.Repeated {
