Lost results of commands that were sent together hold back none

The fault of searches on a related path: the loss of a command did not say when it was sent, so that targets which had got the same command at the same time and lost their connections one right after the other looked like a deadly command. The next one with the same text was refused.

--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -574,6 +575,37 @@
 	}
 }
 
+// Guards against a harmless command that is held back as deadly, since targets that had got
+// it at the same time lose their answers one right after the other.
+func TestLostResultsOfCommandsSentTogetherHoldBackNone(t *testing.T) {
+	const (
+		commands = 6
+		work     = 300 * time.Millisecond
+	)
+	w := start(t, &world.World{Daemons: 1, Services: []world.Service{{
+		Deployment: "D", Name: "S", Shards: 1, Replicas: commands, Slots: 4, Connections: 40, Documents: 30,
+		Behaviour: shard.Behaviour{Median: work, DropReplies: true},
+	}}})
+	c := w.Caller("D", "c")
+	var sending sync.WaitGroup
+	for n := range commands {
+		sending.Go(func() {
+			_, err := c.Execute(t.Context(), caller.Command{Service: "S", Text: "pick", Key: fmt.Sprint("p", n), Deadline: 2 * time.Second})
+			var e *caller.Error
+			if !errors.As(err, &e) || e.Kind != caller.KindUnknown {
+				t.Errorf("error %v, want an unknown outcome", err)
+			}
+		})
+	}
+	sending.Wait()
+	for _, s := range w.Searchers["D/S"] {
+		s.UpdateBehaviour(func(b *shard.Behaviour) { b.DropReplies = false })
+	}
+	if _, err := c.Execute(t.Context(), caller.Command{Service: "S", Text: "pick", Key: "last", Deadline: 2 * time.Second}); err != nil {
+		t.Errorf("the next command: %v", err)
+	}
+}
+
 func TestHostileCallerNamesAddNoMetrics(t *testing.T) {
 	w := start(t, &world.World{Daemons: 1})
 	d := w.Running[0]
--- a/internal/process/daemon/execute.go
+++ b/internal/process/daemon/execute.go
@@ -219,6 +219,7 @@
 			break
 		}
 		tried = append(tried, choice.Target)
+		sent := time.Now()
 		reply, outcome := d.sendOrder(ctx, t, choice.Target, shard, request, deadline)
 		switch outcome {
 		case fleet.Success:
@@ -226,7 +227,7 @@
 		case fleet.Refused, fleet.Shed, fleet.Draining:
 			continue
 		case fleet.Broken:
-			d.Poison.Lost(time.Now(), query, poison.Loss{Target: choice.Target.Address, Domain: choice.Target.Domain()})
+			d.Poison.Lost(time.Now(), query, poison.Loss{Target: choice.Target.Address, Domain: choice.Target.Domain(), Sent: sent})
 			d.gossip.Push()
 		default:
 		}
