Bound the connections that callers hold

What callers saw: clients that opened connections and said nothing, or stopped in the middle of a request, held a descriptor each for as long as they liked, 10 s to two minutes, and the daemon had none left for targets. Each held memory of the process and, in its buffers, of the system.

Cause: nothing counted the connections of the listener.

Change: package guard listens for callers. The listener has three eighths of the descriptors at most, or fewer if their buffers would take more than a quarter of the memory. At the limit a new connection replaces the one whose client has been waited for longest: it has sent nothing yet, or for half a second not the rest of a request, or has not read its answer; else the one that has been idle for longest. A request that is being served is never cut. The buffers of a connection in the system are 16 KB each way instead of up to 6 MB.

Why it works: a connection is either served or waited for, and what is waited for can be closed, so that the next one always finds a place unless all are served.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -17,11 +17,11 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -81,6 +81,11 @@
 	WriteTimeout time.Duration
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
+	// MaxConnections bounds the connections of callers; zero means as many as a guard.Host
+	// allows that is not described.
+	MaxConnections int
+	// OnEvict, if set, is called after a connection was closed to make room for another.
+	OnEvict func()
 
 	server *http.Server
 	drain  drain.Drain
@@ -88,11 +93,11 @@
 
 // Start listens and serves.
 func (s *Server) Start() error {
-	listener, err := net.Listen("tcp", s.Address)
-	if err != nil {
+	listener := &guard.Listener{Address: s.Address, MaxConnections: s.MaxConnections, OnEvict: s.OnEvict}
+	if err := listener.Listen(); err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	s.Address = listener.Addr().String()
+	s.Address = listener.Address
 	s.drain.Report = s.Report
 	if s.WriteTimeout == 0 {
 		s.WriteTimeout = defaultWriteTimeout
@@ -102,6 +107,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       guard.Context,
 	}
 	s.drain.Attach(s.server, listener)
 	// Serve returns an error when the stop closes the listener.
@@ -111,6 +117,9 @@
 
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	conn := guard.From(r.Context())
+	conn.Begin()
+	defer conn.End()
 	request := s.Codec.Read(r)
 	request.Arrived = arrived
 	end, accepted := s.drain.Begin(request.ID)
@@ -134,6 +143,9 @@
 		http.Error(w, http.StatusText(status), status)
 		return
 	}
+	if !conn.Serve() {
+		panic(http.ErrAbortHandler)
+	}
 	request.Body = body
 	answer := s.Serve(r.Context(), request)
 	if s.drain.Leaving() {
--- /dev/null
+++ b/internal/conn/guard/guard.go
@@ -0,0 +1,212 @@
+// Package guard bounds the connections of a listener. Clients
+// that open connections and say nothing, stop in the middle of a request or don't read
+// their answers are closed when others need the room.
+//
+// # Usage
+//
+//	host := guard.Host{MemoryBytes: 284 << 20, Descriptors: 4100}
+//	l := &guard.Listener{Address: "10.0.0.1:8104", MaxConnections: host.Connections(guard.Callers)}
+//	err := l.Listen()
+//	server := &http.Server{Handler: handler, ConnContext: guard.Context}
+//	server.Serve(l)
+//
+//	// in the handler:
+//	c := guard.From(r.Context())
+//	c.Begin()
+//	defer c.End()
+//	if !c.Serve() { /* the client has been evicted */ }
+package guard
+
+import (
+	"container/list"
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// KindListen means that the listener could not listen at its address.
+const KindListen Kind = "Listen"
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// socketBufferBytes bounds each buffer of a connection in the system, which belongs to
+	// the memory of the host. The system doubles it for its own records.
+	socketBufferBytes = 16 << 10
+	// minSilence is how long a client must have been waited for to lose its connection to
+	// a new one, if it has begun a request or reads an answer.
+	minSilence = 500 * time.Millisecond
+	// acceptRetryDelay is the pause after a failure to accept, such as when the process has
+	// no descriptor left.
+	acceptRetryDelay = 20 * time.Millisecond
+)
+
+// Listener accepts the connections of clients. Exported fields are set before Listen.
+type Listener struct {
+	// Address is "ip:port"; Listen replaces port 0 by the actual port.
+	Address string
+	// MaxConnections bounds the open connections; zero means as many as Host allows for
+	// Callers.
+	MaxConnections int
+	// OnEvict, if set, is called after a connection was closed to make room for a new one,
+	// or a new one was refused.
+	OnEvict func()
+
+	net.Listener
+	mu mutex.Mutex
+	// waiting holds the connections in each state by the time since when they are in it.
+	waiting [states]list.List
+	open    int
+}
+
+// state is what a connection is doing.
+type state int
+
+const (
+	// stateNew has carried no request yet, and stateIdle has answered one.
+	stateNew state = iota
+	stateIdle
+	// stateReceiving waits for the rest of a request, and stateSending for the client to
+	// read an answer.
+	stateReceiving
+	stateSending
+	// stateServing is at work on a request.
+	stateServing
+	states
+)
+
+// Listen opens the socket.
+func (l *Listener) Listen() error {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			// Accepted connections inherit the sizes.
+			failed = errors.Join(
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes),
+				unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes),
+			)
+		})
+		return errors.Join(err, failed)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", l.Address)
+	if err != nil {
+		return &Error{Op: "listen", Kind: KindListen, Err: err}
+	}
+	l.Listener, l.Address = listener, listener.Addr().String()
+	if l.MaxConnections == 0 {
+		l.MaxConnections = Host{}.Connections(Callers)
+	}
+	return nil
+}
+
+// Accept returns the next connection. If there are too many, it closes the one that has
+// been waited for longest.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			// Another listener of the process may have used up the descriptors.
+			if !l.evictOldest(time.Now()) {
+				time.Sleep(acceptRetryDelay)
+			}
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(time.Now(), raw); c != nil {
+			return c, nil
+		}
+		reset(raw)
+	}
+}
+
+// admit returns the connection, or nil if it must be refused.
+func (l *Listener) admit(now time.Time, raw net.Conn) *Conn {
+	for {
+		l.mu.Lock()
+		if l.open < l.MaxConnections {
+			c := &Conn{Conn: raw, listener: l}
+			l.open++
+			c.enter(now, stateNew)
+			l.mu.Unlock()
+			return c
+		}
+		l.mu.Unlock()
+		if !l.evictOldest(now) {
+			if l.OnEvict != nil {
+				l.OnEvict()
+			}
+			return nil
+		}
+	}
+}
+
+// evictOldest closes a connection that waits for its client, and reports whether there
+// was one: the one that has waited longest for a request or for an answer to be read, or
+// else the one that has been idle for longest.
+func (l *Listener) evictOldest(now time.Time) bool {
+	l.mu.Lock()
+	var victim *Conn
+	for _, s := range []state{stateNew, stateReceiving, stateSending} {
+		first := l.waiting[s].Front()
+		if first == nil {
+			continue
+		}
+		c := first.Value.(*Conn)
+		if s != stateNew && now.Sub(c.since) < minSilence {
+			continue
+		}
+		if victim == nil || c.since.Before(victim.since) {
+			victim = c
+		}
+	}
+	if first := l.waiting[stateIdle].Front(); victim == nil && first != nil {
+		victim = first.Value.(*Conn)
+	}
+	if victim == nil {
+		l.mu.Unlock()
+		return false
+	}
+	victim.leave()
+	l.mu.Unlock()
+	victim.Abort()
+	if l.OnEvict != nil {
+		l.OnEvict()
+	}
+	return true
+}
+
+// reset closes a connection without waiting for the client to read what was sent.
+func reset(raw net.Conn) {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		// An ordinary close is good enough if this fails.
+		_ = tcp.SetLinger(0)
+	}
+	_ = raw.Close()
+}
+
+type contextKey struct{}
+
+// Context is the ConnContext of a server of a Listener.
+func Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// From returns the connection of a request; nil, which bounds nothing, if the server has
+// no Listener.
+func From(ctx context.Context) *Conn {
+	c, _ := ctx.Value(contextKey{}).(*Conn)
+	return c
+}
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/edge"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/alloc"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
@@ -82,6 +83,8 @@
 	// bytes per second that the network link of the host carries.
 	Cores     float64
 	LinkBytes float64
+	// Host describes the memory and the descriptors that the daemon may use.
+	Host guard.Host
 }
 
 const (
@@ -170,6 +173,7 @@
 	// storeLost is true while the daemon joins and the store does not answer.
 	storeLost atomic.Bool
 	refused   refusals
+	evictions refusals
 }
 
 // Start listens and begins to join. The daemon becomes ready once it has the routes
@@ -222,7 +226,7 @@
 	}
 	n.server = &edge.Server{
 		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Refuse: n.refuseStopping, Limits: n.limits, WriteFailed: n.logUnwritten,
-		Report: n.Log.State,
+		Report: n.Log.State, MaxConnections: n.Setup.Host.Connections(guard.Callers), OnEvict: func() { n.Evicted(LimitConnection) },
 	}
 }
 
--- a/internal/process/node/trust.go
+++ b/internal/process/node/trust.go
@@ -6,11 +6,12 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
-// refusalLogInterval is the minimum time between two log lines about refused peers: each
-// peer that is refused connects again with every heartbeat.
+// refusalLogInterval is the minimum time between two log lines about refusals: each peer
+// that is refused connects again with every heartbeat, and a client as often as it likes.
 const refusalLogInterval = 2 * time.Second
 
-// refusals counts connections of peers whose certificate no record in the table has.
+// refusals counts what a daemon refuses, for log lines that come at most once in
+// refusalLogInterval.
 type refusals struct {
 	mu mutex.Mutex
 	// count is the number of refusals since the last line.
