Bound the memory that heads of requests take

What callers saw: a head of 60 KB with very short fields takes a megabyte once it is read, whether its end has come or the request waits for a target. 300 such requests took 374 MB, 600 that stopped short of the end 608 MB, of 64.

Cause: the size of one head was bounded, in bytes on the wire, and not what all of them take.

Change: package room bounds the bytes that the requests of all callers take, at an eighth of the memory. Package guard claims room for a head as it arrives, by its bytes and its lines, and gives it back at the end of the request.

Why it works: what is not claimed is not read.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
@@ -81,8 +82,9 @@
 	WriteTimeout time.Duration
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
-	// MaxConnections bounds the connections of callers; zero means as many as a guard.Host
-	// allows that is not described.
+	// Requests bounds the memory that callers hold, and MaxConnections their connections.
+	// Without them, the limits are those of a guard.Host that is not described.
+	Requests       *room.Room
 	MaxConnections int
 	// OnEvict, if set, is called after a connection was closed to make room for another.
 	OnEvict func()
@@ -93,7 +95,7 @@
 
 // Start listens and serves.
 func (s *Server) Start() error {
-	listener := &guard.Listener{Address: s.Address, MaxConnections: s.MaxConnections, OnEvict: s.OnEvict}
+	listener := &guard.Listener{Address: s.Address, Room: s.Requests, MaxConnections: s.MaxConnections, OnEvict: s.OnEvict}
 	if err := listener.Listen(); err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
@@ -115,10 +117,13 @@
 	return nil
 }
 
+// reasonNoRoom is the reason of an answer to a request for which there is no memory.
+const reasonNoRoom = "no memory for this request"
+
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	conn := guard.From(r.Context())
-	conn.Begin()
+	hasRoom := conn.Begin(r)
 	defer conn.End()
 	request := s.Codec.Read(r)
 	request.Arrived = arrived
@@ -131,6 +136,11 @@
 		s.write(w, request, s.Refuse(request))
 		return
 	}
+	if !hasRoom {
+		w.Header().Set("Connection", "close")
+		s.write(w, request, &relay.Answer{Result: relay.NotRun, Reason: reasonNoRoom, RetryAfter: room.RetryAfter})
+		return
+	}
 	limits := s.Limits()
 	body, status := readBody(w, r, limits)
 	if status != 0 {
--- a/internal/conn/guard/conn.go
+++ b/internal/conn/guard/conn.go
@@ -1,9 +1,20 @@
 package guard
 
 import (
+	"bytes"
 	"container/list"
 	"net"
+	"net/http"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
+)
+
+const (
+	// headFactor is how many bytes each byte of a head takes while it is read and kept, and
+	// fieldBytes what each field takes beyond them.
+	headFactor = 2
+	fieldBytes = 128
 )
 
 // Conn is a connection of a client. A nil Conn bounds nothing.
@@ -16,8 +27,17 @@
 	since   time.Time
 	element *list.Element
 	closed  bool
+	// claim is that of the request being read or served.
+	claim *room.Claim
+	// headBytes is what the claim holds for the head. HeadRead is true once the head has
+	// been read whole.
+	headBytes int64
+	headRead  bool
 }
 
+// errNoRoom is an error of a read, for which the server closes the connection.
+var errNoRoom = &net.OpError{Op: "read", Net: "tcp", Err: &Error{Op: "read", Kind: KindNoRoom}}
+
 // enter changes the state. The lock of the listener is held.
 func (c *Conn) enter(now time.Time, s state) {
 	if c.closed {
@@ -61,32 +81,94 @@
 
 func (c *Conn) release() {
 	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
 	c.leave()
+	claim := c.claim
+	c.claim = nil
+	c.listener.mu.Unlock()
+	if claim != nil {
+		claim.Close()
+	}
 }
 
-// Read reads from the client.
+// Read reads from the client. While it reads the head of a request, it claims room for it.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
-	if n > 0 {
-		c.listener.mu.Lock()
-		if c.state == stateNew || c.state == stateIdle {
-			c.enter(time.Now(), stateReceiving)
+	if n > 0 && !c.received(data[:n]) {
+		c.Abort()
+		return 0, errNoRoom
+	}
+	return n, err
+}
+
+// received records bytes from the client, and reports whether there is room for them.
+func (c *Conn) received(data []byte) bool {
+	now := time.Now()
+	c.listener.mu.Lock()
+	if c.closed || c.headRead || c.state == stateServing || c.state == stateSending {
+		c.listener.mu.Unlock()
+		return true
+	}
+	if c.state != stateReceiving {
+		c.enter(now, stateReceiving)
+	}
+	claim := c.openClaim(now)
+	size := int64(headFactor*len(data) + fieldBytes*bytes.Count(data, []byte{'\n'}))
+	c.headBytes += size
+	c.listener.mu.Unlock()
+	return claim.Take(now, size)
+}
+
+// openClaim returns the claim of the request being read. The lock of the listener is held.
+func (c *Conn) openClaim(now time.Time) *room.Claim {
+	if c.claim == nil {
+		c.claim = c.listener.Room.Open(c.Abort)
+		c.claim.Await(now)
+		c.headBytes = 0
+	}
+	return c.claim
+}
+
+// Begin is called when the head of a request has been read. It reports whether there is
+// room for it. The client is waited for until Serve.
+func (c *Conn) Begin(r *http.Request) bool {
+	if c == nil {
+		return true
+	}
+	now := time.Now()
+	size := int64(headFactor * (len(r.RequestURI) + len(r.Host)))
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += int64(headFactor*(len(name)+len(value)) + fieldBytes)
 		}
+	}
+	c.listener.mu.Lock()
+	if c.closed {
 		c.listener.mu.Unlock()
+		return false
 	}
-	return n, err
+	c.enter(now, stateReceiving)
+	c.headRead = true
+	claim := c.openClaim(now)
+	// What was read may also belong to the body, or a part of the head came together with the
+	// request before it.
+	claimed := c.headBytes
+	c.listener.mu.Unlock()
+	if size < claimed {
+		claim.Give(claimed - size)
+		return true
+	}
+	return claim.Take(now, size-claimed)
 }
 
-// Begin is called when the head of a request has been read. The client is waited for until
-// Serve.
-func (c *Conn) Begin() {
+// Take claims room for bytes of the request or its answer until End.
+func (c *Conn) Take(count int64) bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
-	c.enter(time.Now(), stateReceiving)
+	claim := c.claim
+	c.listener.mu.Unlock()
+	return claim != nil && claim.Take(time.Now(), count)
 }
 
 // Serve is called when the request has been read whole: it will not be cut any more to make
@@ -96,32 +178,45 @@
 		return true
 	}
 	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
 	c.enter(time.Now(), stateServing)
-	return !c.closed
+	closed, claim := c.closed, c.claim
+	c.listener.mu.Unlock()
+	return !closed && claim != nil && claim.Serve()
 }
 
-// End ends the request.
+// End ends the request and gives back what it has claimed.
 func (c *Conn) End() {
 	if c == nil {
 		return
 	}
 	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
+	claim := c.claim
+	c.claim, c.headRead = nil, false
 	c.enter(time.Now(), stateIdle)
+	c.listener.mu.Unlock()
+	if claim != nil {
+		claim.Close()
+	}
 }
 
 // Write sends to the client. Until it returns, the client is waited for.
 func (c *Conn) Write(data []byte) (int, error) {
+	now := time.Now()
 	c.listener.mu.Lock()
-	before := c.state
-	c.enter(time.Now(), stateSending)
+	before, claim := c.state, c.claim
+	c.enter(now, stateSending)
 	c.listener.mu.Unlock()
+	if claim != nil {
+		claim.Await(now)
+	}
 	n, err := c.Conn.Write(data)
 	c.listener.mu.Lock()
-	defer c.listener.mu.Unlock()
 	if c.state == stateSending {
 		c.enter(time.Now(), before)
 	}
+	c.listener.mu.Unlock()
+	if claim != nil && before == stateServing {
+		claim.Serve()
+	}
 	return n, err
 }
--- a/internal/conn/guard/guard.go
+++ b/internal/conn/guard/guard.go
@@ -1,19 +1,21 @@
-// Package guard bounds the connections of a listener. Clients
+// Package guard bounds the connections of a listener and what each of them holds. Clients
 // that open connections and say nothing, stop in the middle of a request or don't read
 // their answers are closed when others need the room.
 //
 // # Usage
 //
 //	host := guard.Host{MemoryBytes: 284 << 20, Descriptors: 4100}
-//	l := &guard.Listener{Address: "10.0.0.1:8104", MaxConnections: host.Connections(guard.Callers)}
+//	l := &guard.Listener{Address: "10.0.0.1:8104", Room: host.Requests(), MaxConnections: host.Connections(guard.Callers)}
 //	err := l.Listen()
-//	server := &http.Server{Handler: handler, ConnContext: guard.Context}
+//	server := &http.Server{Handler: guard.Handler(handler), ConnContext: guard.Context}
 //	server.Serve(l)
 //
-//	// in the handler:
+// A handler that reads bodies uses the Conn of its request instead of Handler:
+//
 //	c := guard.From(r.Context())
-//	c.Begin()
+//	if !c.Begin(r) { /* refuse: there is no room for the head */ }
 //	defer c.End()
+//	if !c.Take(size) { /* refuse: there is no room for the body */ }
 //	if !c.Serve() { /* the client has been evicted */ }
 package guard
 
@@ -22,6 +24,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -29,13 +33,18 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 )
 
 // Kind classifies an Error.
 type Kind string
 
-// KindListen means that the listener could not listen at its address.
-const KindListen Kind = "Listen"
+// The kinds.
+const (
+	KindListen Kind = "Listen"
+	// KindNoRoom means that there is no room for what a client sends.
+	KindNoRoom Kind = "NoRoom"
+)
 
 // Error is the error of this package.
 type Error = fault.Error[Kind]
@@ -56,6 +65,9 @@
 type Listener struct {
 	// Address is "ip:port"; Listen replaces port 0 by the actual port.
 	Address string
+	// Room bounds what the clients hold. It may be shared by several listeners. Nil means
+	// one for this listener, by the memory of the host.
+	Room *room.Room
 	// MaxConnections bounds the open connections; zero means as many as Host allows for
 	// Callers.
 	MaxConnections int
@@ -104,6 +116,9 @@
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
 	l.Listener, l.Address = listener, listener.Addr().String()
+	if l.Room == nil {
+		l.Room = Host{}.Requests()
+	}
 	if l.MaxConnections == 0 {
 		l.MaxConnections = Host{}.Connections(Callers)
 	}
@@ -210,3 +225,22 @@
 	c, _ := ctx.Value(contextKey{}).(*Conn)
 	return c
 }
+
+// Handler serves requests whose body is not read.
+func Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := From(r.Context())
+		if r.ContentLength != 0 {
+			// The server would wait for the body before it answers.
+			w.Header().Set("Connection", "close")
+		}
+		if !c.Begin(r) || !c.Serve() {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", strconv.FormatFloat(room.RetryAfter.Seconds(), 'f', 1, 64))
+			http.Error(w, "no memory for this request", http.StatusServiceUnavailable)
+			return
+		}
+		defer c.End()
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/conn/guard/host.go
+++ b/internal/conn/guard/host.go
@@ -1,6 +1,10 @@
 package guard
 
-import "syscall"
+import (
+	"syscall"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
+)
 
 // Host describes what a process may use of its host. Zero values mean that the process
 // finds out itself.
@@ -23,14 +27,19 @@
 	minConnections = 8
 	// connectionBytes is what an open connection takes in the process and in the system.
 	connectionBytes = 2 * 2 * socketBufferBytes
-	// connectionsDivisor divides the memory; the result is for open connections.
+	// connectionsDivisor divides the memory; the result is for open connections. The other
+	// does the same for requests.
 	connectionsDivisor = 4
+	requestsDivisor    = 8
 	// defaultMemoryBytes is assumed if the memory is not known.
 	defaultMemoryBytes = 1 << 30
 	// defaultDescriptors is assumed if the limit of the process is not known.
 	defaultDescriptors = 1024
 )
 
+// Requests returns the room for the requests of all clients of the process.
+func (h Host) Requests() *room.Room { return &room.Room{MaxBytes: h.memory() / requestsDivisor} }
+
 // Connections returns how many connections a listener may have that gets the given share
 // of the descriptors.
 func (h Host) Connections(share float64) int {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -38,6 +38,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/pools"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/timing"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/usage"
@@ -136,6 +137,9 @@
 	// WrapLink, if set, wraps the socket that QUIC uses. Tests set it.
 	WrapLink func(net.PacketConn) net.PacketConn
 
+	// Requests bounds the memory that clients hold for their requests. It is set by Start.
+	Requests *room.Room
+
 	Keeper *epoch.Keeper
 	Table  *member.Table
 	Roster *roster.Roster
@@ -197,6 +201,8 @@
 // build makes the parts that need no socket.
 func (n *Node) build() {
 	n.Keeper = epoch.NewKeeper()
+	n.Requests = n.Setup.Host.Requests()
+	n.Requests.OnEvict = func(int64) { n.Evicted(LimitRequest) }
 	n.Roster = roster.New()
 	n.fresh = fresh.New(mono.Now(), rand.Uint64())
 	n.fresh.State = func() (settings, roster int64) { return n.Keeper.Current().Change.Revision, n.Roster.Revision() }
@@ -226,7 +232,8 @@
 	}
 	n.server = &edge.Server{
 		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Refuse: n.refuseStopping, Limits: n.limits, WriteFailed: n.logUnwritten,
-		Report: n.Log.State, MaxConnections: n.Setup.Host.Connections(guard.Callers), OnEvict: func() { n.Evicted(LimitConnection) },
+		Report: n.Log.State, Requests: n.Requests, MaxConnections: n.Setup.Host.Connections(guard.Callers),
+		OnEvict: func() { n.Evicted(LimitConnection) },
 	}
 }
 
