Bound the memory that bodies of requests take

What callers saw: a process ended, out of memory, when many clients sent large bodies of legal size at once, with a length or in chunks of any size, and stopped just short of the end.

Cause: each body was read up to the operator's limit into a buffer that grew by copies, for ten seconds or more, and nothing counted the bytes of all. While the operator's limits were not known, there was no time limit either.

Change: package intake reads a body into a buffer that grows fourfold with what has arrived, and claims its bytes in the room for requests until the end of the request. Without room the request is refused with 503 and Retry-After, and the rest of the body is read for a quarter of a second, so that no reset overtakes the refusal.

A single body of the greatest size passes in each form.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -16,12 +16,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/intake"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
@@ -117,9 +117,6 @@
 	return nil
 }
 
-// reasonNoRoom is the reason of an answer to a request for which there is no memory.
-const reasonNoRoom = "no memory for this request"
-
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	conn := guard.From(r.Context())
@@ -132,31 +129,18 @@
 	if s.drain.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if !accepted {
-		s.write(w, request, s.Refuse(request))
-		return
-	}
-	if !hasRoom {
-		w.Header().Set("Connection", "close")
-		s.write(w, request, &relay.Answer{Result: relay.NotRun, Reason: reasonNoRoom, RetryAfter: room.RetryAfter})
-		return
-	}
-	limits := s.Limits()
-	body, status := readBody(w, r, limits)
-	if status != 0 {
-		w.Header().Set("Connection", "close")
-		if limits == nil && status == http.StatusRequestEntityTooLarge {
-			// The operator's limits may allow it.
-			s.write(w, request, &relay.Answer{Result: relay.NotRun, Reason: "no settings yet", RetryAfter: unknownLimitsRetryAfter})
-			return
+	if !accepted || !hasRoom {
+		answer := &relay.Answer{Result: relay.NotRun, Reason: reasonNoRoom, RetryAfter: room.RetryAfter}
+		if !accepted {
+			answer = s.Refuse(request)
 		}
-		http.Error(w, http.StatusText(status), status)
+		intake.Discard(w)
+		s.refuseUnread(w, request, answer)
 		return
 	}
-	if !conn.Serve() {
-		panic(http.ErrAbortHandler)
+	if !s.readBody(w, r, conn, request) {
+		return
 	}
-	request.Body = body
 	answer := s.Serve(r.Context(), request)
 	if s.drain.Leaving() {
 		w.Header().Set("Connection", "close")
@@ -183,29 +167,42 @@
 	}
 }
 
-// readBody reads the whole body, or returns the status of a refusal. Limits is nil while
-// the operator's limits are unknown.
-func readBody(w http.ResponseWriter, r *http.Request, limits *tree.Limits) (body []byte, status int) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, 0
-	}
-	maxBytes := int64(maxHeaderBytes)
+// reasonNoRoom is the reason of an answer to a request for which there is no memory.
+const reasonNoRoom = "no memory for this request"
+
+// readBody reads the whole body, or refuses the request and returns false.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, conn *guard.Conn, request *relay.Request) bool {
+	limits := s.Limits()
+	reader := &intake.Reader{MaxBytes: maxHeaderBytes, Timeout: headerTimeout, Take: conn.Take}
 	if limits != nil {
-		maxBytes = limits.BodyBytes
-		// If the deadline cannot be set, the body is read without one.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(max(limits.HeaderTimeout, headerTimeout)))
+		reader.MaxBytes, reader.Timeout = limits.BodyBytes, max(limits.HeaderTimeout, headerTimeout)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
+	body, err := reader.Read(w, r)
+	var failure *intake.Error
+	errors.As(err, &failure)
 	switch {
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
-	case err != nil:
-		return nil, http.StatusBadRequest
+	case err == nil && conn.Serve():
+		request.Body = body
+		return true
+	case failure == nil || failure.Kind == intake.KindNoRoom:
+		s.refuseUnread(w, request, &relay.Answer{Result: relay.NotRun, Reason: reasonNoRoom, RetryAfter: room.RetryAfter})
+	case failure.Kind == intake.KindTooLarge && limits == nil:
+		// The operator's limits may allow it.
+		s.refuseUnread(w, request, &relay.Answer{Result: relay.NotRun, Reason: "no settings yet", RetryAfter: unknownLimitsRetryAfter})
+	case failure.Kind == intake.KindTooLarge:
+		w.Header().Set("Connection", "close")
+		http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
+	default:
+		w.Header().Set("Connection", "close")
+		http.Error(w, http.StatusText(http.StatusBadRequest), http.StatusBadRequest)
 	}
-	// Clear the deadline, which would otherwise end a later request on the connection.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	return body, 0
+	return false
+}
+
+// refuseUnread refuses a request that has not been read whole and closes its connection.
+func (s *Server) refuseUnread(w http.ResponseWriter, request *relay.Request, answer *relay.Answer) {
+	w.Header().Set("Connection", "close")
+	s.write(w, request, answer)
 }
 
 // InFlight returns the number of requests in flight.
