Bound the memory that answers take until they are read

What callers saw: clients that asked for answers of 1 MB and did not read them took 334 MB of 64.

Cause: a reply of up to 8 MB was read whole for each request, and only the bytes of long bodies still being read were counted, not those that wait for their caller.

Change: the request's context carries a claim in the room for answers, an eighth of the memory. A reply is read as there is room for it, its length claimed at once; a claim ends with its request. A caller that has not read a piece of 16 KB for half a second loses its connection when others wait for room, the sooner the more wait, after 100 ms at least. A daemon that has no memory to gather for another one says that all shards are missing and untried.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -82,9 +82,10 @@
 	WriteTimeout time.Duration
 	// Report, if set, logs a step of a stop.
 	Report func(message string, pairs ...any)
-	// Requests bounds the memory that callers hold, and MaxConnections their connections.
-	// Without them, the limits are those of a guard.Host that is not described.
+	// Requests and Answers bound the memory that callers hold, and MaxConnections their
+	// connections. Without them, the limits are those of a guard.Host that is not described.
 	Requests       *room.Room
+	Answers        *room.Room
 	MaxConnections int
 	// OnEvict, if set, is called after a connection was closed to make room for another.
 	OnEvict func()
@@ -104,6 +105,9 @@
 	if s.WriteTimeout == 0 {
 		s.WriteTimeout = defaultWriteTimeout
 	}
+	if s.Answers == nil {
+		s.Answers = guard.Host{}.Answers()
+	}
 	s.server = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		ReadHeaderTimeout: headerTimeout,
@@ -141,7 +145,10 @@
 	if !s.readBody(w, r, conn, request) {
 		return
 	}
-	answer := s.Serve(r.Context(), request)
+	claim := s.Answers.Open(conn.Abort)
+	defer claim.Close()
+	conn.Answer(claim)
+	answer := s.Serve(room.With(r.Context(), claim), request)
 	if s.drain.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/conn/guard/conn.go
+++ b/internal/conn/guard/conn.go
@@ -15,6 +15,8 @@
 	// fieldBytes what each field takes beyond them.
 	headFactor = 2
 	fieldBytes = 128
+	// pieceBytes is the size of the pieces in which a client is seen to read.
+	pieceBytes = socketBufferBytes
 )
 
 // Conn is a connection of a client. A nil Conn bounds nothing.
@@ -29,6 +31,8 @@
 	closed  bool
 	// claim is that of the request being read or served.
 	claim *room.Claim
+	// answer is the claim of the answer to it, if it has one of its own.
+	answer *room.Claim
 	// headBytes is what the claim holds for the head. HeadRead is true once the head has
 	// been read whole.
 	headBytes int64
@@ -191,7 +195,7 @@
 	}
 	c.listener.mu.Lock()
 	claim := c.claim
-	c.claim, c.headRead = nil, false
+	c.claim, c.answer, c.headRead = nil, nil, false
 	c.enter(time.Now(), stateIdle)
 	c.listener.mu.Unlock()
 	if claim != nil {
@@ -199,24 +203,52 @@
 	}
 }
 
-// Write sends to the client. Until it returns, the client is waited for.
+// Answer makes the client be waited for under another claim as well, that of the answer,
+// while it reads.
+func (c *Conn) Answer(claim *room.Claim) {
+	if c == nil {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.answer = claim
+}
+
+// Write sends to the client. Until it returns, the client is waited for, anew with each
+// piece that it has read.
 func (c *Conn) Write(data []byte) (int, error) {
-	now := time.Now()
 	c.listener.mu.Lock()
-	before, claim := c.state, c.claim
-	c.enter(now, stateSending)
+	before, claims := c.state, []*room.Claim{c.claim, c.answer}
 	c.listener.mu.Unlock()
-	if claim != nil {
-		claim.Await(now)
+	written := 0
+	for {
+		now := time.Now()
+		c.listener.mu.Lock()
+		c.enter(now, stateSending)
+		c.listener.mu.Unlock()
+		for _, claim := range claims {
+			if claim != nil {
+				claim.Await(now)
+			}
+		}
+		n, err := c.Conn.Write(data[written:min(len(data), written+pieceBytes)])
+		written += n
+		if err != nil || written == len(data) {
+			c.endWrite(before, claims)
+			return written, err
+		}
 	}
-	n, err := c.Conn.Write(data)
+}
+
+func (c *Conn) endWrite(before state, claims []*room.Claim) {
 	c.listener.mu.Lock()
 	if c.state == stateSending {
 		c.enter(time.Now(), before)
 	}
 	c.listener.mu.Unlock()
-	if claim != nil && before == stateServing {
-		claim.Serve()
+	for _, claim := range claims {
+		if claim != nil && before == stateServing {
+			claim.Serve()
+		}
 	}
-	return n, err
 }
--- a/internal/conn/guard/host.go
+++ b/internal/conn/guard/host.go
@@ -27,10 +27,11 @@
 	minConnections = 8
 	// connectionBytes is what an open connection takes in the process and in the system.
 	connectionBytes = 2 * 2 * socketBufferBytes
-	// connectionsDivisor divides the memory; the result is for open connections. The other
-	// does the same for requests.
+	// connectionsDivisor divides the memory; the result is for open connections. The others
+	// do the same for requests and for answers.
 	connectionsDivisor = 4
 	requestsDivisor    = 8
+	answersDivisor     = 8
 	// defaultMemoryBytes is assumed if the memory is not known.
 	defaultMemoryBytes = 1 << 30
 	// defaultDescriptors is assumed if the limit of the process is not known.
@@ -40,6 +41,9 @@
 // Requests returns the room for the requests of all clients of the process.
 func (h Host) Requests() *room.Room { return &room.Room{MaxBytes: h.memory() / requestsDivisor} }
 
+// Answers returns the room for the answers to them.
+func (h Host) Answers() *room.Room { return &room.Room{MaxBytes: h.memory() / answersDivisor} }
+
 // Connections returns how many connections a listener may have that gets the given share
 // of the descriptors.
 func (h Host) Connections(share float64) int {
--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -30,6 +30,7 @@
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 )
 
 // Kind classifies an Error.
@@ -51,6 +52,9 @@
 	KindReset Kind = "Reset"
 	// KindExpired means that the deadline passed; the request may have run.
 	KindExpired Kind = "Expired"
+	// KindAbandoned means that the claim in the context was closed while the reply waited for
+	// room; the request may have run.
+	KindAbandoned Kind = "Abandoned"
 	// KindCorrupt means that the received bytes are not a valid HTTP/1.1 reply.
 	KindCorrupt Kind = "Corrupt"
 )
@@ -86,6 +90,8 @@
 	// maxMismatchedReplies bounds the replies to other requests that are skipped
 	// before the expected one.
 	maxMismatchedReplies = 3
+	// roomPollInterval is the time between attempts to find room for a reply.
+	roomPollInterval = 10 * time.Millisecond
 	// probeTimeout bounds a probe; a target that takes longer has not refused it.
 	probeTimeout = time.Second
 	// minIdleTimeout is used if the target closes idle connections within a second.
@@ -113,6 +119,11 @@
 	requestID string
 	// connectTime is how long it took to open the connection.
 	connectTime time.Duration
+	// claim, if set, bounds the bodies of the replies to the current request, which is
+	// given up at deadline.
+	claim    *room.Claim
+	deadline time.Time
+	closed   atomic.Bool
 }
 
 // mayBeOverConnectionLimit reports whether the target may have reset the
@@ -131,7 +142,10 @@
 }
 
 // close closes the connection; an error needs no handling.
-func (c *conn) close() { _ = c.Close() }
+func (c *conn) close() {
+	c.closed.Store(true)
+	_ = c.Close()
+}
 
 // isQuiet reports whether nothing has arrived on an idle connection: neither
 // the end of the stream nor unexpected bytes.
@@ -159,6 +173,7 @@
 	if err := c.SetDeadline(deadline); err != nil {
 		return nil, false, &Error{Op: "send", Kind: KindNotSent, Err: err}
 	}
+	c.deadline = deadline
 	began := time.Now()
 	out := c.send(request)
 	if err := out.localError(); err != nil {
@@ -239,6 +254,8 @@
 	kind := KindCorrupt
 	var network net.Error
 	switch {
+	case errors.Is(err, errAbandoned):
+		kind = KindAbandoned
 	case notSent:
 		kind = KindNotSent
 	case errors.As(err, &network) && network.Timeout():
--- a/internal/conn/http1/pool.go
+++ b/internal/conn/http1/pool.go
@@ -13,6 +13,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/dial"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 )
 
 // Correlator matches replies to requests by ID. A target may reply to a request twice,
@@ -83,7 +84,8 @@
 func (openGate) Recalled() <-chan struct{} { return nil }
 
 // Do sends the request and returns the complete reply. A connection is reused
-// only if no bytes are left on it after the reply.
+// only if no bytes are left on it after the reply. If the context carries a claim, the
+// reply is read only as there is room for it.
 func (p *Pool) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
 	return p.do(ctx, request, deadline, math.MaxInt64, openGate{})
 }
@@ -125,9 +127,10 @@
 		p.put(c)
 		return nil, errWithheld
 	}
-	c.requestID = requestID
+	c.requestID, c.claim = requestID, room.From(ctx)
 	stop := context.AfterFunc(ctx, func() { c.close() })
 	reply, keep, err := c.exchange(request, deadline, p)
+	c.claim = nil
 	if !stop() || err != nil || !keep {
 		c.close()
 		return reply, err
--- a/internal/conn/http1/read.go
+++ b/internal/conn/http1/read.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/bulk"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/dial"
@@ -33,6 +35,9 @@
 // errReplyTooLong means that a reply exceeds one of the limits.
 var errReplyTooLong = errors.New("the reply is longer than is read")
 
+// errAbandoned means that the caller's request ended before there was room for the reply.
+var errAbandoned = &Error{Op: "receive", Kind: KindAbandoned}
+
 // limitedConn is a connection from which only a limited number of bytes is read.
 type limitedConn struct {
 	net.Conn
@@ -76,16 +81,44 @@
 	if size > maxReplyBytes {
 		return nil, errReplyTooLong
 	}
-	if size >= 0 && size <= maxPreallocatedBytes {
+	if size >= 0 {
+		// The whole length is claimed at once, since replies that have been read in part would
+		// take the room of each other.
+		if err := c.awaitRoom(size); err != nil {
+			return nil, err
+		}
+	}
+	if size >= 0 && (size <= maxPreallocatedBytes || c.claim != nil) {
 		body := make([]byte, size)
 		_, err := io.ReadFull(response.Body, body)
 		return body, err
 	}
-	return readGrowing(response.Body, bodyBudget)
+	return c.readGrowing(response.Body, bodyBudget)
+}
+
+// awaitRoom waits until the caller's claim has room for more bytes of the reply. The room
+// stays claimed until the end of the caller's request.
+func (c *conn) awaitRoom(count int64) error {
+	if c.claim == nil || c.claim.Take(time.Now(), count) {
+		return nil
+	}
+	defer c.claim.Wait()()
+	for !c.claim.Take(time.Now(), count) {
+		switch {
+		case c.closed.Load():
+			return net.ErrClosed
+		case c.claim.Closed():
+			return errAbandoned
+		case !time.Now().Before(c.deadline):
+			return os.ErrDeadlineExceeded
+		}
+		time.Sleep(roomPollInterval)
+	}
+	return nil
 }
 
 // readGrowing reads a body of unknown or great length into a growing buffer.
-func readGrowing(reader io.Reader, bodyBudget *bulk.Budget) ([]byte, error) {
+func (c *conn) readGrowing(reader io.Reader, bodyBudget *bulk.Budget) ([]byte, error) {
 	buffered := bufio.NewReaderSize(reader, maxPreallocatedBytes)
 	reserved := int64(0)
 	defer func() { bodyBudget.Give(reserved) }()
@@ -97,6 +130,9 @@
 				return nil, errReplyTooLong
 			}
 			reserved += int64(size - cap(body))
+			if err := c.awaitRoom(int64(size - cap(body))); err != nil {
+				return nil, err
+			}
 			grown := make([]byte, len(body), size)
 			copy(grown, body)
 			body = grown
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -137,8 +137,9 @@
 	// WrapLink, if set, wraps the socket that QUIC uses. Tests set it.
 	WrapLink func(net.PacketConn) net.PacketConn
 
-	// Requests bounds the memory that clients hold for their requests. It is set by Start.
+	// Requests and Answers bound the memory that clients hold. They are set by Start.
 	Requests *room.Room
+	Answers  *room.Room
 
 	Keeper *epoch.Keeper
 	Table  *member.Table
@@ -201,8 +202,9 @@
 // build makes the parts that need no socket.
 func (n *Node) build() {
 	n.Keeper = epoch.NewKeeper()
-	n.Requests = n.Setup.Host.Requests()
+	n.Requests, n.Answers = n.Setup.Host.Requests(), n.Setup.Host.Answers()
 	n.Requests.OnEvict = func(int64) { n.Evicted(LimitRequest) }
+	n.Answers.OnEvict = func(int64) { n.Evicted(LimitAnswer) }
 	n.Roster = roster.New()
 	n.fresh = fresh.New(mono.Now(), rand.Uint64())
 	n.fresh.State = func() (settings, roster int64) { return n.Keeper.Current().Change.Revision, n.Roster.Revision() }
@@ -228,11 +230,11 @@
 	n.gossip.Init()
 	n.runner = &relay.Runner{
 		Pools: n.Pools, Connect: func(t *fleet.Target) relay.Sender { return n.Pools.Connections(t) }, Dialect: n.Dialect, Poison: n.Poison, ResponseTimes: timing.New(), Log: n.Log, OnSuspectedCrash: n.gossip.Push, OnStalledTarget: n.announceStall, OnLostAnswer: func(pool string, t *fleet.Target) { n.gossip.Lost(pool, t.ID) },
-		RemotePeers: &remotePeers{node: n},
+		RemotePeers: &remotePeers{node: n}, Requests: n.Requests, Answers: n.Answers,
 	}
 	n.server = &edge.Server{
 		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Refuse: n.refuseStopping, Limits: n.limits, WriteFailed: n.logUnwritten,
-		Report: n.Log.State, Requests: n.Requests, MaxConnections: n.Setup.Host.Connections(guard.Callers),
+		Report: n.Log.State, Requests: n.Requests, Answers: n.Answers, MaxConnections: n.Setup.Host.Connections(guard.Callers),
 		OnEvict: func() { n.Evicted(LimitConnection) },
 	}
 }
--- a/internal/process/room/room.go
+++ b/internal/process/room/room.go
@@ -20,6 +20,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"time"
 
@@ -33,8 +34,13 @@
 	// reservedDivisor divides the room; the result is the part that is reserved.
 	reservedDivisor = 4
 	// minWait is how long a client must have been waited for to be evicted, so that
-	// requests which arrive quickly are read whole.
-	minWait = 500 * time.Millisecond
+	// requests which arrive quickly are read whole. While others wait for room, it is
+	// shorter, by the number of them, down to minCrowdedWait: the longest round trip to a
+	// client, with some delay.
+	minWait        = 500 * time.Millisecond
+	minCrowdedWait = 100 * time.Millisecond
+	// waitersPerStep waiters for room halve the time.
+	waitersPerStep = 8
 	// batchDivisor divides the room; the result is how much is made free at once, since each
 	// choice goes through all claims.
 	batchDivisor = 16
@@ -56,6 +62,11 @@
 	used       int64
 	claims     map[*Claim]struct{}
 	nextScanAt time.Time
+	// waiters holds the claims that wait for room, in the order in which they came; one that
+	// waits several times is in it as often.
+	waiters []*Claim
+	// favoured may take more than there is, until it ends; nil if no claim may.
+	favoured *Claim
 }
 
 // Claim is what one request of a client holds.
@@ -92,8 +103,8 @@
 }
 
 // Take adds bytes to the claim. If there is no room for them, it evicts others, and returns
-// false if that is not enough. A claim that has been closed takes nothing and gets true: its
-// request has ended, and nobody keeps what it still reads.
+// false if that is not enough. A claim that has been closed holds nothing: its request has
+// ended, and what is still read for it is not kept. It gets true for SmallBytes at most.
 func (c *Claim) Take(now time.Time, bytes int64) bool {
 	r := c.room
 	r.mu.Lock()
@@ -103,12 +114,15 @@
 	}
 	if c.closed {
 		r.mu.Unlock()
-		return true
+		return bytes <= SmallBytes
 	}
 	var victims []*Claim
 	if !r.fits(c, bytes) {
 		victims = r.chooseVictims(now, c, bytes)
 	}
+	if r.favoured == nil && len(r.waiters) > 0 {
+		r.favoured = r.waiters[0]
+	}
 	taken := r.fits(c, bytes)
 	if taken {
 		c.bytes += bytes
@@ -124,6 +138,22 @@
 	return taken
 }
 
+// Wait says that the claim waits until there is room, until the returned function is called.
+// One claim at a time, that has waited for longest, may take more than there is: otherwise
+// claims that each hold a part of what they need could wait for each other.
+func (c *Claim) Wait() (done func()) {
+	r := c.room
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiters = append(r.waiters, c)
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		i := slices.Index(r.waiters, c)
+		r.waiters = slices.Delete(r.waiters, i, i+1)
+	}
+}
+
 // Give returns bytes that the claim does not need any more.
 func (c *Claim) Give(bytes int64) {
 	c.room.mu.Lock()
@@ -135,10 +165,10 @@
 }
 
 // fits reports whether the claim may grow. One that is alone may always, so that the size
-// of a single request is bounded by the operator only.
+// of a single request is bounded by the operator only, and so may the favoured one.
 func (r *Room) fits(c *Claim, bytes int64) bool {
 	switch {
-	case r.used == c.bytes:
+	case r.used == c.bytes || r.favoured == c:
 		return true
 	case c.bytes+bytes <= SmallBytes:
 		return r.used+bytes <= r.MaxBytes
@@ -157,9 +187,10 @@
 		weight float64
 	}
 	var candidates []candidate
+	longEnough := max(minWait/time.Duration(1+len(r.waiters)/waitersPerStep), minCrowdedWait)
 	for other := range r.claims {
 		wait := now.Sub(other.awaitedSince)
-		if other == c || other.bytes == 0 || other.awaitedSince.IsZero() || wait < minWait {
+		if other == c || other.bytes == 0 || other.awaitedSince.IsZero() || wait < longEnough {
 			continue
 		}
 		candidates = append(candidates, candidate{claim: other, weight: float64(other.bytes) * wait.Seconds()})
@@ -187,11 +218,14 @@
 		c.closed = true
 		r.used -= c.bytes
 		delete(r.claims, c)
+		if r.favoured == c {
+			r.favoured = nil
+		}
 	}
 }
 
-// Await says that the client is waited for from now on, to send or to read. It may be
-// evicted.
+// Await says that the client is waited for from now on, to send or to read, or that it has
+// just read something. It may be evicted.
 func (c *Claim) Await(now time.Time) {
 	c.room.mu.Lock()
 	defer c.room.mu.Unlock()
@@ -207,9 +241,32 @@
 	return !c.evicted
 }
 
+// Closed reports whether the claim has ended.
+func (c *Claim) Closed() bool {
+	c.room.mu.Lock()
+	defer c.room.mu.Unlock()
+	return c.closed
+}
+
 // Close ends the claim and returns its bytes.
 func (c *Claim) Close() {
 	c.room.mu.Lock()
 	defer c.room.mu.Unlock()
 	c.room.remove(c)
 }
+
+type contextKey struct{}
+
+// With returns a context that carries a claim, which may be nil.
+func With(ctx context.Context, c *Claim) context.Context {
+	if c == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, contextKey{}, c)
+}
+
+// From returns the claim that a context carries; nil, which bounds nothing, if it has none.
+func From(ctx context.Context) *Claim {
+	c, _ := ctx.Value(contextKey{}).(*Claim)
+	return c
+}
--- a/internal/request/relay/assist.go
+++ b/internal/request/relay/assist.go
@@ -7,6 +7,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
@@ -22,6 +23,15 @@
 		r.Log.State("cannot decode a peer's gather request", "error", err)
 		return nil
 	}
+	if r.Requests != nil {
+		request, answer := r.Requests.Open(func() {}), r.Answers.Open(func() {})
+		defer request.Close()
+		defer answer.Close()
+		if !request.Take(now, int64(len(body))) {
+			return r.refuseAssist(&remote)
+		}
+		ctx = room.With(ctx, answer)
+	}
 	x := r.newAssistExchange(now, &remote)
 	if ctx.Err() != nil {
 		// The asking daemon has given up on this one.
@@ -56,6 +66,22 @@
 	return data
 }
 
+// refuseAssist returns the reply to a request for which there is no memory: that all shards
+// are missing and have had no attempt here, so that the asking daemon makes its own.
+func (r *Runner) refuseAssist(remote *remoteRequest) []byte {
+	reply := &remoteReply{Used: make([]int, len(remote.Pools))}
+	for shard := range remote.Pools {
+		reply.Missing = append(reply.Missing, shard)
+	}
+	r.Log.Failure(remote.ID, "no memory to gather for a peer", "shards", len(remote.Pools))
+	data, err := codec.Encode(reply)
+	if err != nil {
+		r.Log.Failure(remote.ID, "cannot encode a gather reply to a peer", "error", err)
+		return nil
+	}
+	return data
+}
+
 // logAssist logs how many attempts the shards have had here. An asking daemon
 // that has given up on this one makes further attempts of its own.
 func (x *exchange) logAssist(ctx context.Context, confirmed <-chan struct{}) {
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/http1"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/crash"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 )
 
@@ -26,7 +27,7 @@
 		if tried := x.gather.Tried(a.Shard); len(tried) > 1 {
 			x.reportResend(a, tried[len(tried)-2])
 		}
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(room.With(context.Background(), x.claim))
 		x.mu.Lock()
 		x.inFlight[a.ID] = &inFlightAttempt{shard: a.Shard, target: a.Target, sent: time.Now(), cancel: cancel}
 		x.mu.Unlock()
@@ -167,7 +168,7 @@
 	switch {
 	case e.Kind == http1.KindWithheld:
 		return fleet.Withheld
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, e.Kind == http1.KindAbandoned:
 		return fleet.Cancelled
 	case e.Kind == http1.KindNotSent:
 		return fleet.Refused
@@ -215,8 +216,11 @@
 }
 
 // probesPause reports whether an attempt should go on to show when its target's
-// pause ends.
+// pause ends. One with a long body does not, since nobody claims memory for it any more.
 func (x *exchange) probesPause(a *inFlightAttempt) bool {
+	if len(x.request.Body) > room.SmallBytes {
+		return false
+	}
 	usual := x.runner.ResponseTimes.Median(x.route.Name, a.target.Region, a.target.Local)
 	return x.group.OnlyAttempt(time.Now(), a.shard, a.target, pauseProbeFactor*usual)
 }
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fleet"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/gather"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/inbox"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
@@ -70,6 +71,8 @@
 	// newest failure of a target.
 	reply       *http1.Reply
 	remoteCalls []*remoteCall
+	// claim is what the replies take of the memory for answers.
+	claim *room.Claim
 }
 
 func (r *Runner) newExchange(request *Request, route *tree.Route, poolNames []string, fingerprint uint64, times schedule) *exchange {
@@ -195,6 +198,7 @@
 
 // run drives the request until there is an answer.
 func (x *exchange) run(ctx context.Context) *Answer {
+	x.claim = room.From(ctx)
 	if answer := x.refuseEarly(); answer != nil {
 		return answer
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -23,6 +23,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/logger"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/retry"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/timing"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
@@ -160,6 +161,10 @@
 	// OnLostAnswer, if set, is called when a target lost the answer to a request that
 	// must not be sent again.
 	OnLostAnswer func(pool string, target *fleet.Target)
+	// Requests and Answers, if set, bound the memory for requests of other daemons. That for
+	// callers is bounded by the claim in the context of Run, see package room.
+	Requests *room.Room
+	Answers  *room.Room
 	// RemotePeers, if set, gathers shards through daemons of other regions.
 	RemotePeers RemotePeers
 
@@ -229,6 +234,8 @@
 	}
 	x := r.newExchange(request, route, poolNames, fingerprint, r.newSchedule(request, route))
 	answer := x.run(ctx)
+	// Attempts that go on keep the exchange, but not what the answer holds.
+	x.reply, x.bodies = nil, nil
 	answer.Pool, answer.WaitedBefore = pool, x.schedule.spent
 	answer.ExtraAttempts = x.gather.Attempts() - x.gather.Sent()
 	return answer
