Bound what clients hold at the address for metrics

Each request collected all metrics and compressed them, beside all others.

The metrics are collected for one request at a time, into memory and uncompressed, and written without a lock.

--- a/internal/process/meter/meter.go
+++ b/internal/process/meter/meter.go
@@ -10,6 +10,7 @@
 package meter
 
 import (
+	"bytes"
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -61,6 +62,9 @@
 	// StoreCalls counts the calls to the store by kind.
 	StoreCalls *prometheus.CounterVec
 
+	// collecting is held while the metrics are collected.
+	collecting mutex.Mutex
+
 	mu       mutex.Mutex
 	violated map[string]int
 }
@@ -102,11 +106,34 @@
 	}
 }
 
-// Handler returns the HTTP handler that serves the metrics.
+// Handler returns the HTTP handler that serves the metrics. It collects them for one
+// request at a time, and keeps nothing locked while a client reads.
 func (m *Meter) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	collect := promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		page := &page{header: w.Header(), status: http.StatusOK}
+		m.collecting.Lock()
+		collect.ServeHTTP(page, r)
+		m.collecting.Unlock()
+		w.WriteHeader(page.status)
+		// A client that has left needs no answer.
+		_, _ = w.Write(page.body.Bytes())
+	})
+}
+
+// page is an answer in memory.
+type page struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
 }
 
+func (p *page) Header() http.Header { return p.header }
+
+func (p *page) WriteHeader(status int) { p.status = status }
+
+func (p *page) Write(data []byte) (int, error) { return p.body.Write(data) }
+
 // CountDecision counts a decision by its name.
 func (m *Meter) CountDecision(name string) { m.Decisions.WithLabelValues(name).Inc() }
 
