Requests that repeat an ID don't add a connection each

What callers saw: 300 clients that pipelined requests with one ID took 9,470 to 10,670 descriptors; the targets' connections were used up with them.

Cause: a connection that has carried a request is not used for it again, since a late reply to the first attempt would look like that to the second one. Requests with the same ID look like attempts of one request, so each opened a connection and left it idle.

Change: if all idle connections have carried the ID, the one that has been idle for longest is closed for the new one.

--- a/internal/conn/http1/pool.go
+++ b/internal/conn/http1/pool.go
@@ -157,7 +157,9 @@
 }
 
 // take returns the most recently used idle connection that has not carried the same
-// request: a late reply to the earlier attempt would match the new attempt as well.
+// request: a late reply to the earlier attempt would match the new attempt as well. If all
+// have, it closes one, which the caller of take replaces: otherwise a client that repeats an
+// ID would add a connection with each request.
 func (p *Pool) take(requestID string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -167,6 +169,10 @@
 			return c
 		}
 	}
+	if len(p.idle) > 0 {
+		p.idle[0].close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	return nil
 }
 
--- a/internal/conn/http1/reuse_test.go
+++ b/internal/conn/http1/reuse_test.go
@@ -141,3 +141,23 @@
 		})
 	}
 }
+
+// Guards against a connection more with each request of a client that repeats an ID: these
+// connections have carried the request, so none of them is used for it again.
+func TestRepeatedIDsKeepFewConnections(t *testing.T) {
+	const requests = 50
+	pool := startServer(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for readRequest(reader) == nil {
+			writeText(conn, replyWithID(200, "same", "ok"))
+		}
+	})
+	pool.Correlator = headerCorrelator{}
+	for range requests {
+		if _, err := doWithID(pool, "same"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if idle := len(pool.idle); idle != 1 {
+		t.Errorf("%d connections are idle after %d requests with the same ID, want 1", idle, requests)
+	}
+}
