Bound what clients hold at the addresses of the product's daemon

The fault of the node on a related path: the daemon's own interface and its address for opaque requests had no limit on connections, on the memory of all heads and bodies, or on metrics collected at once.

Change: both addresses are guarded, with three eighths of the descriptors between them, and share a room for requests and one for answers. A search without room is refused as Overloaded and not run; a command as of unknown outcome, since an earlier send of it may have run. The daemon's file may name MemoryMB and Descriptors under [Limits]; without them the host's memory and the limit of the process count. With MemoryMB, the collector's limit is half of it.

--- a/cmd/magnoliarelay/main_test.go
+++ b/cmd/magnoliarelay/main_test.go
@@ -60,6 +60,7 @@
 	logs      []*logBuffer
 	// passedOn holds the queries that have arrived at a searcher.
 	passedOn *sync.Map
+	limits   string
 }
 
 // logBuffer is a buffer that a daemon writes to while the test reads it.
@@ -90,22 +91,46 @@
 	return fmt.Sprintf("127.%d.%d.%d", 100+pid>>8%100, pid%256, 1+daemonsStarted.Add(1)%250)
 }
 
+// opaquePort is the port for opaque requests of a daemon with limits.
+const opaquePort = "7090"
+
+// startTierWithLimits starts a daemon on a host with the given memory and descriptors.
+func startTierWithLimits(t testing.TB, memoryMB, descriptors int) *tier {
+	t.Helper()
+	limits := fmt.Sprintf("[Limits]\nMemoryMB = %d\nDescriptors = %d\n", memoryMB, descriptors)
+	return startTierOf(t, tierOptions{daemons: 1, shards: 6, replicas: 3, limits: limits})
+}
+
 func startTier(t testing.TB, daemons int, proxied bool, settings tree.Files) *tier {
 	t.Helper()
 	return startTierWithShards(t, daemons, proxied, settings, 6, 3)
 }
 
 func startTierWithShards(t testing.TB, daemons int, proxied bool, settings tree.Files, shards, replicas int) *tier {
+	t.Helper()
+	return startTierOf(t, tierOptions{daemons: daemons, proxied: proxied, settings: settings, shards: shards, replicas: replicas})
+}
+
+// tierOptions describes a tier.
+type tierOptions struct {
+	daemons, shards, replicas int
+	proxied                   bool
+	settings                  tree.Files
+	// limits is added to the files of the daemons, which then serve opaque requests too.
+	limits string
+}
+
+func startTierOf(t testing.TB, o tierOptions) *tier {
 	t.Helper()
 	files := tree.Files{"firm.ini": "[System]\nHeartbeatInterval = 100ms\nSilentAfter = 600ms\nAddressKeep = 1s\n[Targets]\nStatusInterval = 200ms\n"}
-	for path, content := range settings {
+	for path, content := range o.settings {
 		files[path] = content
 	}
 	passedOn := &sync.Map{}
 	w := &world.World{
-		Settings: files, Seed: 1, Proxied: proxied, OnQuery: func(query string) { passedOn.Store(query, true) },
+		Settings: files, Seed: 1, Proxied: o.proxied, OnQuery: func(query string) { passedOn.Store(query, true) },
 		Services: []world.Service{{
-			Deployment: "D", Name: "S", Shards: shards, Replicas: replicas, Slots: 4, Connections: 60, Documents: 300,
+			Deployment: "D", Name: "S", Shards: o.shards, Replicas: o.replicas, Slots: 4, Connections: 60, Documents: 300,
 			Behaviour: shard.Behaviour{Median: 2 * time.Millisecond},
 		}},
 	}
@@ -113,8 +138,8 @@
 	if err := w.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	r := &tier{t: t, world: w, directory: t.TempDir(), passedOn: passedOn}
-	for i := range daemons {
+	r := &tier{t: t, world: w, directory: t.TempDir(), passedOn: passedOn, limits: o.limits}
+	for i := range o.daemons {
 		ip := newIP()
 		r.listen = append(r.listen, ip+":7080")
 		r.links = append(r.links, ip+":7100")
@@ -122,8 +147,8 @@
 		r.logs = append(r.logs, &logBuffer{})
 		r.start(i)
 	}
-	for i := range daemons {
-		r.waitListed(i, daemons, shards, replicas)
+	for i := range o.daemons {
+		r.waitListed(i, o.daemons, o.shards, o.replicas)
 	}
 	return r
 }
@@ -142,6 +167,10 @@
 	config := fmt.Sprintf("[Daemon]\nName = %s\nListen = %s\nLink = %s\nDataCentre = dc-%d\nRegion = r-1\n[Platform]\nStore = %s\nHostList = http://%s/hosts\n"+
 		"[Keys]\nCertificate = %s\nKey = %s\nAuthority = %s\n",
 		name, r.listen[i], r.links[i], i%2, r.world.Store.URL(), r.world.Hosts.Address(), k.Certificate, k.Key, k.Authority)
+	if r.limits != "" {
+		ip, _, _ := strings.Cut(r.listen[i], ":")
+		config = strings.Replace(config, "[Platform]", "Opaque = "+ip+":"+opaquePort+"\n[Platform]", 1) + r.limits
+	}
 	path := filepath.Join(r.directory, name+".ini")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		r.t.Fatal(err)
--- a/internal/cmd/daemon/daemon.go
+++ b/internal/cmd/daemon/daemon.go
@@ -53,7 +53,7 @@
 	if err := k.Load(); err != nil {
 		return &term.Error{Op: "daemon", Kind: term.KindUsage, Err: err}
 	}
-	tuneGC()
+	tuneGC(s.MemoryMB)
 	d := &daemon.Daemon{Setup: s, Keys: k}
 	if err := d.Start(ctx); err != nil {
 		return &term.Error{Op: "daemon", Kind: term.KindFailed, Err: err}
@@ -77,18 +77,26 @@
 
 // A daemon has a small heap and most allocations live for one request, so the
 // garbage collector runs less often than by default until the heap approaches
-// the memory limit.
+// the memory limit. The rest of the memory is for buffers of the system.
 const (
 	gcPercent        = 400
 	memoryLimitBytes = 1 << 30
+	heapDivisor      = 2
+	megabyte         = 1 << 20
 )
 
-// tuneGC sets the garbage collector's parameters that the environment does not set.
-func tuneGC() {
+// tuneGC sets the garbage collector's parameters that the environment does not set, for a
+// daemon that may use so much memory; zero means that no limit is set.
+func tuneGC(memoryMB int) {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimitBytes)
+	if os.Getenv("GOMEMLIMIT") != "" {
+		return
 	}
+	limit := int64(memoryLimitBytes)
+	if memoryMB > 0 {
+		limit = int64(memoryMB) * megabyte / heapDivisor
+	}
+	debug.SetMemoryLimit(limit)
 }
--- a/internal/conn/guard/guard.go
+++ b/internal/conn/guard/guard.go
@@ -235,12 +235,17 @@
 			w.Header().Set("Connection", "close")
 		}
 		if !c.Begin(r) || !c.Serve() {
-			w.Header().Set("Connection", "close")
-			w.Header().Set("Retry-After", strconv.FormatFloat(room.RetryAfter.Seconds(), 'f', 1, 64))
-			http.Error(w, "no memory for this request", http.StatusServiceUnavailable)
+			Refuse(w)
 			return
 		}
 		defer c.End()
 		next.ServeHTTP(w, r)
 	})
 }
+
+// Refuse refuses a request for which there is no memory, and closes its connection.
+func Refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", strconv.FormatFloat(room.RetryAfter.Seconds(), 'f', 1, 64))
+	http.Error(w, "no memory for this request", http.StatusServiceUnavailable)
+}
--- /dev/null
+++ b/internal/conn/guard/guard_test.go
@@ -0,0 +1,150 @@
+package guard_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
+)
+
+const maxConnections = 4
+
+// start serves at a guarded listener. Requests for "/wait" are sent to arrived and answered
+// once release is closed.
+func start(t *testing.T, r *room.Room, arrived, release chan struct{}) *guard.Listener {
+	t.Helper()
+	l := &guard.Listener{Address: "127.0.0.1:0", Room: r, MaxConnections: maxConnections}
+	if err := l.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{ConnContext: guard.Context, Handler: guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			arrived <- struct{}{}
+			<-release
+		}
+		fmt.Fprint(w, "ok")
+	}))}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l
+}
+
+type client struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, l *guard.Listener, text string) *client {
+	t.Helper()
+	conn, err := net.Dial("tcp", l.Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	c := &client{t: t, conn: conn, reader: bufio.NewReader(conn)}
+	c.send(text)
+	return c
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	// The server may have closed the connection.
+	_, _ = io.WriteString(c.conn, text)
+}
+
+// read returns the status of the next answer, or zero if the connection is closed.
+func (c *client) read() int {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// A new connection replaces one that has said nothing, then one that is idle, and never
+// one that is being served.
+func TestNewConnectionsReplaceSilentOnes(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	l := start(t, &room.Room{MaxBytes: 1 << 20}, arrived, release)
+	served := dial(t, l, get("/wait"))
+	<-arrived
+	idle := dial(t, l, get("/"))
+	if status := idle.read(); status != http.StatusOK {
+		t.Fatal(status)
+	}
+	silent := []*client{dial(t, l, ""), dial(t, l, "")}
+	for i, s := range silent {
+		c := dial(t, l, get("/"))
+		if status := c.read(); status != http.StatusOK {
+			t.Fatalf("client %d: status %d", i, status)
+		}
+		if s.read() != 0 {
+			t.Errorf("silent client %d got an answer", i)
+		}
+	}
+	if status := dial(t, l, get("/")).read(); status != http.StatusOK {
+		t.Errorf("the client after them: status %d", status)
+	}
+	if idle.read() != 0 {
+		t.Error("the connection that was idle for longest is open")
+	}
+	close(release)
+	if status := served.read(); status != http.StatusOK {
+		t.Errorf("the request that was being served: status %d", status)
+	}
+}
+
+// While all connections are served, a new one is closed at once and the others go on.
+func TestConnectionsBeyondTheLimitAreClosed(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	l := start(t, &room.Room{MaxBytes: 1 << 20}, arrived, release)
+	var served []*client
+	for range maxConnections {
+		served = append(served, dial(t, l, get("/wait")))
+		<-arrived
+	}
+	if status := dial(t, l, get("/")).read(); status != 0 {
+		t.Errorf("a connection beyond the limit: status %d", status)
+	}
+	close(release)
+	for i, c := range served {
+		if status := c.read(); status != http.StatusOK {
+			t.Errorf("request %d: status %d", i, status)
+		}
+	}
+}
+
+// A head for which there is no room ends its connection; what it held is free afterwards.
+func TestHeadsTakeRoom(t *testing.T) {
+	r := &room.Room{MaxBytes: 64 << 10}
+	l := start(t, r, nil, nil)
+	other := r.Open(func() {})
+	if !other.Take(time.Now(), 40<<10) {
+		t.Fatal("no room")
+	}
+	large := dial(t, l, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("x", 30<<10)+"\r\n\r\n")
+	if status := large.read(); status != 0 && status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", status)
+	}
+	if status := dial(t, l, get("/")).read(); status != http.StatusOK {
+		t.Errorf("an ordinary request: status %d", status)
+	}
+	other.Close()
+	for end := time.Now().Add(10 * time.Second); r.Used() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are taken", r.Used())
+		}
+	}
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -23,6 +23,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
@@ -36,6 +37,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/server"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/setup"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
@@ -73,6 +75,7 @@
 	// discoveryInterval is the mean time between attempts to contact daemons that are
 	// listed but not in the table.
 	discoveryInterval = 2 * time.Second
+	megabyte          = 1 << 20
 )
 
 // Daemon is one daemon. Exported fields are set before Start.
@@ -101,6 +104,9 @@
 	cancel     context.CancelFunc
 	membership *joiner.Membership
 	opaque     opaque
+	// requests and answers bound the memory that clients hold.
+	requests *room.Room
+	answers  *room.Room
 	// forwardsInFlight counts the requests in flight that other daemons forwarded.
 	forwardsInFlight atomic.Int64
 	// peerContext ends when a stop has no more time for these requests.
@@ -134,6 +140,7 @@
 	}
 	d.gossip.Init()
 	d.server = &server.Server{Address: d.Setup.Listen, Name: d.Setup.Name, Backend: d, Meter: d.Meter, Report: klog.InfoS, OnRefuse: func() { d.home.Close() }}
+	d.limitClients()
 	if err := d.listen(); err != nil {
 		return err
 	}
@@ -151,6 +158,28 @@
 	return nil
 }
 
+// limitClients sets what the clients of both addresses may hold.
+func (d *Daemon) limitClients() {
+	host := d.guardHost()
+	d.requests, d.answers = host.Requests(), host.Answers()
+	d.requests.OnEvict = func(int64) { d.Meter.CountDecision("EvictRequest") }
+	d.answers.OnEvict = func(int64) { d.Meter.CountDecision("EvictAnswer") }
+	d.server.Requests, d.server.MaxConnections = d.requests, d.maxConnections()
+}
+
+func (d *Daemon) guardHost() guard.Host {
+	return guard.Host{MemoryBytes: int64(d.Setup.MemoryMB) * megabyte, Descriptors: d.Setup.Descriptors}
+}
+
+// maxConnections bounds the connections of each address for callers.
+func (d *Daemon) maxConnections() int {
+	share := guard.Callers
+	if d.Setup.Opaque != "" {
+		share /= 2
+	}
+	return d.guardHost().Connections(share)
+}
+
 // listen opens the sockets, which determines the daemon's addresses, and then creates
 // the parts that depend on them. No message is handled before the table is set.
 func (d *Daemon) listen() error {
--- a/internal/process/daemon/opaque.go
+++ b/internal/process/daemon/opaque.go
@@ -43,6 +43,7 @@
 		Address: d.Setup.Opaque, Codec: plain.Codec{}, Serve: d.serveOpaque, Refuse: d.refuseOpaque, Limits: d.limits,
 		WriteFailed: func(*relay.Request, error) { d.Meter.CountDecision("OpaqueAnswerUnwritten") },
 		Report:      klog.InfoS,
+		Requests:    d.requests, Answers: d.answers, MaxConnections: d.maxConnections(), OnEvict: func() { d.Meter.CountDecision("EvictConnection") },
 	}
 	return d.opaque.server.Start()
 }
--- a/internal/process/server/server.go
+++ b/internal/process/server/server.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/pprof"
@@ -20,8 +19,11 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/drain"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/intake"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/check"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
@@ -72,6 +74,10 @@
 	// OnRefuse, if set, is called when a stop begins to refuse searches. Commands still
 	// reach the backend, since they may be sent again to learn their outcome.
 	OnRefuse func()
+	// Requests bounds the memory that callers hold, and MaxConnections their connections.
+	// Without them, the limits are those of a guard.Host that is not described.
+	Requests       *room.Room
+	MaxConnections int
 
 	server   *http.Server
 	listener net.Listener
@@ -90,18 +96,21 @@
 // Listen opens the socket and sets Address. Callers may connect from now on; the
 // server answers them after Serve.
 func (s *Server) Listen() error {
-	listener, err := net.Listen("tcp", s.Address)
-	if err != nil {
+	listener := &guard.Listener{
+		Address: s.Address, Room: s.Requests, MaxConnections: s.MaxConnections, OnEvict: func() { s.Meter.CountDecision("EvictConnection") },
+	}
+	if err := listener.Listen(); err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
-	s.Address = listener.Addr().String()
+	s.Address = listener.Address
 	handler, err := s.handler()
 	if err != nil {
 		return &Error{Op: "listen", Kind: KindListen, Err: err}
 	}
 	s.drain.Report, s.drain.OnRefuse = s.Report, s.OnRefuse
 	s.server = &http.Server{
-		Handler:           handler,
+		Handler:           s.limit(handler),
+		ConnContext:       guard.Context,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		WriteTimeout:      writeTimeout,
@@ -119,6 +128,25 @@
 	go func() { _ = s.server.Serve(s.listener) }()
 }
 
+// limit refuses requests for which there is no memory. Requests with a body are served by
+// the handlers that read it.
+func (s *Server) limit(next http.Handler) http.Handler {
+	withoutBody := guard.Handler(next)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			withoutBody.ServeHTTP(w, r)
+			return
+		}
+		conn := guard.From(r.Context())
+		if !conn.Begin(r) {
+			guard.Refuse(w)
+			return
+		}
+		defer conn.End()
+		next.ServeHTTP(w, r)
+	})
+}
+
 func (s *Server) handler() (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
@@ -126,8 +154,8 @@
 	searchID := func(q *wire.SearchRequest) string { return q.RequestID }
 	executeID := func(q *wire.ExecuteRequest) string { return q.RequestID }
 	beginCommand := func(caller string) (end func(), accepted bool) { return s.drain.BeginLate(caller), true }
-	app.Post("/v1/search", handle(s, s.drain.Begin, check.Search, searchID, s.Backend.Search))
-	app.Post("/v1/execute", handle(s, beginCommand, check.Execute, executeID, s.Backend.Execute))
+	app.Post("/v1/search", handle(s, s.drain.Begin, noRoomForSearch, check.Search, searchID, s.Backend.Search))
+	app.Post("/v1/execute", handle(s, beginCommand, noRoomForCommand, check.Execute, executeID, s.Backend.Execute))
 	app.Get("/v1/addresses", s.addresses)
 	app.Get("/v1/status", func(ctx iris.Context) { s.write(ctx, http.StatusOK, s.Backend.Status()) })
 	app.Get("/ready", s.ready)
@@ -169,6 +197,7 @@
 func handle[Q, A any](
 	s *Server,
 	begin func(caller string) (end func(), accepted bool),
+	noRoom wire.Refusal,
 	read func([]byte) (*Q, *wire.Refusal),
 	id func(*Q) string,
 	answer func(context.Context, time.Time, *Q) (*A, *wire.Refusal),
@@ -180,7 +209,7 @@
 		if s.drain.Leaving() {
 			ctx.Header("Connection", "close")
 		}
-		body, refusal := readBody(ctx)
+		body, refusal := readBody(ctx, noRoom)
 		if refusal != nil {
 			s.refuse(ctx, "", refusal)
 			return
@@ -222,13 +251,35 @@
 	}{ready, reason})
 }
 
+// The refusals of requests for which there is no memory. An earlier send of a command may
+// have run.
+var (
+	noRoomForSearch = wire.Refusal{
+		Kind: wire.RefusalOverloaded, Message: "no memory for this request", Ran: wire.RanNo, RetryAfterMillis: room.RetryAfter.Milliseconds(),
+	}
+	noRoomForCommand = wire.Refusal{
+		Kind: wire.RefusalUncertain, Message: "no memory for this request", Ran: wire.RanUnknown, RetryAfterMillis: room.RetryAfter.Milliseconds(),
+	}
+)
+
 // readBody reads a body up to the size limit plus one byte, by which the check
 // detects a body that is too large.
-func readBody(ctx iris.Context) ([]byte, *wire.Refusal) {
-	body, err := io.ReadAll(io.LimitReader(ctx.Request().Body, check.MaxBodyBytes+1))
-	if err == nil {
+func readBody(ctx iris.Context, noRoom wire.Refusal) ([]byte, *wire.Refusal) {
+	conn := guard.From(ctx.Request().Context())
+	reader := &intake.Reader{MaxBytes: check.MaxBodyBytes, Timeout: bodyTimeout, Take: conn.Take}
+	body, err := reader.Read(ctx.ResponseWriter().Naive(), ctx.Request())
+	if err == nil && conn.Serve() {
 		return body, nil
 	}
+	ctx.Header("Connection", "close")
+	var failure *intake.Error
+	errors.As(err, &failure)
+	switch {
+	case failure == nil || failure.Kind == intake.KindNoRoom:
+		return nil, &noRoom
+	case failure.Kind == intake.KindTooLarge:
+		return make([]byte, check.MaxBodyBytes+1), nil
+	}
 	message := "the body could not be read: " + err.Error()
 	var timeout net.Error
 	if errors.As(err, &timeout) && timeout.Timeout() {
--- a/internal/process/setup/setup.go
+++ b/internal/process/setup/setup.go
@@ -21,12 +21,18 @@
 //	Certificate = daemon.pem
 //	Key = daemon.key
 //	Authority = authority.pem
+//	[Limits]
+//	MemoryMB = 512
+//	Descriptors = 8192
+//
+// The section Limits may be left out; the limits are then those of the host and the process.
 package setup
 
 import (
 	"net"
 	"net/url"
 	"os"
+	"strconv"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -67,8 +73,18 @@
 	Certificate string
 	Key         string
 	Authority   string
+	// MemoryMB and Descriptors are what the daemon may use; zero means as much as the host
+	// and the limits of the process allow.
+	MemoryMB    int
+	Descriptors int
 }
 
+// The least limits with which a daemon can serve.
+const (
+	minMemoryMB    = 32
+	minDescriptors = 128
+)
+
 // Load reads and checks the file.
 func Load(path string) (*Setup, error) {
 	content, err := os.ReadFile(path)
@@ -99,6 +115,20 @@
 		}
 	}
 	s.assign(fields)
+	for _, limit := range []struct {
+		name  string
+		min   int
+		value *int
+	}{{"Limits.MemoryMB", minMemoryMB, &s.MemoryMB}, {"Limits.Descriptors", minDescriptors, &s.Descriptors}} {
+		text := strings.Join(*fields[limit.name], ",")
+		if text == "" {
+			continue
+		}
+		if *limit.value, err = strconv.Atoi(text); err != nil || *limit.value < limit.min {
+			section, key, _ := strings.Cut(limit.name, ".")
+			return nil, invalid("[%s] %s: %q is not a number of at least %d", section, key, text, limit.min)
+		}
+	}
 	return s, s.check(invalid)
 }
 
@@ -107,6 +137,7 @@
 	names := []string{
 		"Daemon.Name", "Daemon.Listen", "Daemon.Link", "Daemon.DataCentre", "Daemon.Region", "Daemon.Opaque", "Daemon.Peers",
 		"Platform.Store", "Platform.HostList", "Keys.Certificate", "Keys.Key", "Keys.Authority",
+		"Limits.MemoryMB", "Limits.Descriptors",
 	}
 	fields := make(map[string]*[]string, len(names))
 	for _, name := range names {
