A reply with a status below 100 is corrupt

What callers saw: a target in trouble sent an answer with the status 000. It did not reach the caller, but it was taken for an interim reply and skipped with its body: the attempt waited until its deadline (504 for a request that must not repeat), or, if another message followed on the connection, that was taken for the answer. So were 001, 099 and +20, which net/http reads as 20.

Cause: whatever is below 200 counted as interim.

Change: a status below 100 makes the reply corrupt at once, and its connection is closed. Statuses of 600 and above are passed on unchanged, as before.

Before: TestRepliesWithInvalidStatusAreCorrupt failed in all of its 24 cases (Expired after 2 s, Broken, or the next message as the answer), and TestNonIdempotentRunsOnce/no_status with 504 after nine seconds. After: all pass.

--- a/internal/conn/http1/read.go
+++ b/internal/conn/http1/read.go
@@ -32,6 +32,10 @@
 // errMismatchedReplies means that too many replies to other requests came first.
 var errMismatchedReplies = errors.New("the replies are to other requests")
 
+// errInvalidStatus means that the status of a reply is below 100, such as 000. It is no
+// interim reply, so what follows is not the answer.
+var errInvalidStatus = errors.New("the status is below 100")
+
 // errReplyTooLong means that a reply exceeds one of the limits.
 var errReplyTooLong = errors.New("the reply is longer than is read")
 
@@ -64,6 +68,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, errInvalidStatus
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
