Count all sockets of a process in the tests of clients that don't behave

Replies that wait at connections to targets were not counted, since these have another local address. The sockets of the process are counted now beside those at its address, which it may not have accepted yet or has closed.

--- a/internal/fake/gauge/gauge.go
+++ b/internal/fake/gauge/gauge.go
@@ -21,9 +21,12 @@
 )
 
 const (
-	interval      = 20 * time.Millisecond
-	bytesPerKB    = 1 << 10
-	minTCPColumns = 5
+	interval   = 20 * time.Millisecond
+	bytesPerKB = 1 << 10
+	// localColumn, queuesColumn and inodeColumn are columns of the system's table of TCP sockets.
+	localColumn  = 1
+	queuesColumn = 4
+	inodeColumn  = 9
 )
 
 // Gauge measures one process. Exported fields are set before Start.
@@ -43,8 +46,9 @@
 	g.done = make(chan struct{})
 	g.group.Go(func() {
 		for {
-			g.memoryKB = max(g.memoryKB, g.status("VmRSS")+g.queuedKB())
-			g.descriptors = max(g.descriptors, g.countDescriptors())
+			sockets, descriptors := g.openSockets()
+			g.memoryKB = max(g.memoryKB, g.status("VmRSS")+g.queuedKB(sockets))
+			g.descriptors = max(g.descriptors, descriptors)
 			select {
 			case <-g.done:
 				return
@@ -76,22 +80,44 @@
 	return 0
 }
 
-// queuedKB returns what the sockets at the address hold: bytes that were received and not
-// read, and bytes that were written and not yet received by the other side.
-func (g *Gauge) queuedKB() int {
+// openSockets returns the inodes of the process's sockets and the number of all its
+// descriptors.
+func (g *Gauge) openSockets() (inodes map[string]bool, descriptors int) {
+	inodes = map[string]bool{}
+	entries, err := os.ReadDir(g.path("fd"))
+	if err != nil {
+		return inodes, 0
+	}
+	for _, entry := range entries {
+		// A descriptor may have been closed meanwhile.
+		target, err := os.Readlink(filepath.Join(g.path("fd"), entry.Name()))
+		if inode, isSocket := strings.CutPrefix(target, "socket:["); err == nil && isSocket {
+			inodes[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	return inodes, len(entries)
+}
+
+// queuedKB returns what TCP sockets hold: bytes that were received and not read, and bytes
+// that were written and not yet received by the other side. It counts the sockets of the
+// process, and those at its address that it has not accepted yet or has closed.
+func (g *Gauge) queuedKB(inodes map[string]bool) int {
 	content, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
 	}
 	ip := net.ParseIP(g.IP).To4()
-	local := strings.ToUpper(hex.EncodeToString([]byte{ip[3], ip[2], ip[1], ip[0]}))
+	local := strings.ToUpper(hex.EncodeToString([]byte{ip[3], ip[2], ip[1], ip[0]})) + ":"
 	queued := int64(0)
 	for _, line := range strings.Split(string(content), "\n")[1:] {
 		columns := strings.Fields(line)
-		if len(columns) < minTCPColumns || !strings.HasPrefix(columns[1], local+":") {
+		if len(columns) <= inodeColumn {
 			continue
 		}
-		sent, received, _ := strings.Cut(columns[4], ":")
+		if !inodes[columns[inodeColumn]] && !strings.HasPrefix(columns[localColumn], local) {
+			continue
+		}
+		sent, received, _ := strings.Cut(columns[queuesColumn], ":")
 		for _, count := range []string{sent, received} {
 			value, _ := strconv.ParseInt(count, 16, 64)
 			queued += value
@@ -100,14 +126,6 @@
 	return int(queued / bytesPerKB)
 }
 
-func (g *Gauge) countDescriptors() int {
-	entries, err := os.ReadDir(g.path("fd"))
-	if err != nil {
-		return 0
-	}
-	return len(entries)
-}
-
 func (g *Gauge) path(name string) string {
 	return filepath.Join("/proc", strconv.Itoa(g.PID), name)
 }
