Bound the idempotency keys by the memory of the host

What was seen: clients that send commands with ever new, long keys, to a service that need not exist, took 155 MB of 96 in 15 s: a home keeps each key for minutes.

Cause: a home kept up to 262,144 keys on any host; with names and keys of the greatest length that is 250 MB.

Change: keys get an eighth of the memory, at 1 KB each, and 262,144 at most as before, from 2 GB on.

Before: TestSiegeOfKeys failed with 155 MB of 96.

--- a/cmd/magnoliarelay/siege_test.go
+++ b/cmd/magnoliarelay/siege_test.go
@@ -4,16 +4,20 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/gauge"
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/rude"
 	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
+	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
 // The limits of the host in these tests, small enough for a small crowd to exceed.
@@ -67,6 +71,54 @@
 	}
 }
 
+// Clients that send commands with ever new keys must not take the memory: a home keeps each
+// key for minutes.
+func TestSiegeOfKeys(t *testing.T) {
+	const (
+		workers  = 16
+		requests = 10_000
+	)
+	r := startTierWithLimits(t, siegeMemoryMB, siegeDescriptors)
+	ip, _, err := net.SplitHostPort(r.listen[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	var list wire.AddressList
+	response, err := http.Get(r.url(0) + "/v1/addresses")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil || len(list.Addresses) == 0 {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	measured := &gauge.Gauge{PID: r.processes[0].Process.Pid, IP: ip}
+	measured.Start()
+	var group sync.WaitGroup
+	for worker := range workers {
+		group.Go(func() { r.sendKeys(list.Addresses[0].Home, worker, requests) })
+	}
+	group.Wait()
+	r.checkSearch("after")
+	checkUse(t, measured)
+}
+
+// sendKeys sends commands to a service that does not exist, each with a long key of its own.
+func (r *tier) sendKeys(home string, worker, requests int) {
+	long := strings.Repeat("x", 60)
+	for i := range requests {
+		body := fmt.Sprintf(`{"Deployment":%q,"Service":%q,"Caller":%q,"RequestID":"r","Deadline":"4s","Home":%q,"IdempotencyKey":"%0120d","Command":"x"}`,
+			long, long, long, home, worker*requests+i)
+		response, err := http.Post(r.url(0)+"/v1/execute", "application/json", strings.NewReader(body))
+		if err != nil {
+			r.t.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+}
+
 func withoutEnd(request []byte) []byte { return request[:len(request)-5] }
 
 // siegeDaemon lets the crowd press on a daemon that runs as a process. The process must
@@ -89,6 +141,12 @@
 	r.checkSearch("during")
 	crowd.Stop()
 	r.checkSearch("after")
+	checkUse(t, measured)
+}
+
+// checkUse checks that the process has stayed within the limits of its host.
+func checkUse(t *testing.T, measured *gauge.Gauge) {
+	t.Helper()
 	memoryKB, descriptors := measured.Stop()
 	t.Logf("at most %d MB and %d descriptors", memoryKB/kilobyte, descriptors)
 	if memoryKB > siegeMemoryMB*kilobyte {
--- a/internal/conn/guard/host.go
+++ b/internal/conn/guard/host.go
@@ -39,20 +39,21 @@
 )
 
 // Requests returns the room for the requests of all clients of the process.
-func (h Host) Requests() *room.Room { return &room.Room{MaxBytes: h.memory() / requestsDivisor} }
+func (h Host) Requests() *room.Room { return &room.Room{MaxBytes: h.Memory() / requestsDivisor} }
 
 // Answers returns the room for the answers to them.
-func (h Host) Answers() *room.Room { return &room.Room{MaxBytes: h.memory() / answersDivisor} }
+func (h Host) Answers() *room.Room { return &room.Room{MaxBytes: h.Memory() / answersDivisor} }
 
 // Connections returns how many connections a listener may have that gets the given share
 // of the descriptors.
 func (h Host) Connections(share float64) int {
 	byDescriptors := int(share * float64(h.descriptors()))
-	byMemory := int(share / Callers * float64(h.memory()/connectionsDivisor/connectionBytes))
+	byMemory := int(share / Callers * float64(h.Memory()/connectionsDivisor/connectionBytes))
 	return max(min(byDescriptors, byMemory), minConnections)
 }
 
-func (h Host) memory() int64 {
+// Memory returns the bytes of memory that the process may use.
+func (h Host) Memory() int64 {
 	if h.MemoryBytes > 0 {
 		return h.MemoryBytes
 	}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -62,8 +62,11 @@
 type Error = fault.Error[Kind]
 
 const (
-	// maxKeys is the maximum number of idempotency keys that one home keeps.
-	maxKeys = 1 << 18
+	// maxKeys is the maximum number of idempotency keys that one home keeps, on a host with
+	// much memory. On others, keys take one part in keysDivisor of the memory.
+	maxKeys     = 1 << 18
+	keysDivisor = 8
+	bytesPerKey = 1 << 10
 	// joinInterval is the time between rounds of joining.
 	joinInterval = 500 * time.Millisecond
 	// maxJoinSeeds is the maximum number of daemons that a joining daemon asks in a
@@ -171,6 +174,11 @@
 	return guard.Host{MemoryBytes: int64(d.Setup.MemoryMB) * megabyte, Descriptors: d.Setup.Descriptors}
 }
 
+// maxKeys bounds the idempotency keys by the memory.
+func (d *Daemon) maxKeys() int {
+	return int(min(maxKeys, d.guardHost().Memory()/keysDivisor/bytesPerKey))
+}
+
 // maxConnections bounds the connections of each address for callers.
 func (d *Daemon) maxConnections() int {
 	share := guard.Callers
@@ -200,7 +208,7 @@
 	d.Table = member.New(d.started, d.self, rand.Uint64())
 	d.gossip.Table = d.Table
 	d.membership = &joiner.Membership{Table: d.Table, Push: d.gossip.Push, JoinInterval: joinInterval}
-	d.home = once.New(once.Config{Daemon: d.self.Name, Incarnation: d.self.Incarnation, MaxTokenLife: maxTokenLife, MaxKeys: maxKeys})
+	d.home = once.New(once.Config{Daemon: d.self.Name, Incarnation: d.self.Incarnation, MaxTokenLife: maxTokenLife, MaxKeys: d.maxKeys()})
 	// Serve comes after the setup of all parts above, since requests may arrive at once.
 	d.server.Serve()
 	if err := d.startOpaque(); err != nil {
