A full home goes through its keys once a second at most

What was seen: commands with ever new keys to a home that was full took 49 s for 160,000 instead of 15 s: each refusal went through all keys for expired ones, with the lock held, so such clients took the processor from the others.

--- a/internal/request/once/once.go
+++ b/internal/request/once/once.go
@@ -140,8 +140,13 @@
 	mu      mutex.Mutex
 	closed  bool
 	entries map[string]*Entry
+	// nextSweep is the uptime, in milliseconds, before which no sweep is worthwhile.
+	nextSweep int64
 }
 
+// minSweepMillis is the least time between two sweeps of a home that is full.
+const minSweepMillis = 1000
+
 // New returns a home without keys.
 func New(config Config) *Home {
 	return &Home{config: config, entries: map[string]*Entry{}}
@@ -165,8 +170,9 @@
 	if h.closed {
 		return nil, Closed
 	}
-	if len(h.entries) >= h.config.MaxKeys {
+	if len(h.entries) >= h.config.MaxKeys && now >= h.nextSweep {
 		h.sweep(now)
+		h.nextSweep = now + minSweepMillis
 	}
 	if len(h.entries) >= h.config.MaxKeys {
 		return nil, Full
--- a/internal/request/once/once_test.go
+++ b/internal/request/once/once_test.go
@@ -99,3 +99,34 @@
 	}, gen.SliceOfN(60, gen.IntRange(0, 100000))))
 	properties.TestingRun(t)
 }
+
+// Guards against a search through all keys with each command that a full home refuses.
+func TestFullHomeSweepsOnceInAWhile(t *testing.T) {
+	h := home()
+	for _, key := range []string{"a", "b", "c"} {
+		e, _ := h.Begin(0, token(time.Second), key, 1)
+		if key != "c" {
+			h.Finish(e, Result{Outcome: Done})
+		}
+	}
+	later := 2 * time.Second
+	if _, verdict := h.Begin(later, token(time.Minute), "d", 1); verdict != Run {
+		t.Fatalf("%v after the keys have expired", verdict)
+	}
+	if _, verdict := h.Begin(later, token(time.Minute), "e", 1); verdict != Run {
+		t.Fatalf("%v for the second key", verdict)
+	}
+	sweeps := 0
+	for i := range 100 {
+		before := h.nextSweep
+		if _, verdict := h.Begin(later+time.Duration(i)*10*time.Millisecond, token(time.Minute), "f", 1); verdict != Full {
+			t.Fatalf("%v while the home is full", verdict)
+		}
+		if h.nextSweep != before {
+			sweeps++
+		}
+	}
+	if sweeps > 1 {
+		t.Errorf("%d sweeps in a second", sweeps)
+	}
+}
