Bound the time in which a client reads what is sent to it

What was seen in the code: refusals of net/http itself and of the edge were written without a time limit, so that a client that had filled its connection with unread answers before could keep it for ever.

--- a/internal/conn/guard/conn.go
+++ b/internal/conn/guard/conn.go
@@ -37,6 +37,8 @@
 	// been read whole.
 	headBytes int64
 	headRead  bool
+	// writeDeadline is that of the server; zero means none.
+	writeDeadline time.Time
 }
 
 // errNoRoom is an error of a read, for which the server closes the connection.
@@ -225,7 +227,15 @@
 		now := time.Now()
 		c.listener.mu.Lock()
 		c.enter(now, stateSending)
+		deadline := now.Add(c.listener.WriteTimeout)
+		if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+			deadline = c.writeDeadline
+		}
 		c.listener.mu.Unlock()
+		if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+			c.endWrite(before, claims)
+			return written, err
+		}
 		for _, claim := range claims {
 			if claim != nil {
 				claim.Await(now)
@@ -252,3 +262,19 @@
 		}
 	}
 }
+
+// SetWriteDeadline sets the server's deadline for what is sent.
+func (c *Conn) SetWriteDeadline(deadline time.Time) error {
+	c.listener.mu.Lock()
+	c.writeDeadline = deadline
+	c.listener.mu.Unlock()
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// SetDeadline sets the server's deadlines for what is received and sent.
+func (c *Conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetWriteDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(deadline)
+}
--- a/internal/conn/guard/guard.go
+++ b/internal/conn/guard/guard.go
@@ -56,6 +56,8 @@
 	// minSilence is how long a client must have been waited for to lose its connection to
 	// a new one, if it has begun a request or reads an answer.
 	minSilence = 500 * time.Millisecond
+	// defaultWriteTimeout is how long a client may take to read a piece.
+	defaultWriteTimeout = 90 * time.Second
 	// acceptRetryDelay is the pause after a failure to accept, such as when the process has
 	// no descriptor left.
 	acceptRetryDelay = 20 * time.Millisecond
@@ -74,6 +76,9 @@
 	// OnEvict, if set, is called after a connection was closed to make room for a new one,
 	// or a new one was refused.
 	OnEvict func()
+	// WriteTimeout bounds the time in which a client reads each piece of what is sent to it,
+	// also where the server sets no limit; zero means 90 seconds.
+	WriteTimeout time.Duration
 
 	net.Listener
 	mu mutex.Mutex
@@ -119,6 +124,9 @@
 	if l.Room == nil {
 		l.Room = Host{}.Requests()
 	}
+	if l.WriteTimeout == 0 {
+		l.WriteTimeout = defaultWriteTimeout
+	}
 	if l.MaxConnections == 0 {
 		l.MaxConnections = Host{}.Connections(Callers)
 	}
--- a/internal/conn/guard/guard_test.go
+++ b/internal/conn/guard/guard_test.go
@@ -148,3 +148,32 @@
 		}
 	}
 }
+
+// A client that does not read is closed after a while, also where the server sets no time
+// limit for what it writes.
+func TestUnreadAnswersEndTheConnection(t *testing.T) {
+	l := &guard.Listener{Address: "127.0.0.1:0", Room: &room.Room{MaxBytes: 1 << 20}, WriteTimeout: 50 * time.Millisecond}
+	if err := l.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	server := &http.Server{
+		ConnContext: guard.Context,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				close(ended)
+			}
+		},
+		Handler: guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, 8<<20))
+		})),
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	dial(t, l, get("/"))
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Error("the connection is open")
+	}
+}
