--- a/internal/conn/guard/conn.go
+++ b/internal/conn/guard/conn.go
@@ -220,7 +220,7 @@
 // piece that it has read.
 func (c *Conn) Write(data []byte) (int, error) {
 	c.listener.mu.Lock()
-	before, claims := c.state, []*room.Claim{c.claim, c.answer}
+	before, claims := c.state, [...]*room.Claim{c.claim, c.answer}
 	c.listener.mu.Unlock()
 	written := 0
 	for {
@@ -250,7 +250,7 @@
 	}
 }
 
-func (c *Conn) endWrite(before state, claims []*room.Claim) {
+func (c *Conn) endWrite(before state, claims [2]*room.Claim) {
 	c.listener.mu.Lock()
 	if c.state == stateSending {
 		c.enter(time.Now(), before)
--- a/internal/request/relay/remote_test.go
+++ b/internal/request/relay/remote_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 )
 
 // slowShards is the number of shards whose targets are slow: few enough that
@@ -173,3 +175,35 @@
 		})
 	}
 }
+
+// A daemon without memory for the gather of another one leaves it all attempts.
+func TestPeerWithoutMemoryLeavesTheAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := historyRoute()
+		route.LeastCoverage = 1
+		c := newCluster(t, 0, 3, 8, route.Gather...)
+		assister := c.addDaemon("here", 2)
+		assister.Requests, assister.Answers = &room.Room{MaxBytes: 1 << 10}, &room.Room{MaxBytes: 1 << 20}
+		held := assister.Requests.Open(func() {})
+		if !held.Take(time.Now(), 1<<10) {
+			t.Fatal("no room")
+		}
+		asker := c.addDaemon("away", 2)
+		asker.RemotePeers = &fakePeer{runner: assister}
+		c.daemons = []*Runner{asker}
+		for range 10 {
+			c.ask(route, workTime, testCallerTimeout, false)
+			time.Sleep(700 * time.Millisecond)
+		}
+		c.settle()
+		for i := range c.results {
+			if r := &c.results[i]; r.answer.Result != Gathered {
+				t.Errorf("request %d: %s, %s", i, r.answer.Result, r.answer.Reason)
+			}
+		}
+		held.Close()
+		if used := assister.Requests.Used(); used != 0 {
+			t.Errorf("%d bytes are taken", used)
+		}
+	})
+}
