--- a/internal/request/relay/remote_test.go
+++ b/internal/request/relay/remote_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
+	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
 // slowShards is the number of shards whose targets are slow: few enough that
@@ -118,6 +119,22 @@
 	}
 }
 
+// askUntilSettled sends ten requests one after the other, each of which must be gathered
+// whole.
+func askUntilSettled(t *testing.T, c *cluster, route *tree.Route) {
+	t.Helper()
+	for range 10 {
+		c.ask(route, workTime, testCallerTimeout, false)
+		time.Sleep(700 * time.Millisecond)
+	}
+	c.settle()
+	for i := range c.results {
+		if r := &c.results[i]; r.answer.Result != Gathered {
+			t.Errorf("request %d: %s, %s", i, r.answer.Result, r.answer.Reason)
+		}
+	}
+}
+
 // Guards against gathers through peers that fail because a header value or the query of the
 // caller has bytes that are not UTF-8.
 func TestRemoteGatherPassesAnyBytes(t *testing.T) {
@@ -129,16 +146,7 @@
 		asker := c.addDaemon("away", 2)
 		asker.RemotePeers = &fakePeer{runner: assister}
 		c.daemons = []*Runner{asker}
-		for range 10 {
-			c.ask(route, workTime, testCallerTimeout, false)
-			time.Sleep(700 * time.Millisecond)
-		}
-		c.settle()
-		for i := range c.results {
-			if r := &c.results[i]; r.answer.Result != Gathered {
-				t.Errorf("request %d: %s, %s", i, r.answer.Result, r.answer.Reason)
-			}
-		}
+		askUntilSettled(t, c, route)
 	})
 }
 
@@ -191,16 +199,7 @@
 		asker := c.addDaemon("away", 2)
 		asker.RemotePeers = &fakePeer{runner: assister}
 		c.daemons = []*Runner{asker}
-		for range 10 {
-			c.ask(route, workTime, testCallerTimeout, false)
-			time.Sleep(700 * time.Millisecond)
-		}
-		c.settle()
-		for i := range c.results {
-			if r := &c.results[i]; r.answer.Result != Gathered {
-				t.Errorf("request %d: %s, %s", i, r.answer.Result, r.answer.Reason)
-			}
-		}
+		askUntilSettled(t, c, route)
 		held.Close()
 		if used := assister.Requests.Used(); used != 0 {
 			t.Errorf("%d bytes are taken", used)
