--- a/cmd/magnoliarelay/siege_test.go
+++ b/cmd/magnoliarelay/flood_test.go
@@ -1,4 +1,4 @@
-//go:build siege
+//go:build flood
 
 package main
 
@@ -14,71 +14,71 @@
 	"testing"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/fake/flood"
 	"github.com/magnoliarelay/magnoliarelay/internal/fake/gauge"
-	"github.com/magnoliarelay/magnoliarelay/internal/fake/rude"
 	"github.com/magnoliarelay/magnoliarelay/pkg/caller"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
 // The limits of the host in these tests, small enough for a small crowd to exceed.
 const (
-	siegeMemoryMB    = 96
-	siegeDescriptors = 400
-	siegeClients     = 600
-	maxSiegeBody     = 64 << 10
+	floodMemoryMB    = 96
+	floodDescriptors = 400
+	floodClients     = 600
+	maxFloodBody     = 64 << 10
 	kilobyte         = 1 << 10
 )
 
-func siegeHead(method, path string) string {
+func floodHead(method, path string) string {
 	return method + " " + path + " HTTP/1.1\r\nHost: d\r\n"
 }
 
-// siegeSearch is a whole search of the greatest size; the name of its query is too long.
-func siegeSearch() []byte {
-	body := fmt.Sprintf(`{"Deployment":"D","Service":"S","Caller":"c","RequestID":"r","Deadline":"4s","Query":%q}`, strings.Repeat("x", maxSiegeBody))
-	return rude.Sized(siegeHead(http.MethodPost, "/v1/search"), []byte(body)[:maxSiegeBody])
+// floodSearch is a whole search of the greatest size; its query is too long.
+func floodSearch() []byte {
+	body := fmt.Sprintf(`{"Deployment":"D","Service":"S","Caller":"c","RequestID":"r","Deadline":"4s","Query":%q}`, strings.Repeat("x", maxFloodBody))
+	return flood.Sized(floodHead(http.MethodPost, "/v1/search"), []byte(body)[:maxFloodBody])
 }
 
-func TestSiegeOfDaemon(t *testing.T) {
-	search, status, metrics := siegeHead(http.MethodPost, "/v1/search"), siegeHead(http.MethodGet, "/v1/status"), siegeHead(http.MethodGet, "/metrics")
-	whole := siegeSearch()
-	for name, crowd := range map[string]*rude.Crowd{
-		"length":                     {Clients: siegeClients, Bytes: whole[:len(whole)-1]},
-		"large chunks":               {Clients: siegeClients, Bytes: withoutEnd(rude.Chunked(search, maxSiegeBody, 16*kilobyte))},
-		"chunks of a byte":           {Clients: siegeClients, Bytes: withoutEnd(rude.Chunked(search, maxSiegeBody, 1))},
-		"closed and sent again":      {Clients: siegeClients, Bytes: whole[:len(whole)-1], Rounds: 4},
-		"pipelined and unread":       {Clients: siegeClients / 2, Bytes: bytes.Repeat(whole, 20)},
-		"half a head of many fields": {Clients: siegeClients, Bytes: []byte(rude.Fields(search, 60*kilobyte))},
-		"silent":                     {Clients: siegeClients},
-		"status with a body":         {Clients: siegeClients, Bytes: []byte(status + "Content-Length: 1000\r\n\r\n")},
-		"metrics unread":             {Clients: siegeClients / 2, Bytes: bytes.Repeat([]byte(metrics+"\r\n"), 200)},
-		"traces":                     {Clients: siegeClients / 2, Bytes: []byte(siegeHead(http.MethodGet, "/debug/pprof/trace?seconds=60") + "\r\n")},
+func TestFloodOfDaemon(t *testing.T) {
+	search, status, metrics := floodHead(http.MethodPost, "/v1/search"), floodHead(http.MethodGet, "/v1/status"), floodHead(http.MethodGet, "/metrics")
+	whole := floodSearch()
+	for name, crowd := range map[string]*flood.Crowd{
+		"length":                     {Clients: floodClients, Bytes: whole[:len(whole)-1]},
+		"large chunks":               {Clients: floodClients, Bytes: withoutEnd(flood.Chunked(search, maxFloodBody, 16*kilobyte))},
+		"chunks of a byte":           {Clients: floodClients, Bytes: withoutEnd(flood.Chunked(search, maxFloodBody, 1))},
+		"closed and sent again":      {Clients: floodClients, Bytes: whole[:len(whole)-1], Rounds: 4},
+		"pipelined and unread":       {Clients: floodClients / 2, Bytes: bytes.Repeat(whole, 20)},
+		"half a head of many fields": {Clients: floodClients, Bytes: []byte(flood.Fields(search, 60*kilobyte))},
+		"silent":                     {Clients: floodClients},
+		"status with a body":         {Clients: floodClients, Bytes: []byte(status + "Content-Length: 1000\r\n\r\n")},
+		"metrics unread":             {Clients: floodClients / 2, Bytes: bytes.Repeat([]byte(metrics+"\r\n"), 200)},
+		"traces":                     {Clients: floodClients / 2, Bytes: []byte(floodHead(http.MethodGet, "/debug/pprof/trace?seconds=60") + "\r\n")},
 	} {
-		t.Run(name, func(t *testing.T) { siegeDaemon(t, crowd, false) })
+		t.Run(name, func(t *testing.T) { floodDaemon(t, crowd, false) })
 	}
 }
 
 // The address for opaque requests has no limits of an operator here, so heads and bodies
 // have the limits of the program.
-func TestSiegeOfOpaque(t *testing.T) {
-	post := siegeHead(http.MethodPost, "/x/1")
-	for name, crowd := range map[string]*rude.Crowd{
-		"length":                     {Clients: siegeClients, Bytes: withoutEnd(rude.Sized(post, make([]byte, maxSiegeBody)))},
-		"half a head of many fields": {Clients: siegeClients, Bytes: []byte(rude.Fields(post, 60*kilobyte))},
-		"silent":                     {Clients: siegeClients},
+func TestFloodOfOpaque(t *testing.T) {
+	post := floodHead(http.MethodPost, "/x/1")
+	for name, crowd := range map[string]*flood.Crowd{
+		"length":                     {Clients: floodClients, Bytes: withoutEnd(flood.Sized(post, make([]byte, maxFloodBody)))},
+		"half a head of many fields": {Clients: floodClients, Bytes: []byte(flood.Fields(post, 60*kilobyte))},
+		"silent":                     {Clients: floodClients},
 	} {
-		t.Run(name, func(t *testing.T) { siegeDaemon(t, crowd, true) })
+		t.Run(name, func(t *testing.T) { floodDaemon(t, crowd, true) })
 	}
 }
 
 // Clients that send commands with ever new keys must not take the memory: a home keeps each
 // key for minutes.
-func TestSiegeOfKeys(t *testing.T) {
+func TestFloodOfKeys(t *testing.T) {
 	const (
 		workers  = 16
 		requests = 10_000
 	)
-	r := startTierWithLimits(t, siegeMemoryMB, siegeDescriptors)
+	r := startTierWithLimits(t, floodMemoryMB, floodDescriptors)
 	ip, _, err := net.SplitHostPort(r.listen[0])
 	if err != nil {
 		t.Fatal(err)
@@ -121,11 +121,11 @@
 
 func withoutEnd(request []byte) []byte { return request[:len(request)-5] }
 
-// siegeDaemon lets the crowd press on a daemon that runs as a process. The process must
+// floodDaemon lets the crowd press on a daemon that runs as a process. The process must
 // live, stay within the memory and the descriptors of its host, and answer an ordinary
 // search while the clients stay and after they have left.
-func siegeDaemon(t *testing.T, crowd *rude.Crowd, opaque bool) {
-	r := startTierWithLimits(t, siegeMemoryMB, siegeDescriptors)
+func floodDaemon(t *testing.T, crowd *flood.Crowd, opaque bool) {
+	r := startTierWithLimits(t, floodMemoryMB, floodDescriptors)
 	ip, _, err := net.SplitHostPort(r.listen[0])
 	if err != nil {
 		t.Fatal(err)
@@ -149,11 +149,11 @@
 	t.Helper()
 	memoryKB, descriptors := measured.Stop()
 	t.Logf("at most %d MB and %d descriptors", memoryKB/kilobyte, descriptors)
-	if memoryKB > siegeMemoryMB*kilobyte {
-		t.Errorf("%d MB of memory were in use, of %d", memoryKB/kilobyte, siegeMemoryMB)
+	if memoryKB > floodMemoryMB*kilobyte {
+		t.Errorf("%d MB of memory were in use, of %d", memoryKB/kilobyte, floodMemoryMB)
 	}
-	if descriptors > siegeDescriptors {
-		t.Errorf("%d descriptors were in use, of %d", descriptors, siegeDescriptors)
+	if descriptors > floodDescriptors {
+		t.Errorf("%d descriptors were in use, of %d", descriptors, floodDescriptors)
 	}
 }
 
@@ -163,6 +163,6 @@
 	answer, err := r.caller(0).Search(r.t.Context(), caller.Query{Service: "S", Text: "sage " + when, Deadline: 10 * time.Second})
 	if err != nil || !answer.Complete {
 		log := r.allLogs()
-		r.t.Errorf("%s the siege: %v; end of the log:\n%s", when, err, log[max(0, len(log)-2000):])
+		r.t.Errorf("%s the flood: %v; end of the log:\n%s", when, err, log[max(0, len(log)-2000):])
 	}
 }
--- a/internal/fake/rude/rude.go
+++ b/internal/fake/flood/flood.go
@@ -1,14 +1,14 @@
-// Package rude simulates clients that don't behave: many connections that send the same
+// Package flood simulates clients that don't behave: many connections that send the same
 // bytes at once, stop short of the end of a request or of reading an answer, and stay open.
 //
 // # Usage
 //
-//	c := &rude.Crowd{Address: "127.0.0.1:8104", Clients: 300, Bytes: request[:len(request)-1]}
+//	c := &flood.Crowd{Address: "127.0.0.1:8104", Clients: 300, Bytes: request[:len(request)-1]}
 //	c.Start()
 //	c.Settle()
 //	// check what the clients hold
 //	c.Stop()
-package rude
+package flood
 
 import (
 	"bytes"
