Bound the connections that wait to be accepted

Cause: the system keeps up to 4,096 connections for a listener until it accepts them, and each may fill its receive buffer meanwhile. Clients that close and come back filled them faster than they were accepted: a trial that counted the sockets by owner saw 31 MB in 1,299 connections that no process owned, beside 62 MB of the process.

Change: a listener has as many pending connections as it may have open ones, so that no set of clients within the limit on connections is held up by it.

--- a/internal/conn/guard/guard.go
+++ b/internal/conn/guard/guard.go
@@ -70,8 +70,8 @@
 	// Room bounds what the clients hold. It may be shared by several listeners. Nil means
 	// one for this listener, by the memory of the host.
 	Room *room.Room
-	// MaxConnections bounds the open connections; zero means as many as Host allows for
-	// Callers.
+	// MaxConnections bounds the open connections, and as many more that wait to be accepted;
+	// zero means as many as Host allows for Callers.
 	MaxConnections int
 	// OnEvict, if set, is called after a connection was closed to make room for a new one,
 	// or a new one was refused.
@@ -130,9 +130,27 @@
 	if l.MaxConnections == 0 {
 		l.MaxConnections = Host{}.Connections(Callers)
 	}
+	if err := l.limitPending(); err != nil {
+		_ = listener.Close()
+		return &Error{Op: "limit pending connections", Kind: KindListen, Err: err}
+	}
 	return nil
 }
 
+// limitPending bounds the connections that the system has opened and Accept has not returned
+// yet: each of them may fill its receive buffer.
+func (l *Listener) limitPending() error {
+	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.Listen(int(fd), l.MaxConnections)
+	})
+	return errors.Join(err, failed)
+}
+
 // Accept returns the next connection. If there are too many, it closes the one that has
 // been waited for longest.
 func (l *Listener) Accept() (net.Conn, error) {
--- a/internal/conn/guard/guard_test.go
+++ b/internal/conn/guard/guard_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/guard"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 )
@@ -132,6 +134,42 @@
 	}
 }
 
+// Connections that wait to be accepted hold what their clients have sent, so their number
+// is bounded too.
+func TestPendingConnectionsAreBounded(t *testing.T) {
+	l := &guard.Listener{Address: "127.0.0.1:0", Room: &room.Room{MaxBytes: 1 << 20}, MaxConnections: maxConnections}
+	if err := l.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	for range 10 * maxConnections {
+		conn, err := net.DialTimeout("tcp", l.Address, 100*time.Millisecond)
+		if err != nil {
+			// The system lets the client wait.
+			break
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		// For a listener, this field counts the connections that are pending. The system
+		// admits one more than the limit.
+		if info.Unacked > maxConnections+1 {
+			t.Errorf("%d connections are pending, of %d", info.Unacked, maxConnections)
+		}
+	}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // A head for which there is no room ends its connection; what it held is free afterwards.
 func TestHeadsTakeRoom(t *testing.T) {
 	r := &room.Room{MaxBytes: 64 << 10}
