A success clears losses whose attempts were sent before it

Cause: a loss is dated when it is found out, which for a target that falls silent is a second or more after the attempt was sent. A success of the same request meanwhile was taken for one before the loss, so it did not clear it.

Change: the register compares a success with the time at which the lost attempt was sent. A request that ends targets never succeeds, whenever it is sent.

Shown: two new cases of TestQuarantine failed before and pass.

--- a/internal/process/poison/poison.go
+++ b/internal/process/poison/poison.go
@@ -236,7 +236,8 @@
 }
 
 // record adds the losses that are not known yet and reports whether there were any. A
-// loss before the query's last success at this daemon clears itself.
+// loss of an attempt that was sent before the query's last success at this daemon clears
+// itself: some losses are found out seconds after the target has ended.
 func (r *Register) record(now time.Time, q Query, losses []Loss) bool {
 	s := r.suspects[q.Fingerprint]
 	if s == nil || len(s.losses) > 0 && now.Sub(s.newestLoss) > lossLifetime {
@@ -250,12 +251,12 @@
 	succeeded, _ := r.lastSuccess(q)
 	changed := false
 	for _, l := range losses {
-		at := now.Add(-time.Duration(l.AgeMillis) * time.Millisecond)
+		added := newLoss(l, now.Add(-time.Duration(l.AgeMillis)*time.Millisecond))
 		switch {
-		case !at.After(s.clearedAt):
-		case !at.After(succeeded):
+		case !added.sent.After(s.clearedAt):
+		case !added.sent.After(succeeded):
 			s.clearedAt, changed = succeeded, len(losses) > 1
-		case s.add(newLoss(l, at)):
+		case s.add(added):
 			changed = true
 		}
 	}
--- a/internal/process/poison/poison_test.go
+++ b/internal/process/poison/poison_test.go
@@ -40,6 +40,20 @@
 			r.Succeeded(start, q)
 			r.Lost(start, q, loss("b", "r2"))
 		}, false},
+		{"losses found out after a success that their attempts were sent before", func(r *Register) {
+			r.Succeeded(start, q)
+			for _, target := range []string{"a", "b", "c"} {
+				r.Lost(start.Add(time.Second), q, Loss{Target: target, Domain: target, Sent: start.Add(-time.Second)})
+			}
+			r.Lost(start.Add(2*time.Second), q, Loss{Target: "d", Domain: "d", Sent: start.Add(2 * time.Second)})
+		}, false},
+		{"losses of other daemons, found out likewise", func(r *Register) {
+			r.Succeeded(start, q)
+			r.Merge(start.Add(time.Second), []Entry{{Query: q, Losses: []Loss{
+				{Target: "a", Domain: "a", RanMillis: 2000}, {Target: "b", Domain: "b", RanMillis: 1500, AgeMillis: 200}, {Target: "c", Domain: "c", RanMillis: 1200},
+			}}})
+			r.Lost(start.Add(2*time.Second), q, Loss{Target: "d", Domain: "d", Sent: start.Add(2 * time.Second)})
+		}, false},
 		{"a success at another index version only", func(r *Register) {
 			r.Succeeded(start, Query{Fingerprint: 1, Version: 6})
 			r.Lost(start, q, loss("a", "r1"))
--- a/internal/process/poison/suspect.go
+++ b/internal/process/poison/suspect.go
@@ -31,14 +31,14 @@
 	return loss{Loss: l, sent: sent, at: at}
 }
 
-// clear drops the losses up to the time of a success, and reports whether there were
-// any.
+// clear drops the losses of attempts that were sent before a success, and reports whether
+// there were any.
 func (s *suspect) clear(at time.Time) bool {
 	if at.After(s.clearedAt) {
 		s.clearedAt = at
 	}
 	before := len(s.losses)
-	s.losses = slices.DeleteFunc(slices.Clone(s.losses), func(l loss) bool { return !l.at.After(at) })
+	s.losses = slices.DeleteFunc(slices.Clone(s.losses), func(l loss) bool { return !l.sent.After(at) })
 	if len(s.losses) == 0 {
 		s.quarantinedAt = time.Time{}
 	}
