Cut what the limits on clients cost an ordinary request

The profile named the lists of connections, which allocate a node with each change of state, the write deadline set with each answer, the map of claims, and the claim of each head.

Change: nodes are parts of the connections and claims (package chain); the deadline of a write is set anew once it is a sixteenth early; a head that takes 4 KB or less belongs to what the limit on connections keeps for each of them, and has no claim.

--- a/internal/conn/guard/conn.go
+++ b/internal/conn/guard/conn.go
@@ -2,11 +2,11 @@
 
 import (
 	"bytes"
-	"container/list"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/chain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
 )
 
@@ -15,8 +15,14 @@
 	// fieldBytes what each field takes beyond them.
 	headFactor = 2
 	fieldBytes = 128
+	// freeHeadBytes is how much a head may take without a claim. It is a part of what the
+	// limit on connections keeps for each of them.
+	freeHeadBytes = 4 << 10
 	// pieceBytes is the size of the pieces in which a client is seen to read.
 	pieceBytes = socketBufferBytes
+	// deadlineSteps divides the time to read a piece; the result is how much earlier it may
+	// end.
+	deadlineSteps = 16
 )
 
 // Conn is a connection of a client. A nil Conn bounds nothing.
@@ -25,20 +31,22 @@
 	listener *Listener
 
 	// The fields below are guarded by the lock of the listener.
-	state   state
-	since   time.Time
-	element *list.Element
-	closed  bool
-	// claim is that of the request being read or served.
+	state  state
+	since  time.Time
+	closed bool
+	// node is in the list of the state, unless that is stateServing.
+	node chain.Node[*Conn]
+	// claim is that of the request being read or served; nil if it needs none.
 	claim *room.Claim
 	// answer is the claim of the answer to it, if it has one of its own.
 	answer *room.Claim
-	// headBytes is what the claim holds for the head. HeadRead is true once the head has
-	// been read whole.
+	// headBytes is what the head takes. HeadRead is true once it has been read whole.
 	headBytes int64
 	headRead  bool
-	// writeDeadline is that of the server; zero means none.
-	writeDeadline time.Time
+	// writeDeadline is that of the server, and socketDeadline that of the socket; zero
+	// means none.
+	writeDeadline  time.Time
+	socketDeadline time.Time
 }
 
 // errNoRoom is an error of a read, for which the server closes the connection.
@@ -49,12 +57,17 @@
 	if c.closed {
 		return
 	}
-	if c.element != nil {
-		c.listener.waiting[c.state].Remove(c.element)
-	}
-	c.state, c.since, c.element = s, now, nil
+	c.unlist()
+	c.state, c.since = s, now
 	if s != stateServing {
-		c.element = c.listener.waiting[s].PushBack(c)
+		c.listener.waiting[s].PushBack(&c.node)
+	}
+}
+
+// unlist removes the connection from the list of its state. The lock of the listener is held.
+func (c *Conn) unlist() {
+	if c.state != stateServing {
+		c.listener.waiting[c.state].Remove(&c.node)
 	}
 }
 
@@ -63,9 +76,7 @@
 	if c.closed {
 		return
 	}
-	if c.element != nil {
-		c.listener.waiting[c.state].Remove(c.element)
-	}
+	c.unlist()
 	c.closed = true
 	c.listener.open--
 }
@@ -117,11 +128,25 @@
 	if c.state != stateReceiving {
 		c.enter(now, stateReceiving)
 	}
-	claim := c.openClaim(now)
 	size := int64(headFactor*len(data) + fieldBytes*bytes.Count(data, []byte{'\n'}))
-	c.headBytes += size
+	claim, more := c.claimHead(now, c.headBytes+size)
 	c.listener.mu.Unlock()
-	return claim.Take(now, size)
+	return claim == nil || claim.Take(now, more)
+}
+
+// claimHead returns the claim for a head that takes so many bytes, nil if it needs none, and
+// how many of them it does not hold yet. The lock of the listener is held.
+func (c *Conn) claimHead(now time.Time, size int64) (claim *room.Claim, more int64) {
+	if c.claim == nil && size <= freeHeadBytes {
+		c.headBytes = size
+		return nil, 0
+	}
+	more = size
+	if c.claim != nil {
+		more -= c.headBytes
+	}
+	c.headBytes = size
+	return c.openClaim(now), more
 }
 
 // openClaim returns the claim of the request being read. The lock of the listener is held.
@@ -129,7 +154,6 @@
 	if c.claim == nil {
 		c.claim = c.listener.Room.Open(c.Abort)
 		c.claim.Await(now)
-		c.headBytes = 0
 	}
 	return c.claim
 }
@@ -154,16 +178,18 @@
 	}
 	c.enter(now, stateReceiving)
 	c.headRead = true
-	claim := c.openClaim(now)
 	// What was read may also belong to the body, or a part of the head came together with the
 	// request before it.
-	claimed := c.headBytes
+	claim, more := c.claimHead(now, size)
 	c.listener.mu.Unlock()
-	if size < claimed {
-		claim.Give(claimed - size)
+	switch {
+	case claim == nil:
+		return true
+	case more < 0:
+		claim.Give(-more)
 		return true
 	}
-	return claim.Take(now, size-claimed)
+	return claim.Take(now, more)
 }
 
 // Take claims room for bytes of the request or its answer until End.
@@ -171,10 +197,15 @@
 	if c == nil {
 		return true
 	}
+	now := time.Now()
 	c.listener.mu.Lock()
-	claim := c.claim
+	if c.closed {
+		c.listener.mu.Unlock()
+		return false
+	}
+	claim := c.openClaim(now)
 	c.listener.mu.Unlock()
-	return claim != nil && claim.Take(time.Now(), count)
+	return claim.Take(now, count)
 }
 
 // Serve is called when the request has been read whole: it will not be cut any more to make
@@ -187,7 +218,7 @@
 	c.enter(time.Now(), stateServing)
 	closed, claim := c.closed, c.claim
 	c.listener.mu.Unlock()
-	return !closed && claim != nil && claim.Serve()
+	return !closed && (claim == nil || claim.Serve())
 }
 
 // End ends the request and gives back what it has claimed.
@@ -197,7 +228,7 @@
 	}
 	c.listener.mu.Lock()
 	claim := c.claim
-	c.claim, c.answer, c.headRead = nil, nil, false
+	c.claim, c.answer, c.headBytes, c.headRead = nil, nil, 0, false
 	c.enter(time.Now(), stateIdle)
 	c.listener.mu.Unlock()
 	if claim != nil {
@@ -225,14 +256,7 @@
 	written := 0
 	for {
 		now := time.Now()
-		c.listener.mu.Lock()
-		c.enter(now, stateSending)
-		deadline := now.Add(c.listener.WriteTimeout)
-		if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
-			deadline = c.writeDeadline
-		}
-		c.listener.mu.Unlock()
-		if err := c.Conn.SetWriteDeadline(deadline); err != nil {
+		if err := c.beginPiece(now); err != nil {
 			c.endWrite(before, claims)
 			return written, err
 		}
@@ -250,6 +274,25 @@
 	}
 }
 
+// beginPiece begins to wait for the client to read a piece.
+func (c *Conn) beginPiece(now time.Time) error {
+	c.listener.mu.Lock()
+	c.enter(now, stateSending)
+	deadline := now.Add(c.listener.WriteTimeout)
+	if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+		deadline = c.writeDeadline
+	}
+	// A deadline that is a little early saves setting it anew for each small answer.
+	early := deadline.Sub(c.socketDeadline)
+	if early >= 0 && early <= c.listener.WriteTimeout/deadlineSteps {
+		c.listener.mu.Unlock()
+		return nil
+	}
+	c.socketDeadline = deadline
+	c.listener.mu.Unlock()
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
 func (c *Conn) endWrite(before state, claims [2]*room.Claim) {
 	c.listener.mu.Lock()
 	if c.state == stateSending {
@@ -266,7 +309,7 @@
 // SetWriteDeadline sets the server's deadline for what is sent.
 func (c *Conn) SetWriteDeadline(deadline time.Time) error {
 	c.listener.mu.Lock()
-	c.writeDeadline = deadline
+	c.writeDeadline, c.socketDeadline = deadline, deadline
 	c.listener.mu.Unlock()
 	return c.Conn.SetWriteDeadline(deadline)
 }
--- a/internal/conn/guard/guard.go
+++ b/internal/conn/guard/guard.go
@@ -20,7 +20,6 @@
 package guard
 
 import (
-	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -31,6 +30,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/chain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/room"
@@ -83,7 +83,7 @@
 	net.Listener
 	mu mutex.Mutex
 	// waiting holds the connections in each state by the time since when they are in it.
-	waiting [states]list.List
+	waiting [states]chain.List[*Conn]
 	open    int
 }
 
@@ -178,7 +178,8 @@
 	for {
 		l.mu.Lock()
 		if l.open < l.MaxConnections {
-			c := &Conn{Conn: raw, listener: l}
+			c := &Conn{Conn: raw, listener: l, state: stateServing}
+			c.node.Value = c
 			l.open++
 			c.enter(now, stateNew)
 			l.mu.Unlock()
@@ -205,7 +206,7 @@
 		if first == nil {
 			continue
 		}
-		c := first.Value.(*Conn)
+		c := first.Value
 		if s != stateNew && now.Sub(c.since) < minSilence {
 			continue
 		}
@@ -214,7 +215,7 @@
 		}
 	}
 	if first := l.waiting[stateIdle].Front(); victim == nil && first != nil {
-		victim = first.Value.(*Conn)
+		victim = first.Value
 	}
 	if victim == nil {
 		l.mu.Unlock()
--- a/internal/process/room/room.go
+++ b/internal/process/room/room.go
@@ -24,6 +24,7 @@
 	"slices"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/chain"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 )
 
@@ -60,7 +61,7 @@
 
 	mu         mutex.Mutex
 	used       int64
-	claims     map[*Claim]struct{}
+	claims     chain.List[*Claim]
 	nextScanAt time.Time
 	// waiters holds the claims that wait for room, in the order in which they came; one that
 	// waits several times is in it as often.
@@ -73,6 +74,7 @@
 type Claim struct {
 	room  *Room
 	evict func()
+	node  chain.Node[*Claim]
 
 	// The fields below are guarded by the lock of the room.
 	bytes int64
@@ -86,12 +88,10 @@
 // lock, at most once.
 func (r *Room) Open(evict func()) *Claim {
 	c := &Claim{room: r, evict: evict}
+	c.node.Value = c
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.claims == nil {
-		r.claims = map[*Claim]struct{}{}
-	}
-	r.claims[c] = struct{}{}
+	r.claims.PushBack(&c.node)
 	return c
 }
 
@@ -188,7 +188,8 @@
 	}
 	var candidates []candidate
 	longEnough := max(minWait/time.Duration(1+len(r.waiters)/waitersPerStep), minCrowdedWait)
-	for other := range r.claims {
+	for n := r.claims.Front(); n != nil; n = r.claims.Next(n) {
+		other := n.Value
 		wait := now.Sub(other.awaitedSince)
 		if other == c || other.bytes == 0 || other.awaitedSince.IsZero() || wait < longEnough {
 			continue
@@ -217,7 +218,7 @@
 	if !c.closed {
 		c.closed = true
 		r.used -= c.bytes
-		delete(r.claims, c)
+		r.claims.Remove(&c.node)
 		if r.favoured == c {
 			r.favoured = nil
 		}
