Read the reply to an attempt whose request has ended

Cause: the only attempt at a usually fast target goes on after its request, since the reply shows that a pause has ended. Since the closed claim of the request ended such an attempt if the reply was longer than 8 KB or did not state its length, so its target counted as silent for longer, and its shards went to other regions.

Change: the body is read and dropped, and the reply counts.

Shown: ten of twelve cases of TestRepliesAfterTheRequestAreRead failed with "Abandoned" and pass.

--- a/internal/conn/http1/http1.go
+++ b/internal/conn/http1/http1.go
@@ -52,9 +52,6 @@
 	KindReset Kind = "Reset"
 	// KindExpired means that the deadline passed; the request may have run.
 	KindExpired Kind = "Expired"
-	// KindAbandoned means that the claim in the context was closed while the reply waited for
-	// room; the request may have run.
-	KindAbandoned Kind = "Abandoned"
 	// KindCorrupt means that the received bytes are not a valid HTTP/1.1 reply.
 	KindCorrupt Kind = "Corrupt"
 )
@@ -254,8 +251,6 @@
 	kind := KindCorrupt
 	var network net.Error
 	switch {
-	case errors.Is(err, errAbandoned):
-		kind = KindAbandoned
 	case notSent:
 		kind = KindNotSent
 	case errors.As(err, &network) && network.Timeout():
--- a/internal/conn/http1/pool.go
+++ b/internal/conn/http1/pool.go
@@ -85,7 +85,7 @@
 
 // Do sends the request and returns the complete reply. A connection is reused
 // only if no bytes are left on it after the reply. If the context carries a claim, the
-// reply is read only as there is room for it.
+// reply is read only as there is room for it, and may lack its body once the claim is closed.
 func (p *Pool) Do(ctx context.Context, request *http.Request, deadline time.Time) (*Reply, error) {
 	return p.do(ctx, request, deadline, math.MaxInt64, openGate{})
 }
--- a/internal/conn/http1/read.go
+++ b/internal/conn/http1/read.go
@@ -39,8 +39,8 @@
 // errReplyTooLong means that a reply exceeds one of the limits.
 var errReplyTooLong = errors.New("the reply is longer than is read")
 
-// errAbandoned means that the caller's request ended before there was room for the reply.
-var errAbandoned = &Error{Op: "receive", Kind: KindAbandoned}
+// errUnneeded means that the caller's request ended before there was room for the reply.
+var errUnneeded = errors.New("nobody needs the body")
 
 // limitedConn is a connection from which only a limited number of bytes is read.
 type limitedConn struct {
@@ -81,9 +81,21 @@
 	return nil, errReplyTooLong
 }
 
-// readBody reads the whole body. Long bodies count against the shared budget.
+// readBody reads the whole body. It drops the body if the caller's request has ended: the
+// reply still shows that the target answers.
 func (c *conn) readBody(response *http.Response, bodyBudget *bulk.Budget) ([]byte, error) {
 	c.limited.remaining = maxFramingFactor * maxReplyBytes
+	body, err := c.readClaimed(response, bodyBudget)
+	if errors.Is(err, errUnneeded) {
+		_, err = io.Copy(io.Discard, response.Body)
+		return nil, err
+	}
+	return body, err
+}
+
+// readClaimed reads the whole body as there is room for it. Long bodies count against the
+// shared budget.
+func (c *conn) readClaimed(response *http.Response, bodyBudget *bulk.Budget) ([]byte, error) {
 	size := response.ContentLength
 	if size > maxReplyBytes {
 		return nil, errReplyTooLong
@@ -115,7 +127,7 @@
 		case c.closed.Load():
 			return net.ErrClosed
 		case c.claim.Closed():
-			return errAbandoned
+			return errUnneeded
 		case !time.Now().Before(c.deadline):
 			return os.ErrDeadlineExceeded
 		}
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -168,7 +168,7 @@
 	switch {
 	case e.Kind == http1.KindWithheld:
 		return fleet.Withheld
-	case ctx.Err() != nil, e.Kind == http1.KindAbandoned:
+	case ctx.Err() != nil:
 		return fleet.Cancelled
 	case e.Kind == http1.KindNotSent:
 		return fleet.Refused
