Claim for a reply of unknown length what it holds

Seen: a chunked reply of 500 bytes claimed 64 KB of the room for answers (TestShortRepliesClaimLittle), so a gather of 135 shards claimed 8.6 MB of the 23 MB that a host of 184 MB has for all answers.

Cause: the first buffer for a body of unknown length had 64 KB, and a second buffer of 64 KB lay before it.

Change: the buffer begins with 4 KB and grows to four times its size up to 64 KB; the reply is read without the second buffer.

--- a/internal/conn/http1/claim_test.go
+++ b/internal/conn/http1/claim_test.go
@@ -17,7 +17,9 @@
 	name  string
 	frame func(body string) string
 }{
-	{"length", func(body string) string { return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body) }},
+	{"length", func(body string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}},
 	{"chunked", func(body string) string {
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 	}},
@@ -59,3 +61,24 @@
 		}
 	}
 }
+
+// A short reply claims little, also if it does not state its length: a gather claims as much
+// for each of its shards.
+func TestShortRepliesClaimLittle(t *testing.T) {
+	const size = 500
+	for _, form := range replyForms {
+		t.Run(form.name, func(t *testing.T) {
+			pool := startReplier(t, form.frame(strings.Repeat("x", size)))
+			answers := &room.Room{MaxBytes: 1 << 20}
+			claim := answers.Open(func() {})
+			defer claim.Close()
+			reply, err := pool.Do(room.With(t.Context(), claim), request(""), time.Now().Add(5*time.Second))
+			if err != nil || len(reply.Body) != size {
+				t.Fatalf("reply %+v, error %v", reply, err)
+			}
+			if used := answers.Used(); used > room.SmallBytes {
+				t.Errorf("%d bytes are claimed", used)
+			}
+		})
+	}
+}
--- a/internal/conn/http1/read.go
+++ b/internal/conn/http1/read.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -22,7 +21,10 @@
 	// maxFramingFactor bounds the size of a reply on the wire relative to its body,
 	// since each chunk adds a line with its size.
 	maxFramingFactor = 2
-	// bufferGrowthFactor is the factor by which the buffer for a long body grows.
+	// minBodyBuffer is the size of the first buffer for a body of unknown length. The buffer
+	// grows by shortGrowthFactor up to maxPreallocatedBytes, then by bufferGrowthFactor.
+	minBodyBuffer      = 4 << 10
+	shortGrowthFactor  = 4
 	bufferGrowthFactor = 1.5
 	// defaultBodyBudgetBytes bounds the long bodies being read by a pool without a
 	// BodyBudget.
@@ -138,13 +140,12 @@
 
 // readGrowing reads a body of unknown or great length into a growing buffer.
 func (c *conn) readGrowing(reader io.Reader, bodyBudget *bulk.Budget) ([]byte, error) {
-	buffered := bufio.NewReaderSize(reader, maxPreallocatedBytes)
 	reserved := int64(0)
 	defer func() { bodyBudget.Give(reserved) }()
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			size := max(maxPreallocatedBytes, int(bufferGrowthFactor*float64(cap(body))))
+			size := grownSize(cap(body))
 			if size > maxFramingFactor*maxReplyBytes || !bodyBudget.Take(int64(size-cap(body))) {
 				return nil, errReplyTooLong
 			}
@@ -156,7 +157,7 @@
 			copy(grown, body)
 			body = grown
 		}
-		n, err := buffered.Read(body[len(body):cap(body)])
+		n, err := reader.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
 		case len(body) > maxReplyBytes:
@@ -168,3 +169,11 @@
 		}
 	}
 }
+
+// grownSize returns the size of the next buffer for a body.
+func grownSize(size int) int {
+	if size < maxPreallocatedBytes {
+		return max(minBodyBuffer, min(shortGrowthFactor*size, maxPreallocatedBytes))
+	}
+	return int(bufferGrowthFactor * float64(size))
+}
