Log what settings, registrations and attempts rest on

The logs could not tell the hypotheses apart: they showed neither the era nor a fall of the store's revision, nor from whom and when settings and registrations came, nor on which registration an attempt was sent, nor what refused a request with a 4xx.

No decision changes.

--- a/internal/conn/edge/edge.go
+++ b/internal/conn/edge/edge.go
@@ -76,6 +76,8 @@
 	Refuse func(request *relay.Request) *relay.Answer
 	// Limits returns the operator's limits, or nil before they are known.
 	Limits func() *tree.Limits
+	// Rejected, if set, is called with a request that is not valid and the status of the answer.
+	Rejected func(request *relay.Request, status int)
 	// WriteFailed is called when an answer could not be written whole.
 	WriteFailed func(request *relay.Request, err error)
 	// WriteTimeout is the maximum time for writing an answer; zero means 90 seconds.
@@ -197,15 +199,22 @@
 		// The operator's limits may allow it.
 		s.refuseUnread(w, request, &relay.Answer{Result: relay.NotRun, Reason: "no settings yet", RetryAfter: unknownLimitsRetryAfter})
 	case failure.Kind == intake.KindTooLarge:
-		w.Header().Set("Connection", "close")
-		http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
+		s.reject(w, request, http.StatusRequestEntityTooLarge)
 	default:
-		w.Header().Set("Connection", "close")
-		http.Error(w, http.StatusText(http.StatusBadRequest), http.StatusBadRequest)
+		s.reject(w, request, http.StatusBadRequest)
 	}
 	return false
 }
 
+// reject rejects a request that is not valid and closes its connection.
+func (s *Server) reject(w http.ResponseWriter, request *relay.Request, status int) {
+	if s.Rejected != nil {
+		s.Rejected(request, status)
+	}
+	w.Header().Set("Connection", "close")
+	http.Error(w, http.StatusText(status), status)
+}
+
 // refuseUnread refuses a request that has not been read whole and closes its connection.
 func (s *Server) refuseUnread(w http.ResponseWriter, request *relay.Request, answer *relay.Answer) {
 	w.Header().Set("Connection", "close")
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -139,7 +139,7 @@
 	d.link = &link.Link{Address: d.Setup.Link, Keys: d.Keys, Handle: d.handle, WrapSocket: d.WrapLink}
 	d.gossip = &gossip.Gossip{
 		Link: d.link, Keeper: d.Keeper, Fresh: d.fresh, Poison: d.Poison, Quota: d.Quota, Meter: d.Meter,
-		Accepted: d.applySettings, Execute: d.executeForwarded,
+		Accepted: func(string) { d.applySettings() }, Execute: d.executeForwarded,
 	}
 	d.gossip.Init()
 	d.server = &server.Server{Address: d.Setup.Listen, Name: d.Setup.Name, Backend: d, Meter: d.Meter, Report: klog.InfoS, OnRefuse: func() { d.home.Close() }}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -341,6 +341,10 @@
 	if changes.Settings != nil {
 		f.ApplySettings(*changes.Settings)
 	}
+	if roster := f.Roster.Revision(); changes.Revision < roster {
+		f.Log.State("the store is behind the registrations of this daemon", "storeRevision", changes.Revision, "rosterRevision", roster,
+			"snapshot", changes.Snapshot)
+	}
 	var pools []string
 	if changes.Snapshot {
 		pools = f.Roster.Replace(now, changes.Entries, changes.Revision)
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
@@ -96,7 +97,7 @@
 	// The fields below are used mainly for registered targets.
 	registered bool
 	born       int64
-	revision   int64
+	revision   atomic.Int64
 	responses  responseTimes
 	// peerUnansweredSince is the time since when a peer has had no answer.
 	peerUnansweredSince time.Time
@@ -131,6 +132,14 @@
 	reportedState State
 }
 
+// Born returns the start of the target's process in Unix milliseconds, or zero if that is
+// not known.
+func (t *Target) Born() int64 { return t.born }
+
+// Registered returns the store's revision of the registration on which the target is used,
+// or zero for a target that is not registered.
+func (t *Target) Registered() int64 { return t.revision.Load() }
+
 // Domain returns the failure domain of the target, which is its rack.
 func (t *Target) Domain() string { return t.DataCentre + "/" + t.Rack }
 
--- a/internal/process/gossip/entries.go
+++ b/internal/process/gossip/entries.go
@@ -59,15 +59,18 @@
 		g.Meter.CountDecision("DropMalformedRegistrations")
 		return
 	}
-	g.AnnounceRegistrations(g.Roster.Merge(time.Now(), delta))
+	g.announceRegistrations(g.Roster.Merge(time.Now(), delta), address)
 }
 
-// AnnounceRegistrations announces that registrations of some pools have changed.
-func (g *Gossip) AnnounceRegistrations(pools []string) {
+// AnnounceRegistrations announces that registrations of some pools have changed in the
+// store.
+func (g *Gossip) AnnounceRegistrations(pools []string) { g.announceRegistrations(pools, FromStore) }
+
+func (g *Gossip) announceRegistrations(pools []string, from string) {
 	if len(pools) == 0 {
 		return
 	}
-	g.Registered(pools)
+	g.Registered(pools, from)
 	g.Push()
 }
 
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -81,6 +81,9 @@
 	AttemptedMillis int64
 }
 
+// FromStore stands for the store where the sender of a state is named.
+const FromStore = "store"
+
 // Gossip exchanges state with other daemons on behalf of one daemon. Exported
 // fields are set before Run.
 type Gossip struct {
@@ -90,14 +93,16 @@
 	Poison *poison.Register
 	Quota  *quota.Quota
 	Meter  *meter.Meter
-	// Accepted is called after a new revision of the settings has come into force.
-	Accepted func()
+	// Accepted is called after a new revision of the settings has come into force, with the
+	// address of the daemon that has sent it, or FromStore.
+	Accepted func(from string)
 	// Execute answers a forwarded request; it is nil if this daemon accepts none.
 	Execute func(body []byte) []byte
 	// Roster holds the registrations of targets if the store keeps them. Registered is
-	// called with the pools whose registrations have changed.
+	// called with the pools whose registrations have changed, and with the address of the
+	// daemon that has sent the changes, or FromStore.
 	Roster     *roster.Roster
-	Registered func(pools []string)
+	Registered func(pools []string, from string)
 	// Fresh tracks what the settings and the roster rest on.
 	Fresh *fresh.Tracker
 	// Users returns the other daemons that use targets, in random order: those of the
--- a/internal/process/gossip/pull_test.go
+++ b/internal/process/gossip/pull_test.go
@@ -46,7 +46,7 @@
 		t.Fatal(err)
 	}
 	k.Trusted = func([]byte) bool { return true }
-	g := &Gossip{Keeper: epoch.NewKeeper(), Poison: poison.New(), Meter: meter.New(), Roster: roster.New(), Fresh: fresh.New(mono.Now(), 1), Accepted: func() {}, Registered: func([]string) {}}
+	g := &Gossip{Keeper: epoch.NewKeeper(), Poison: poison.New(), Meter: meter.New(), Roster: roster.New(), Fresh: fresh.New(mono.Now(), 1), Accepted: func(string) {}, Registered: func([]string, string) {}}
 	g.Init()
 	g.Link = &link.Link{Address: "127.0.0.1:0", Keys: k, Handle: g.Handle}
 	if err := g.Link.Start(); err != nil {
--- a/internal/process/gossip/settings.go
+++ b/internal/process/gossip/settings.go
@@ -59,12 +59,14 @@
 		g.Meter.CountDecision("SettingsNotFetched")
 		return
 	}
-	g.ApplySettings(change)
+	g.applySettings(change, address)
 }
 
-// ApplySettings puts a change of the settings in force and announces it to the other
+// ApplySettings puts a change of the settings that the store holds in force and announces it to the other
 // daemons, if it is newer than the current one.
-func (g *Gossip) ApplySettings(change epoch.Change) {
+func (g *Gossip) ApplySettings(change epoch.Change) { g.applySettings(change, FromStore) }
+
+func (g *Gossip) applySettings(change epoch.Change, from string) {
 	accepted, err := g.Keeper.Apply(time.Now(), change)
 	if err != nil {
 		g.Meter.CountDecision("RefuseInvalidSettings")
@@ -75,7 +77,7 @@
 		return
 	}
 	klog.Infof("settings revision %d (change %d) are in force", change.Revision, change.Number)
-	g.Accepted()
+	g.Accepted(from)
 	g.Push()
 }
 
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -181,12 +181,14 @@
 	}
 }
 
-// reportFreshness publishes how long ago the store confirmed the settings and registrations
-// in force. The value is negative if it never has.
+// reportFreshness publishes the revisions of the settings and registrations in force, and
+// how long ago the store confirmed them. That time is negative if it never has.
 func (n *Node) reportFreshness() {
 	confirmed, attempted := n.fresh.Ages(mono.Now())
 	n.Meter.Gauges.WithLabelValues("SecondsSinceConfirmed").Set(confirmed.Seconds())
 	n.Meter.Gauges.WithLabelValues("SecondsSinceStoreAsked").Set(attempted.Seconds())
+	n.Meter.Gauges.WithLabelValues("SettingsRevision").Set(float64(n.Keeper.Current().Change.Revision))
+	n.Meter.Gauges.WithLabelValues("RosterRevision").Set(float64(n.Roster.Revision()))
 }
 
 // closeUnusedLinks closes connections to daemons that are silent or gone.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -179,6 +179,7 @@
 	storeLost atomic.Bool
 	refused   refusals
 	evictions refusals
+	origins   origins
 }
 
 // Start listens and begins to join. The daemon becomes ready once it has the routes
@@ -235,7 +236,7 @@
 	n.server = &edge.Server{
 		Address: n.Setup.Front, Codec: n.Codec, Serve: n.serve, Refuse: n.refuseStopping, Limits: n.limits, WriteFailed: n.logUnwritten,
 		Report: n.Log.State, Requests: n.Requests, Answers: n.Answers, MaxConnections: n.Setup.Host.Connections(guard.Callers),
-		OnEvict: func() { n.Evicted(LimitConnection) },
+		OnEvict: func() { n.Evicted(LimitConnection) }, Rejected: n.logRejected,
 	}
 }
 
@@ -307,20 +308,22 @@
 }
 
 // applySettings applies the current revision of the settings to the pools.
-func (n *Node) applySettings() {
+func (n *Node) applySettings(from string) {
 	e := n.Keeper.Current()
+	n.origins.settingsFrom(time.Now(), from)
 	routes := e.Tree.Routes()
 	if routes == nil {
 		return
 	}
 	n.Pools.Configure(routes)
-	n.Log.State("settings in force", "revision", e.Change.Revision, "version", e.Change.Number, "routes", len(routes.All),
+	n.Log.State("settings in force", "revision", e.Change.Revision, "version", e.Change.Number, "from", from, "routes", len(routes.All),
 		"uptimeMillis", time.Since(n.started).Milliseconds())
 }
 
 // applyRegistrations applies changed registrations to their pools.
-func (n *Node) applyRegistrations(changed []string) {
+func (n *Node) applyRegistrations(changed []string, from string) {
 	now := time.Now()
+	n.origins.registrationsFrom(now, from)
 	seen := map[string]bool{}
 	for _, name := range changed {
 		if seen[name] {
@@ -338,7 +341,7 @@
 			}
 		}
 		if n.joined.Load() {
-			n.Log.State("targets changed", "pool", name, "ready", ready, "leaving", leaving, "revision", n.Roster.Revision())
+			n.Log.State("targets changed", "pool", name, "ready", ready, "leaving", leaving, "revision", n.Roster.Revision(), "from", from)
 		}
 	}
 }
@@ -365,7 +368,7 @@
 	}
 	route := routes.Match(request.Host, path)
 	if route == nil {
-		n.Log.Failure(request.ID, "no route", "host", request.Host, "uri", request.URI, "revision", e.Change.Revision)
+		n.Log.Failure(request.ID, "no route", append([]any{"host", request.Host, "uri", request.URI}, n.basis(e)...)...)
 		return &relay.Answer{Result: relay.NoRoute, Reason: "no route"}
 	}
 	answer := n.runner.Run(ctx, request, route)
@@ -388,7 +391,7 @@
 	case relay.Gathered:
 		n.Log.Request(request.ID, "answered", pairs...)
 	case relay.Passed:
-		n.Log.Request(request.ID, "answered", append(pairs, "status", answer.Reply.Status)...)
+		n.Log.Request(request.ID, "answered", append(pairs, "status", answer.Reply.Status, "target", answer.Target.ID, "registered", answer.Target.Registered(), "born", answer.Target.Born())...)
 	default:
 		n.Log.Failure(request.ID, "ended", append(pairs, "retryAfterMillis", answer.RetryAfter.Milliseconds(),
 			"outstanding", answer.Outstanding)...)
@@ -402,6 +405,11 @@
 	return &relay.Answer{Result: relay.NotRun, Reason: relay.ReasonStopping}
 }
 
+// logRejected logs a request that is not valid.
+func (n *Node) logRejected(request *relay.Request, status int) {
+	n.Log.Failure(request.ID, "rejected", "status", status, "host", request.Host, "uri", request.URI, "version", n.Keeper.Current().Change.Number)
+}
+
 func (n *Node) logUnwritten(request *relay.Request, err error) {
 	n.Log.Failure(request.ID, "could not write the complete answer to the caller", "error", err)
 }
--- a/internal/request/relay/answer.go
+++ b/internal/request/relay/answer.go
@@ -24,7 +24,7 @@
 	case x.isGather():
 		return x.tryGatherAnswer(now, done)
 	case x.gather.Answered() > 0:
-		return &Answer{Result: Passed, Reply: x.reply}
+		return &Answer{Result: Passed, Reply: x.reply, Target: x.repliedBy}
 	case done || !now.Before(x.schedule.deadline):
 		return x.failureAnswer(now)
 	case !x.sent && now.After(x.schedule.queueUntil):
@@ -104,7 +104,7 @@
 	missing := len(x.poolNames) - x.gather.Answered()
 	switch {
 	case x.reply != nil && !x.isGather():
-		return &Answer{Result: Passed, Reply: x.reply, Reason: "the target failed"}
+		return &Answer{Result: Passed, Reply: x.reply, Target: x.repliedBy, Reason: "the target failed"}
 	case !x.outcomeUnknown && x.unsettled == 0 && x.gather.Answered() == 0 && len(x.remoteCalls) == 0:
 		return &Answer{Result: NotRun, Reason: "no target took the request", RetryAfter: x.retryAfter(now, retryAfterFull), Missing: missing}
 	case !now.Before(x.schedule.deadline):
--- a/internal/request/relay/exchange.go
+++ b/internal/request/relay/exchange.go
@@ -69,7 +69,9 @@
 	unsettled int
 	// reply is the answer to a request to one pool: a success, or else the
 	// newest failure of a target.
-	reply       *http1.Reply
+	reply *http1.Reply
+	// repliedBy is the target that has sent reply.
+	repliedBy   *fleet.Target
 	remoteCalls []*remoteCall
 	// claim is what the replies take of the memory for answers.
 	claim *room.Claim
@@ -331,13 +333,13 @@
 			x.bodies = append(x.bodies, e.reply.Body)
 			x.signatures = append(x.signatures, e.signature)
 			if !x.isGather() {
-				x.reply = e.reply
+				x.reply, x.repliedBy = e.reply, e.target
 			}
 		}
 	case fleet.Failed:
 		x.outcomeUnknown = true
 		if x.gather.Answered() == 0 {
-			x.reply = e.reply
+			x.reply, x.repliedBy = e.reply, e.target
 		}
 	case fleet.Broken, fleet.Crowded, fleet.Corrupt, fleet.Expired, fleet.Cancelled:
 		x.outcomeUnknown = true
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -74,6 +74,8 @@
 	Result Result
 	// Reply is a target's reply, for Passed.
 	Reply *http1.Reply
+	// Target has sent Reply.
+	Target *fleet.Target
 	// Body is the merged body, for Gathered and Partial.
 	Body []byte
 	// Signatures are the signatures of the parts merged into Body.
