--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -46,6 +46,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/once"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -132,7 +133,7 @@
 	d.Keeper = epoch.NewKeeper()
 	d.fresh = fresh.New(mono.Now(), rand.Uint64())
 	d.fresh.Patience = watch.Patience
-	d.fresh.State = func() (settings, roster int64) { return d.Keeper.Current().Change.Revision, 0 }
+	d.fresh.State = func() (settings, roster stamp.Stamp) { return d.Keeper.Stamp(), stamp.Stamp{} }
 	d.Poison = poison.New()
 	d.Quota = quota.New(d.Setup.Name)
 	d.hosts = &hosts.Hosts{URL: d.Setup.HostList}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -5,6 +5,9 @@
 // the next daemon takes its place. Every daemon keeps its own record in the store
 // under a lease, so that daemons find each other after all of them were down.
 //
+// A store that was put back to an older copy is in a new era. Whatever it holds then replaces
+// what earlier eras gave, as packages stamp and roster order it.
+//
 // The table may hold records of processes that are gone, so that nobody follows the
 // store, or nobody whom this daemon can reach. A daemon therefore also reads the store
 // when nothing has confirmed its settings and registrations for too long.
@@ -39,6 +42,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 // Kind classifies an Error.
@@ -52,6 +56,9 @@
 	KindCompacted Kind = "Compacted"
 	// KindLapsed means that a lease has ended.
 	KindLapsed Kind = "Lapsed"
+	// KindStale means that the store is at an earlier state than one that it has shown
+	// before, in the same or a later era.
+	KindStale Kind = "Stale"
 )
 
 // Error is the error of this package and of sources.
@@ -68,8 +75,13 @@
 	// has ended.
 	Members []member.Member
 	Expired []string
-	// Revision is the store's revision up to which the changes are complete.
-	Revision int64
+	// Stamp is that of the store up to which the changes are complete.
+	Stamp stamp.Stamp
+}
+
+// Lease is a lease of the store. It is valid in the era in which it was granted.
+type Lease struct {
+	ID, Era int64
 }
 
 // Source reads and writes the store. Its methods return *Error.
@@ -77,16 +89,17 @@
 	// Load reads the complete content of the store. It returns an error if the store
 	// holds more than maxKeys keys, unless that is zero.
 	Load(ctx context.Context, maxKeys int) (*Changes, error)
-	// Follow waits for changes after a revision. If there are none within the given
-	// time, it returns without any.
-	Follow(ctx context.Context, after int64, wait time.Duration) (*Changes, error)
+	// Follow waits for changes after a stamp. If there are none within the given time,
+	// it returns without any. If the store is in another era than the stamp, it returns an
+	// error of KindCompacted.
+	Follow(ctx context.Context, after stamp.Stamp, wait time.Duration) (*Changes, error)
 	// Members reads the records of daemons, which may be some seconds old.
 	Members(ctx context.Context) ([]member.Member, error)
 	// Register writes a record under a lease. If the given lease is zero, it creates
 	// one. It returns the lease, also if only the record could not be written.
-	Register(ctx context.Context, lease int64, record *member.Member, ttl time.Duration) (int64, error)
+	Register(ctx context.Context, lease Lease, record *member.Member, ttl time.Duration) (Lease, error)
 	// Renew extends a lease.
-	Renew(ctx context.Context, lease int64) error
+	Renew(ctx context.Context, lease Lease) error
 }
 
 const (
@@ -140,6 +153,8 @@
 
 	// registering is closed after the first attempt to register.
 	registering chan struct{}
+	// era is the last era of the store that was noticed.
+	era int64
 	// lostSince is when the store stopped answering; zero while it answers.
 	lostSince time.Time
 }
@@ -178,7 +193,9 @@
 // Run follows the store while this daemon is chosen.
 func (f *Feed) Run(ctx context.Context) {
 	following := false
+	f.era = f.Roster.Stamp().Era
 	for ctx.Err() == nil {
+		f.noticeEra()
 		chosen := f.Chosen(time.Now())
 		if chosen != following {
 			f.Log.State("following the store", "chosen", chosen)
@@ -195,33 +212,45 @@
 	}
 }
 
+// noticeEra logs that the store is in a new era, of which this daemon or a peer has learnt.
+func (f *Feed) noticeEra() {
+	at := f.Roster.Stamp()
+	if at.Era == f.era {
+		return
+	}
+	f.Meter.CountDecision("NewStoreEra")
+	f.Log.State("the store was put back to an older copy; what it holds now is in force", "era", at.Era, "before", f.era, "rosterRevision", at.Revision)
+	f.era = at.Era
+}
+
 // follow reads the whole store once and then waits for changes, until this daemon
 // is no longer chosen or the context ends.
 func (f *Feed) follow(ctx context.Context) {
 	retry := newBackoff()
-	revision := int64(0)
+	followed := stamp.Stamp{}
 	for ctx.Err() == nil && f.Chosen(time.Now()) {
-		changes, confirmed, err := f.next(ctx, revision)
+		changes, confirmed, err := f.next(ctx, followed)
 		var e *Error
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.As(err, &e) && e.Kind == KindCompacted:
-			f.Log.State("the store has dropped its history, reading all of it", "revision", revision)
-			revision = 0
+			f.Log.State("the store has dropped its history, reading all of it", "revision", followed.Revision, "era", followed.Era, "error", err)
+			followed = stamp.Stamp{}
 		case err != nil:
 			f.storeFailed(err)
 			// Read the whole store again: the failed watch may have missed changes.
-			revision = 0
+			followed = stamp.Stamp{}
 			sleep.For(ctx, retry.NextBackOff())
 		default:
 			retry.Reset()
 			f.storeAnswered()
 			f.apply(changes, confirmed)
-			if changes.Revision > revision {
+			f.noticeEra()
+			if changes.Stamp.After(followed) {
 				sleep.For(ctx, batchDelay)
 			}
-			revision = changes.Revision
+			followed = changes.Stamp
 		}
 	}
 	if !f.lostSince.IsZero() {
@@ -231,15 +260,13 @@
 	}
 }
 
-// next waits for the changes after a revision. It also returns a time at or after which
+// next waits for the changes after a stamp. It also returns a time at or after which
 // the store gave the answer.
-func (f *Feed) next(ctx context.Context, revision int64) (changes *Changes, confirmed time.Time, err error) {
+func (f *Feed) next(ctx context.Context, after stamp.Stamp) (changes *Changes, confirmed time.Time, err error) {
 	asked := mono.Now()
 	f.Fresh.Attempt(asked)
-	if revision == 0 {
-		ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-		defer cancel()
-		changes, err := f.Source.Load(ctx, 0)
+	if after == (stamp.Stamp{}) {
+		changes, err := f.load(ctx, 0)
 		return changes, asked, err
 	}
 	wait := followerWaitTimeout
@@ -251,8 +278,8 @@
 	waiting, interrupt := context.WithCancelCause(waiting)
 	defer interrupt(nil)
 	go f.attend(waiting, interrupt)
-	changes, err = f.Source.Follow(waiting, revision, wait)
-	if err == nil && changes.Revision == revision {
+	changes, err = f.Source.Follow(waiting, after, wait)
+	if err == nil && changes.Stamp == after {
 		// The store has waited for the whole time.
 		return changes, asked.Add(min(wait, mono.Now().Sub(asked))), nil
 	}
@@ -264,7 +291,7 @@
 	ctx, cancelCheck := context.WithTimeout(ctx, waitSlack)
 	defer cancelCheck()
 	asked = mono.Now()
-	changes, err = f.Source.Follow(ctx, revision, minWaitTimeout)
+	changes, err = f.Source.Follow(ctx, after, minWaitTimeout)
 	return changes, asked, err
 }
 
@@ -312,7 +339,7 @@
 	now := time.Now()
 	f.lostSince = now
 	f.Meter.CountDecision("StoreLost")
-	f.Log.State("the store is lost", "error", err, "rosterRevision", f.Roster.Revision())
+	f.Log.State("the store is lost", "error", err, "rosterRevision", f.Roster.Stamp().Revision)
 	f.Table.SetStoreLost(now, true)
 	f.MembersChanged(nil)
 }
@@ -327,7 +354,7 @@
 	away := now.Sub(f.lostSince)
 	f.lostSince = time.Time{}
 	f.Meter.CountDecision("StoreRegained")
-	f.Log.State("the store answers again", "awayMillis", away.Milliseconds(), "rosterRevision", f.Roster.Revision())
+	f.Log.State("the store answers again", "awayMillis", away.Milliseconds(), "rosterRevision", f.Roster.Stamp().Revision)
 	if away >= minLapseOutage {
 		f.Roster.StoreRecovered(now)
 	}
@@ -341,17 +368,13 @@
 	if changes.Settings != nil {
 		f.ApplySettings(*changes.Settings)
 	}
-	if roster := f.Roster.Revision(); changes.Revision < roster {
-		f.Log.State("the store is behind the registrations of this daemon", "storeRevision", changes.Revision, "rosterRevision", roster,
-			"snapshot", changes.Snapshot)
-	}
 	var pools []string
 	if changes.Snapshot {
-		pools = f.Roster.Replace(now, changes.Entries, changes.Revision)
+		pools = f.Roster.Replace(now, changes.Entries, changes.Stamp)
 	} else if len(changes.Entries) > 0 {
-		pools = f.Roster.Apply(now, changes.Entries, changes.Revision)
+		pools = f.Roster.Apply(now, changes.Entries, changes.Stamp)
 	}
-	f.Fresh.Confirm(confirmed, changes.Revision)
+	f.Fresh.Confirm(confirmed, changes.Stamp)
 	f.Registered(pools)
 	f.mergeMembers(changes.Members)
 }
@@ -365,10 +388,8 @@
 // LoadOnce reads the whole store, for a daemon that cannot get the content from
 // another one. It fails if the store holds more than maxKeys keys, unless that is zero.
 func (f *Feed) LoadOnce(ctx context.Context, maxKeys int) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
-	defer cancel()
 	asked := mono.Now()
-	changes, err := f.Source.Load(ctx, maxKeys)
+	changes, err := f.load(ctx, maxKeys)
 	if err != nil {
 		return err
 	}
@@ -376,6 +397,23 @@
 	return nil
 }
 
+// load reads the whole store. It fails if the store is at an earlier state than the one that
+// this daemon had before the call.
+func (f *Feed) load(ctx context.Context, maxKeys int) (*Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	defer cancel()
+	known := f.Roster.Stamp()
+	changes, err := f.Source.Load(ctx, maxKeys)
+	if err != nil {
+		return nil, err
+	}
+	if known.After(changes.Stamp) {
+		cause := fault.Causef("revision %d of era %d is before revision %d of era %d, which is known", changes.Stamp.Revision, changes.Stamp.Era, known.Revision, known.Era)
+		return nil, &Error{Op: "read the store", Kind: KindStale, Err: cause}
+	}
+	return changes, nil
+}
+
 func newBackoff() *backoff.ExponentialBackOff {
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval = minRetryDelay
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 // quietStore is a store without changes, which may stop answering.
@@ -30,6 +31,8 @@
 	// lapsed is true if the lease of an earlier record has ended, and withoutMembers if the
 	// records of daemons can't be read.
 	lapsed, withoutMembers atomic.Bool
+	// era is the era of the store.
+	era atomic.Int64
 }
 
 func (s *quietStore) Load(ctx context.Context, _ int) (*Changes, error) {
@@ -37,7 +40,7 @@
 	return s.answer(ctx, 0)
 }
 
-func (s *quietStore) Follow(ctx context.Context, _ int64, wait time.Duration) (*Changes, error) {
+func (s *quietStore) Follow(ctx context.Context, _ stamp.Stamp, wait time.Duration) (*Changes, error) {
 	return s.answer(ctx, wait)
 }
 
@@ -54,7 +57,7 @@
 		<-ctx.Done()
 		return nil, &Error{Op: "follow the store", Kind: KindUnavailable, Err: fault.Causef("no answer")}
 	}
-	return &Changes{Revision: 1}, nil
+	return &Changes{Stamp: stamp.Stamp{Era: s.era.Load(), Revision: 1}}, nil
 }
 
 func (s *quietStore) Members(ctx context.Context) ([]member.Member, error) {
@@ -68,15 +71,15 @@
 	return s.records, nil
 }
 
-func (s *quietStore) Register(ctx context.Context, lease int64, _ *member.Member, _ time.Duration) (int64, error) {
+func (s *quietStore) Register(ctx context.Context, lease Lease, _ *member.Member, _ time.Duration) (Lease, error) {
 	if _, err := s.answer(ctx, 0); err != nil {
 		return lease, err
 	}
 	s.registrations.Add(1)
-	return 1, nil
+	return Lease{ID: 1, Era: s.era.Load()}, nil
 }
 
-func (s *quietStore) Renew(ctx context.Context, _ int64) error {
+func (s *quietStore) Renew(ctx context.Context, _ Lease) error {
 	if _, err := s.answer(ctx, 0); err != nil {
 		return err
 	}
@@ -163,8 +166,8 @@
 				}
 				f := unchosen(store)
 				f.Fresh = fresh.New(mono.Now().Add(-cutOff), 1)
-				f.Fresh.State = func() (settings, roster int64) { return 1, 1 }
-				f.Fresh.Merge(mono.Now(), tt.confirmed, tt.attempted, 1, tt.roster)
+				f.Fresh.State = func() (settings, roster stamp.Stamp) { return stamp.Stamp{Revision: 1}, stamp.Stamp{Revision: 1} }
+				f.Fresh.Merge(mono.Now(), tt.confirmed, tt.attempted, stamp.Stamp{Revision: 1}, stamp.Stamp{Revision: tt.roster})
 				var news []member.Member
 				f.MembersChanged = func(records []member.Member) { news = append(news, records...) }
 				ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/feed/refresh.go
+++ b/internal/process/feed/refresh.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 // refreshTimeout is the timeout of the call that reads the changes which this daemon
@@ -18,7 +19,7 @@
 	now := mono.Now()
 	confirmed, attempted := f.Fresh.Ages(now)
 	f.Meter.CountDecision("RefreshFromStore")
-	f.Log.State("nothing confirms the settings and registrations, reading the store", "revision", f.Fresh.Revision(),
+	f.Log.State("nothing confirms the settings and registrations, reading the store", "revision", f.Fresh.Stamp().Revision, "era", f.Fresh.Stamp().Era,
 		"confirmedMillisAgo", confirmed.Milliseconds(), "attemptedMillisAgo", attempted.Milliseconds(), "members", f.Table.Live())
 	if err := f.readChanges(ctx); err != nil {
 		f.Log.State("the store could not be read to confirm the settings and registrations", "error", err)
@@ -32,13 +33,13 @@
 // readChanges reads the changes since the state of this daemon was last confirmed, or the
 // whole store if that is too long ago.
 func (f *Feed) readChanges(ctx context.Context) error {
-	asked, revision := mono.Now(), f.Fresh.Revision()
-	if revision == 0 {
+	asked, after := mono.Now(), f.Fresh.Stamp()
+	if after == (stamp.Stamp{}) {
 		return f.LoadOnce(ctx, 0)
 	}
 	waiting, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	changes, err := f.Source.Follow(waiting, revision, minWaitTimeout)
+	changes, err := f.Source.Follow(waiting, after, minWaitTimeout)
 	var e *Error
 	if errors.As(err, &e) && e.Kind == KindCompacted {
 		return f.LoadOnce(ctx, 0)
--- a/internal/process/feed/register.go
+++ b/internal/process/feed/register.go
@@ -27,7 +27,7 @@
 
 // registration is what this daemon has done to be known to the others.
 type registration struct {
-	lease int64
+	lease Lease
 	// recorded is true once the record is in the store, and membersRead once the records
 	// of the others have been read after that.
 	recorded, membersRead bool
@@ -87,7 +87,7 @@
 			return err
 		}
 		r.recorded = true
-		f.Log.State("registered in the store", "lease", lease)
+		f.Log.State("registered in the store", "lease", lease.ID, "era", lease.Era)
 	}
 	err := f.readMembers(ctx)
 	r.membersRead = err == nil
--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -116,10 +116,11 @@
 // last one. An older one must not override what the target itself has reported
 // since.
 func (f *Fleet) applyEntry(t *Target, e *roster.Entry) {
-	if e.Revision <= t.revision.Load() {
+	registration := e.Stamp()
+	if !registration.After(t.Registered()) {
 		return
 	}
-	t.revision.Store(e.Revision)
+	t.registration.Store(&registration)
 	if e.Leaving {
 		if t.state != StateLeaving {
 			f.notify(t, Notice{Kind: NoticeLeavingRegistration})
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 	"github.com/magnoliarelay/magnoliarelay/pkg/wire"
 )
 
@@ -97,8 +98,9 @@
 	// The fields below are used mainly for registered targets.
 	registered bool
 	born       int64
-	revision   atomic.Int64
-	responses  responseTimes
+	// registration is the stamp of the registration that was last applied.
+	registration atomic.Pointer[stamp.Stamp]
+	responses    responseTimes
 	// peerUnansweredSince is the time since when a peer has had no answer.
 	peerUnansweredSince time.Time
 	// A target that refused connections gets no attempts before downUntil.
@@ -136,9 +138,14 @@
 // not known.
 func (t *Target) Born() int64 { return t.born }
 
-// Registered returns the store's revision of the registration on which the target is used,
-// or zero for a target that is not registered.
-func (t *Target) Registered() int64 { return t.revision.Load() }
+// Registered returns the stamp of the registration on which the target is used. It is zero
+// for a target that is not registered.
+func (t *Target) Registered() stamp.Stamp {
+	if s := t.registration.Load(); s != nil {
+		return *s
+	}
+	return stamp.Stamp{}
+}
 
 // Domain returns the failure domain of the target, which is its rack.
 func (t *Target) Domain() string { return t.DataCentre + "/" + t.Rack }
--- a/internal/process/fresh/fresh.go
+++ b/internal/process/fresh/fresh.go
@@ -8,8 +8,9 @@
 // answered. While that is short, others look after the store, and a daemon that lacks a
 // confirmation leaves them time before it asks the store itself.
 //
-// What a heartbeat says holds for the revisions that it names. It counts once this daemon
-// has them, so a daemon that learns of newer revisions and does not get them is overdue too.
+// What a heartbeat says holds for the states that it names by their stamps. It counts once
+// this daemon has them, so a daemon that learns of newer ones and does not get them is
+// overdue too.
 //
 // The package does no I/O and reads no clock. Times must come from a clock that advances
 // while the host is suspended.
@@ -17,9 +18,9 @@
 // # Usage
 //
 //	t := fresh.New(now, seed)
-//	t.State = func() (settings, roster int64) { ... }
+//	t.State = func() (settings, roster stamp.Stamp) { ... }
 //	t.Attempt(now)            // this daemon asks the store
-//	t.Confirm(asked, revision) // the store has answered
+//	t.Confirm(asked, stamp)   // the store has answered
 //	confirmed, attempted := t.Ages(now) // for a heartbeat
 //	t.Merge(now, confirmed, attempted, settings, roster) // from a heartbeat
 //	if t.Overdue(now, daemons, 2*time.Second) {
@@ -33,6 +34,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 const (
@@ -59,9 +61,9 @@
 // Tracker tracks the freshness of one daemon's settings and registrations. Its methods
 // may be called from any goroutine. Exported fields are set before the first call.
 type Tracker struct {
-	// State returns the revisions of the settings and of the registrations that this daemon
+	// State returns the stamps of the settings and of the registrations that this daemon
 	// has. The tracker isn't locked meanwhile.
-	State func() (settings, roster int64)
+	State func() (settings, roster stamp.Stamp)
 	// Patience multiplies the time after which a daemon is overdue while others look after
 	// the store.
 	Patience int
@@ -71,9 +73,9 @@
 	// confirmed is when the store was asked, by any daemon, for the answer that the state
 	// rests on, and attempted is when a daemon has last asked it; zero if none has.
 	confirmed, attempted time.Time
-	// revision is the store's revision up to which the state is complete.
-	revision int64
-	// claims are those for revisions that this daemon does not have yet, oldest first.
+	// stamp is that of the store up to which the state is complete.
+	stamp stamp.Stamp
+	// claims are those for states that this daemon does not have yet, oldest first.
 	claims []claim
 	// since is the start, or the last time at which Overdue was true, and delay the random
 	// fraction of the spread by which the next time is delayed.
@@ -84,12 +86,12 @@
 // claim is what a heartbeat has said of a state.
 type claim struct {
 	confirmed, attempted time.Time
-	settings, roster     int64
+	settings, roster     stamp.Stamp
 }
 
 // New returns the tracker of a daemon that knows nothing yet.
 func New(now time.Time, seed uint64) *Tracker {
-	noState := func() (settings, roster int64) { return 0, 0 }
+	noState := func() (settings, roster stamp.Stamp) { return stamp.Stamp{}, stamp.Stamp{} }
 	t := &Tracker{State: noState, Patience: DefaultPatience, random: rand.New(rand.NewPCG(seed, 0)), since: now}
 	t.delay = t.random.Float64()
 	return t
@@ -103,22 +105,22 @@
 }
 
 // Confirm records an answer of the store to a call that began at the given time. The
-// settings and registrations in force are complete up to the revision.
-func (t *Tracker) Confirm(asked time.Time, revision int64) {
+// settings and registrations in force are complete up to the stamp.
+func (t *Tracker) Confirm(asked time.Time, complete stamp.Stamp) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.confirm(asked, revision)
+	t.confirm(asked, complete)
 }
 
-func (t *Tracker) confirm(asked time.Time, revision int64) {
+func (t *Tracker) confirm(asked time.Time, complete stamp.Stamp) {
 	t.confirmed = later(t.confirmed, asked)
 	t.attempted = later(t.attempted, asked)
-	t.revision = max(t.revision, revision)
+	t.stamp = t.stamp.Max(complete)
 }
 
-// Merge records what another daemon has sent: the ages, and the revisions of the settings
-// and of the registrations for which they hold.
-func (t *Tracker) Merge(now time.Time, confirmed, attempted time.Duration, settings, roster int64) {
+// Merge records what another daemon has sent: the ages, and the stamps of the settings and
+// of the registrations for which they hold.
+func (t *Tracker) Merge(now time.Time, confirmed, attempted time.Duration, settings, roster stamp.Stamp) {
 	c := claim{settings: settings, roster: roster}
 	if confirmed >= 0 {
 		c.confirmed = now.Add(-confirmed)
@@ -136,10 +138,10 @@
 	}
 }
 
-// settle accepts the claims for revisions that this daemon has by now.
-func (t *Tracker) settle(settings, roster int64) {
+// settle accepts the claims for states that this daemon has by now.
+func (t *Tracker) settle(settings, roster stamp.Stamp) {
 	t.claims = slices.DeleteFunc(t.claims, func(c claim) bool {
-		if c.settings > settings || c.roster > roster {
+		if c.settings.After(settings) || c.roster.After(roster) {
 			return false
 		}
 		if !c.confirmed.IsZero() {
@@ -159,14 +161,14 @@
 	return age(now, t.confirmed), age(now, t.attempted)
 }
 
-// Revision returns the store's revision up to which the settings and registrations are
+// Stamp returns the stamp of the store up to which the settings and registrations are
 // complete, or zero.
-func (t *Tracker) Revision() int64 {
+func (t *Tracker) Stamp() stamp.Stamp {
 	settings, roster := t.State()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.settle(settings, roster)
-	return t.revision
+	return t.stamp
 }
 
 // Overdue reports whether the daemon, one of the given number, should ask the store
--- a/internal/process/fresh/fresh_test.go
+++ b/internal/process/fresh/fresh_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 var start = time.Unix(1000, 0)
@@ -41,7 +42,7 @@
 // newTracker returns the tracker of a daemon whose state does not change.
 func newTracker(seed uint64) *Tracker {
 	t := New(start, seed)
-	t.State = func() (settings, roster int64) { return 1, 1 }
+	t.State = func() (settings, roster stamp.Stamp) { return at(1), at(1) }
 	return t
 }
 
@@ -73,7 +74,7 @@
 			if i >= w.centres && t.Overdue(w.now, len(w.trackers), silentAfter) {
 				w.reads[i]++
 				if !w.storeDown {
-					t.Confirm(w.now, 1)
+					t.Confirm(w.now, at(1))
 				}
 			}
 		}
@@ -89,7 +90,7 @@
 		}
 		t.Attempt(w.now)
 		if elapsed%interval == 0 && !w.storeDown {
-			t.Confirm(w.now, 1)
+			t.Confirm(w.now, at(1))
 		}
 	}
 }
@@ -112,7 +113,7 @@
 	}
 	for _, h := range sent {
 		if !w.cutOff[h.to] {
-			w.trackers[h.to].Merge(w.now, h.confirmed, h.attempted, 1, 1)
+			w.trackers[h.to].Merge(w.now, h.confirmed, h.attempted, at(1), at(1))
 		}
 	}
 }
@@ -210,7 +211,7 @@
 func TestAges(t *testing.T) {
 	tracker := newTracker(1)
 	settings, roster := int64(5), int64(9)
-	tracker.State = func() (int64, int64) { return settings, roster }
+	tracker.State = func() (stamp.Stamp, stamp.Stamp) { return at(settings), at(roster) }
 	if confirmed, attempted := tracker.Ages(start); confirmed != Unknown || attempted != Unknown {
 		t.Errorf("ages %v and %v at the start", confirmed, attempted)
 	}
@@ -221,21 +222,21 @@
 		confirmed, attempted time.Duration
 		revision             int64
 	}{
-		{"unknown ages", func() { tracker.Merge(now, Unknown, Unknown, 5, 9) }, Unknown, Unknown, 0},
-		{"an attempt elsewhere", func() { tracker.Merge(now, Unknown, 3*time.Second, 5, 9) }, Unknown, 3 * time.Second, 0},
-		{"a confirmation", func() { tracker.Merge(now, 4*time.Second, 3*time.Second, 5, 9) }, 4 * time.Second, 3 * time.Second, 9},
-		{"an older one", func() { tracker.Merge(now, 5*time.Second, 5*time.Second, 4, 8) }, 4 * time.Second, 3 * time.Second, 9},
-		{"one of newer settings", func() { tracker.Merge(now, 3*time.Second, 2*time.Second, 6, 9) }, 4 * time.Second, 3 * time.Second, 9},
+		{"unknown ages", func() { tracker.Merge(now, Unknown, Unknown, at(5), at(9)) }, Unknown, Unknown, 0},
+		{"an attempt elsewhere", func() { tracker.Merge(now, Unknown, 3*time.Second, at(5), at(9)) }, Unknown, 3 * time.Second, 0},
+		{"a confirmation", func() { tracker.Merge(now, 4*time.Second, 3*time.Second, at(5), at(9)) }, 4 * time.Second, 3 * time.Second, 9},
+		{"an older one", func() { tracker.Merge(now, 5*time.Second, 5*time.Second, at(4), at(8)) }, 4 * time.Second, 3 * time.Second, 9},
+		{"one of newer settings", func() { tracker.Merge(now, 3*time.Second, 2*time.Second, at(6), at(9)) }, 4 * time.Second, 3 * time.Second, 9},
 		{"the newer settings", func() { settings = 6 }, 3 * time.Second, 2 * time.Second, 9},
-		{"one of a newer roster", func() { tracker.Merge(now, 2*time.Second, 2*time.Second, 6, 10) }, 3 * time.Second, 2 * time.Second, 9},
+		{"one of a newer roster", func() { tracker.Merge(now, 2*time.Second, 2*time.Second, at(6), at(10)) }, 3 * time.Second, 2 * time.Second, 9},
 		{"the newer roster", func() { roster = 11 }, 2 * time.Second, 2 * time.Second, 10},
 		{"an own attempt", func() { tracker.Attempt(now.Add(-time.Second)) }, 2 * time.Second, time.Second, 10},
-		{"an own confirmation", func() { tracker.Confirm(now.Add(-time.Second/2), 12) }, time.Second / 2, time.Second / 2, 12},
+		{"an own confirmation", func() { tracker.Confirm(now.Add(-time.Second/2), at(12)) }, time.Second / 2, time.Second / 2, 12},
 	} {
 		tt.do()
-		if confirmed, attempted := tracker.Ages(now); confirmed != tt.confirmed || attempted != tt.attempted || tracker.Revision() != tt.revision {
+		if confirmed, attempted := tracker.Ages(now); confirmed != tt.confirmed || attempted != tt.attempted || tracker.Stamp().Revision != tt.revision {
 			t.Errorf("after %s: confirmed %v ago, attempted %v ago, revision %d; want %v, %v, %d",
-				tt.name, confirmed, attempted, tracker.Revision(), tt.confirmed, tt.attempted, tt.revision)
+				tt.name, confirmed, attempted, tracker.Stamp().Revision, tt.confirmed, tt.attempted, tt.revision)
 		}
 	}
 }
@@ -246,11 +247,11 @@
 	const lag = 5
 	tracker := newTracker(1)
 	newest := int64(1)
-	tracker.State = func() (settings, roster int64) { return 1, newest - lag }
+	tracker.State = func() (settings, roster stamp.Stamp) { return at(1), at(newest - lag) }
 	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(step) {
 		newest++
 		if now.Sub(start)%heartbeatInterval == 0 {
-			tracker.Merge(now, heartbeatInterval, 0, 1, newest)
+			tracker.Merge(now, heartbeatInterval, 0, at(1), at(newest))
 		}
 		if tracker.Overdue(now, 300, silentAfter) {
 			t.Fatalf("overdue %v after the start", now.Sub(start))
@@ -262,14 +263,14 @@
 // on those that ask the store.
 func TestDaemonThatStaysBehindAsksTheStore(t *testing.T) {
 	tracker := newTracker(1)
-	tracker.Merge(start, 0, 0, 1, 1)
+	tracker.Merge(start, 0, 0, at(1), at(1))
 	const bound = silentAfter + minSpread + step
 	for now := start; !tracker.Overdue(now, 24, silentAfter); now = now.Add(step) {
 		if now.Sub(start) > bound {
 			t.Fatalf("not overdue after %v", bound)
 		}
 		if now.Sub(start)%heartbeatInterval == 0 {
-			tracker.Merge(now, 0, 0, 2, 1)
+			tracker.Merge(now, 0, 0, at(2), at(1))
 		}
 	}
 }
@@ -279,21 +280,21 @@
 func TestStateMayUseTheTracker(t *testing.T) {
 	const timeout = 5 * time.Second
 	tracker := New(start, 1)
-	tracker.State = func() (settings, roster int64) { return 0, 0 }
-	tracker.Merge(start, 0, 0, 1, 1)
+	tracker.State = func() (settings, roster stamp.Stamp) { return at(0), at(0) }
+	tracker.Merge(start, 0, 0, at(1), at(1))
 	asking := false
-	tracker.State = func() (settings, roster int64) {
+	tracker.State = func() (settings, roster stamp.Stamp) {
 		if !asking {
 			asking = true
 			defer func() { asking = false }()
-			tracker.Confirm(start, tracker.Revision())
+			tracker.Confirm(start, tracker.Stamp())
 		}
-		return 1, 1
+		return at(1), at(1)
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		tracker.Merge(start, 0, 0, 1, 1)
+		tracker.Merge(start, 0, 0, at(1), at(1))
 		tracker.Ages(start)
 		tracker.Overdue(start, 1, silentAfter)
 	}()
@@ -302,7 +303,10 @@
 	case <-time.After(timeout):
 		t.Fatal("a call does not return")
 	}
-	if got := tracker.Revision(); got != 1 {
+	if got := tracker.Stamp().Revision; got != 1 {
 		t.Errorf("revision %d, want 1", got)
 	}
 }
+
+// at returns the stamp of a revision in the first era.
+func at(revision int64) stamp.Stamp { return stamp.Stamp{Revision: revision} }
--- a/internal/process/gossip/entries.go
+++ b/internal/process/gossip/entries.go
@@ -10,32 +10,33 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
-type entriesRequest struct{ Have int64 }
+type entriesRequest struct{ Have stamp.Stamp }
 
 // compareRosters fetches registrations from a peer that has a newer roster, or
 // sends a heartbeat to a peer that has an older one.
-func (g *Gossip) compareRosters(revision int64, from *member.Member) {
+func (g *Gossip) compareRosters(announced stamp.Stamp, from *member.Member) {
 	if g.Roster == nil {
 		return
 	}
-	own := g.Roster.Revision()
+	own := g.Roster.Stamp()
 	switch {
-	case revision > own:
-		g.pull(from, func() bool { return revision > g.Roster.Revision() }, func() { g.fetchEntries(from.Link, revision) })
-	case revision < own && from.State < member.Silent:
+	case announced.After(own):
+		g.pull(from, func() bool { return announced.After(g.Roster.Stamp()) }, func() { g.fetchEntries(from.Link, announced) })
+	case own.After(announced) && from.State < member.Silent:
 		g.Link.Send(from.Link, link.Heartbeat, g.encode(time.Now(), nil))
 	}
 }
 
 // fetchEntries fetches registrations from a daemon, and then from those daemons
 // that have announced newer ones in the meantime.
-func (g *Gossip) fetchEntries(address string, revision int64) {
-	if g.Roster == nil || !g.entryPulls.begin(address, revision) {
+func (g *Gossip) fetchEntries(address string, announced stamp.Stamp) {
+	if g.Roster == nil || !g.entryPulls.begin(address, announced) {
 		return
 	}
-	for found := true; found; address, found = g.entryPulls.next(g.Roster.Revision()) {
+	for found := true; found; address, found = g.entryPulls.next(g.Roster.Stamp()) {
 		g.fetchEntriesFrom(address)
 	}
 }
@@ -43,7 +44,7 @@
 func (g *Gossip) fetchEntriesFrom(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	body, err := codec.Encode(&entriesRequest{Have: g.Roster.Revision()})
+	body, err := codec.Encode(&entriesRequest{Have: g.Roster.Stamp()})
 	if err != nil {
 		klog.ErrorS(err, "cannot encode the request for registrations")
 		return
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"slices"
 	"time"
@@ -31,6 +30,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 const (
@@ -58,8 +58,6 @@
 	remotePullDelay = 300 * time.Millisecond
 	// maxAgeMillis bounds the ages that heartbeats carry.
 	maxAgeMillis = 24 * 60 * 60 * 1000
-	// anyRevision is newer than every revision and stands for an unknown one.
-	anyRevision = math.MaxInt64
 )
 
 // Heartbeat is the message of type link.Heartbeat.
@@ -67,13 +65,13 @@
 	_       struct{} `cbor:",toarray"`
 	From    member.Brief
 	Updates []member.Member
-	// Revision is that of the sender's settings, and Digest the checksum of its table.
-	Revision int64
+	// Settings is the stamp of the sender's settings, and Digest the checksum of its table.
+	Settings stamp.Stamp
 	Digest   uint64
 	Suspects []poison.Entry
 	Claims   []quota.Claim
-	// Roster is the store's revision up to which the sender's roster is complete.
-	Roster int64
+	// Roster is the stamp up to which the sender's roster is complete.
+	Roster stamp.Stamp
 	// ConfirmedMillis is the time since the store confirmed the sender's settings and
 	// roster, and AttemptedMillis the time since a daemon on whose word the sender relies
 	// has asked the store; negative if unknown.
@@ -200,9 +198,9 @@
 	confirmed, attempted := g.Fresh.Ages(mono.Now())
 	h.ConfirmedMillis, h.AttemptedMillis = ageMillis(confirmed), ageMillis(attempted)
 	if g.Roster != nil {
-		h.Roster = g.Roster.Revision()
+		h.Roster = g.Roster.Stamp()
 	}
-	h.Revision = g.Keeper.Current().Change.Revision
+	h.Settings = g.Keeper.Stamp()
 	body, err := codec.Encode(h)
 	if err != nil {
 		klog.Errorf("heartbeat: %v", err)
@@ -270,10 +268,10 @@
 	if from.State >= member.Silent || from.Version > h.From.Version {
 		g.Link.Send(from.Link, link.Heartbeat, g.encode(now, []member.Member{from}))
 	}
-	g.compareRevisions(h.Revision, &from)
+	g.compareSettings(h.Settings, &from)
 	g.compareRosters(h.Roster, &from)
 	g.compareDigests(now, h.Digest, &from)
-	g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Revision, h.Roster)
+	g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Settings, h.Roster)
 }
 
 // ageMillis and ageOf convert an age that may be unknown.
@@ -427,8 +425,8 @@
 		ask, cancel := context.WithTimeout(ctx, askTimeout)
 		if g.askTable(ask, seed) {
 			joined++
-			g.fetchSettings(seed, anyRevision)
-			g.fetchEntries(seed, anyRevision)
+			g.fetchSettings(seed, stamp.Latest)
+			g.fetchEntries(seed, stamp.Latest)
 		}
 		cancel()
 	}
--- a/internal/process/gossip/pull_test.go
+++ b/internal/process/gossip/pull_test.go
@@ -14,26 +14,27 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
 func TestPullsAskOneAfterTheOther(t *testing.T) {
 	var p pulls
-	if !p.begin("a", 5) {
+	if !p.begin("a", stamp.Stamp{Revision: 5}) {
 		t.Fatal("the first daemon is not asked")
 	}
-	for _, o := range []offer{{"b", 5}, {"c", 7}, {"b", 6}} {
-		if p.begin(o.address, o.revision) {
+	for _, o := range []offer{{"b", stamp.Stamp{Revision: 5}}, {"c", stamp.Stamp{Revision: 7}}, {"b", stamp.Stamp{Revision: 6}}} {
+		if p.begin(o.address, o.announced) {
 			t.Errorf("%s is asked while another request is running", o.address)
 		}
 	}
-	if got, found := p.next(5); !found || got != "b" {
+	if got, found := p.next(stamp.Stamp{Revision: 5}); !found || got != "b" {
 		t.Errorf("next is %q, %v, want b, which has announced revision 6 as well", got, found)
 	}
-	if got, found := p.next(7); found {
+	if got, found := p.next(stamp.Stamp{Revision: 7}); found {
 		t.Errorf("%q is asked for a revision that is known", got)
 	}
-	if !p.begin("d", 8) {
+	if !p.begin("d", stamp.Stamp{Revision: 8}) {
 		t.Error("no daemon is asked after the end of a pull")
 	}
 }
@@ -68,18 +69,18 @@
 	}
 	t.Cleanup(func() { dead.Close() })
 	other.ApplySettings(epoch.Change{Revision: 85, Number: 15, Files: tree.Files{"firm.ini": "[Cost]\nQueueLength = 9\n"}})
-	other.Roster.Apply(time.Now(), []roster.Entry{{ID: "t", Pool: "p", Revision: 85}}, 85)
+	other.Roster.Apply(time.Now(), []roster.Entry{{ID: "t", Pool: "p", Revision: 85}}, stamp.Stamp{Revision: 85})
 	address := dead.LocalAddr().String()
-	go behind.fetchSettings(address, 85)
-	go behind.fetchEntries(address, 85)
+	go behind.fetchSettings(address, stamp.Stamp{Revision: 85})
+	go behind.fetchEntries(address, stamp.Stamp{Revision: 85})
 	buffer := make([]byte, 2048)
 	if _, _, err := dead.ReadFrom(buffer); err != nil {
 		t.Fatal(err)
 	}
-	behind.fetchSettings(other.Link.Address, 85)
-	behind.fetchEntries(other.Link.Address, 85)
+	behind.fetchSettings(other.Link.Address, stamp.Stamp{Revision: 85})
+	behind.fetchEntries(other.Link.Address, stamp.Stamp{Revision: 85})
 	for end := time.Now().Add(15 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		settings, entries := behind.Keeper.Current().Change.Revision, behind.Roster.Revision()
+		settings, entries := behind.Keeper.Current().Change.Revision, behind.Roster.Stamp().Revision
 		if settings == 85 && entries == 85 {
 			return
 		}
--- a/internal/process/gossip/settings.go
+++ b/internal/process/gossip/settings.go
@@ -10,21 +10,22 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/conn/link"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
-func (g *Gossip) compareRevisions(revision int64, from *member.Member) {
-	own := g.Keeper.Current().Change.Revision
+func (g *Gossip) compareSettings(announced stamp.Stamp, from *member.Member) {
+	own := g.Keeper.Stamp()
 	switch {
-	case revision > own:
-		g.pull(from, func() bool { return revision > g.Keeper.Current().Change.Revision }, func() { g.fetchSettings(from.Link, revision) })
-	case revision < own && from.State < member.Silent:
+	case announced.After(own):
+		g.pull(from, func() bool { return announced.After(g.Keeper.Stamp()) }, func() { g.fetchSettings(from.Link, announced) })
+	case own.After(announced) && from.State < member.Silent:
 		g.Link.Send(from.Link, link.Heartbeat, g.encode(time.Now(), nil))
 	}
 }
 
-// pull runs a request to a daemon that has announced a newer revision. If the
-// daemon is in another data centre, pull waits for remotePullDelay first, and
-// sends no request if the revision has arrived from the own data centre by then.
+// pull runs a request to a daemon that has announced a newer state. If the daemon is
+// in another data centre, pull waits for remotePullDelay first, and sends no request
+// if that state has arrived from the own data centre by then.
 func (g *Gossip) pull(from *member.Member, lacks func() bool, ask func()) {
 	if from.DataCentre == g.Table.Self(time.Now()).DataCentre {
 		go ask()
@@ -37,13 +38,13 @@
 	})
 }
 
-// fetchSettings fetches settings from a daemon with a newer revision, and then from
-// those daemons that have announced a newer one in the meantime.
-func (g *Gossip) fetchSettings(address string, revision int64) {
-	if !g.settingsPulls.begin(address, revision) {
+// fetchSettings fetches settings from a daemon with newer ones, and then from
+// those daemons that have announced newer ones in the meantime.
+func (g *Gossip) fetchSettings(address string, announced stamp.Stamp) {
+	if !g.settingsPulls.begin(address, announced) {
 		return
 	}
-	for found := true; found; address, found = g.settingsPulls.next(g.Keeper.Current().Change.Revision) {
+	for found := true; found; address, found = g.settingsPulls.next(g.Keeper.Stamp()) {
 		g.fetchSettingsFrom(address)
 	}
 }
@@ -51,9 +52,9 @@
 func (g *Gossip) fetchSettingsFrom(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
-	change, ok := g.askChange(ctx, address, g.Keeper.Current().Change.Revision)
+	change, ok := g.askChange(ctx, address, g.Keeper.Stamp())
 	if !ok {
-		change, ok = g.askChange(ctx, address, 0)
+		change, ok = g.askChange(ctx, address, stamp.Stamp{})
 	}
 	if !ok {
 		g.Meter.CountDecision("SettingsNotFetched")
@@ -81,9 +82,9 @@
 	g.Push()
 }
 
-type settingsRequest struct{ Have int64 }
+type settingsRequest struct{ Have stamp.Stamp }
 
-func (g *Gossip) askChange(ctx context.Context, address string, have int64) (epoch.Change, bool) {
+func (g *Gossip) askChange(ctx context.Context, address string, have stamp.Stamp) (epoch.Change, bool) {
 	body, err := codec.Encode(&settingsRequest{Have: have})
 	if err != nil {
 		return epoch.Change{}, false
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -188,7 +188,8 @@
 	n.Meter.Gauges.WithLabelValues("SecondsSinceConfirmed").Set(confirmed.Seconds())
 	n.Meter.Gauges.WithLabelValues("SecondsSinceStoreAsked").Set(attempted.Seconds())
 	n.Meter.Gauges.WithLabelValues("SettingsRevision").Set(float64(n.Keeper.Current().Change.Revision))
-	n.Meter.Gauges.WithLabelValues("RosterRevision").Set(float64(n.Roster.Revision()))
+	n.Meter.Gauges.WithLabelValues("RosterRevision").Set(float64(n.Roster.Stamp().Revision))
+	n.Meter.Gauges.WithLabelValues("RosterEra").Set(float64(n.Roster.Stamp().Era))
 }
 
 // closeUnusedLinks closes connections to daemons that are silent or gone.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -44,6 +44,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/usage"
 	"github.com/magnoliarelay/magnoliarelay/internal/request/relay"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -208,7 +209,7 @@
 	n.Answers.OnEvict = func(int64) { n.Evicted(LimitAnswer) }
 	n.Roster = roster.New()
 	n.fresh = fresh.New(mono.Now(), rand.Uint64())
-	n.fresh.State = func() (settings, roster int64) { return n.Keeper.Current().Change.Revision, n.Roster.Revision() }
+	n.fresh.State = func() (settings, roster stamp.Stamp) { return n.Keeper.Stamp(), n.Roster.Stamp() }
 	n.usageMonitor = &usage.Monitor{Cores: n.Setup.Cores, BytesPerSecond: n.Setup.LinkBytes}
 	n.allocator = &alloc.Allocator{Window: n.Setup.RetryBudget.Window, First: n.Setup.FirstStart}
 	n.Poison = poison.New()
@@ -316,7 +317,7 @@
 		return
 	}
 	n.Pools.Configure(routes)
-	n.Log.State("settings in force", "revision", e.Change.Revision, "version", e.Change.Number, "from", from, "routes", len(routes.All),
+	n.Log.State("settings in force", "revision", e.Change.Revision, "era", e.Change.Era, "version", e.Change.Number, "from", from, "routes", len(routes.All),
 		"uptimeMillis", time.Since(n.started).Milliseconds())
 }
 
@@ -341,7 +342,7 @@
 			}
 		}
 		if n.joined.Load() {
-			n.Log.State("targets changed", "pool", name, "ready", ready, "leaving", leaving, "revision", n.Roster.Revision(), "from", from)
+			n.Log.State("targets changed", "pool", name, "ready", ready, "leaving", leaving, "revision", n.Roster.Stamp().Revision, "era", n.Roster.Stamp().Era, "from", from)
 		}
 	}
 }
@@ -391,7 +392,7 @@
 	case relay.Gathered:
 		n.Log.Request(request.ID, "answered", pairs...)
 	case relay.Passed:
-		n.Log.Request(request.ID, "answered", append(pairs, "status", answer.Reply.Status, "target", answer.Target.ID, "registered", answer.Target.Registered(), "born", answer.Target.Born())...)
+		n.Log.Request(request.ID, "answered", append(pairs, "status", answer.Reply.Status, "target", answer.Target.ID, "registered", answer.Target.Registered().Revision, "registeredEra", answer.Target.Registered().Era, "born", answer.Target.Born())...)
 	default:
 		n.Log.Failure(request.ID, "ended", append(pairs, "retryAfterMillis", answer.RetryAfter.Milliseconds(),
 			"outstanding", answer.Outstanding)...)
--- a/internal/process/node/origin.go
+++ b/internal/process/node/origin.go
@@ -43,10 +43,11 @@
 func (n *Node) basis(e *epoch.Epoch) []any {
 	now := time.Now()
 	settings, registrations := n.origins.last()
+	roster := n.Roster.Stamp()
 	confirmed, _ := n.fresh.Ages(mono.Now())
 	return []any{
-		"revision", e.Change.Revision, "version", e.Change.Number, "settingsFrom", settings.from, "settingsMillisAgo", now.Sub(settings.at).Milliseconds(),
-		"rosterRevision", n.Roster.Revision(), "registrationsFrom", registrations.from, "registrationsMillisAgo", now.Sub(registrations.at).Milliseconds(),
+		"revision", e.Change.Revision, "era", e.Change.Era, "version", e.Change.Number, "settingsFrom", settings.from, "settingsMillisAgo", now.Sub(settings.at).Milliseconds(),
+		"rosterRevision", roster.Revision, "rosterEra", roster.Era, "registrationsFrom", registrations.from, "registrationsMillisAgo", now.Sub(registrations.at).Milliseconds(),
 		"confirmedMillisAgo", confirmed.Milliseconds(),
 	}
 }
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -1,15 +1,20 @@
 // Package roster holds the registrations of targets. It keeps the newest
-// registration of each target, ordered by the revision of the store that wrote it.
-// It also returns the changes after an older revision, so that daemons which do
+// registration of each target, ordered by the stamp of the store that wrote it.
+// It also returns the changes after an earlier stamp, so that daemons which do
 // not read the store can follow those which do.
 //
+// A store that was put back to an older copy holds registrations that are out of date,
+// until targets have written theirs again. What the roster knows from the earlier era then
+// stays in force for a while: a target that has left stays away, and one that the
+// copy lacks stays.
+//
 // The package does no I/O and reads no clock.
 //
 // # Usage
 //
 //	r := roster.New()
-//	changed := r.Apply(now, entries, revision)
-//	delta := r.Since(now, peerRevision)
+//	changed := r.Apply(now, entries, stamp)
+//	delta := r.Since(now, peerStamp)
 //	changed = r.Merge(now, delta)
 //	for _, pool := range changed {
 //		use(r.Pool(pool))
@@ -23,12 +28,17 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 const (
 	// recoveryGrace is how long after an outage of the store a registration that
 	// lapsed during the outage may come back; the platform states about two seconds.
 	recoveryGrace = 2 * time.Second
+	// copyGrace is how long a registration that the store has from an older copy does not
+	// replace what is known to be newer. By then a target that lives has written its
+	// registration again, and the store has removed those of others.
+	copyGrace = 10 * time.Second
 	// maxRemovals is the maximum number of removals kept for peers that lag behind.
 	maxRemovals = 4096
 )
@@ -47,18 +57,22 @@
 	// Born is when the target started, in Unix milliseconds; zero means unknown.
 	Born int64
 	// Revision is the store's revision at which the registration was written or
-	// removed.
+	// removed, in the era Era.
 	Revision int64
+	Era      int64
 	// Gone is true for a registration that was removed.
 	Gone bool
 }
 
-// Delta holds the changes after the revision Base. If Base is zero, it holds all
+// Stamp orders the registration among others of the same ID.
+func (e *Entry) Stamp() stamp.Stamp { return stamp.Stamp{Era: e.Era, Revision: e.Revision} }
+
+// Delta holds the changes after the stamp Base. If Base is zero, it holds all
 // registrations.
 type Delta struct {
-	Base     int64
-	Revision int64
-	Entries  []Entry
+	Base    stamp.Stamp
+	Stamp   stamp.Stamp
+	Entries []Entry
 	// GraceMillis is how long removals are still deferred after an outage of the
 	// store.
 	GraceMillis int64
@@ -73,31 +87,44 @@
 
 // Roster holds the registrations. Its methods may be called from any goroutine.
 type Roster struct {
-	mu       mutex.Mutex
-	revision int64
-	entries  map[string]Entry
+	mu      mutex.Mutex
+	stamp   stamp.Stamp
+	entries map[string]Entry
 	// pools holds the IDs of each pool's entries, and centres the number of entries of
 	// each data centre.
 	pools   map[string]map[string]struct{}
 	centres map[string]int
-	// removals are past removals, oldest first. droppedRevision is the highest
-	// revision among those that were dropped to stay within maxRemovals.
-	removals        []Entry
-	droppedRevision int64
-	pending         map[string]pendingRemoval
-	graceEnds       time.Time
+	// removals are past removals, oldest first, each with the start of the target that was
+	// removed. dropped is the latest stamp among those that were dropped to stay
+	// within maxRemovals.
+	removals  []Entry
+	dropped   stamp.Stamp
+	pending   map[string]pendingRemoval
+	graceEnds time.Time
+	// held are registrations from an older copy of the store that contradict what is
+	// known.
+	held map[string]heldEntry
+}
+
+// heldEntry is a registration that counts from a time on, if the store still has it.
+type heldEntry struct {
+	entry Entry
+	until time.Time
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{entries: map[string]Entry{}, centres: map[string]int{}, pools: map[string]map[string]struct{}{}, pending: map[string]pendingRemoval{}}
+	return &Roster{
+		entries: map[string]Entry{}, centres: map[string]int{}, pools: map[string]map[string]struct{}{},
+		pending: map[string]pendingRemoval{}, held: map[string]heldEntry{},
+	}
 }
 
-// Revision returns the store's revision up to which the roster is complete.
-func (r *Roster) Revision() int64 {
+// Stamp returns the stamp of the store up to which the roster is complete.
+func (r *Roster) Stamp() stamp.Stamp {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return r.stamp
 }
 
 // StoreRecovered records that the store answers again after an outage. Removals read
@@ -107,51 +134,107 @@
 func (r *Roster) extendGrace(until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.extendGraceLocked(until)
+}
+
+func (r *Roster) extendGraceLocked(until time.Time) {
 	if until.After(r.graceEnds) {
 		r.graceEnds = until
 	}
 }
 
-// Apply adds changes read from the store, which are complete up to the revision,
-// and returns the pools that changed.
-func (r *Roster) Apply(now time.Time, changes []Entry, revision int64) []string {
+// Apply adds changes read from the store, which are complete up to the stamp, and
+// returns the pools that changed. If they are of an earlier era, it does nothing.
+func (r *Roster) Apply(now time.Time, changes []Entry, complete stamp.Stamp) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if complete.Era < r.stamp.Era {
+		return nil
+	}
 	var pools []string
 	for i := range changes {
 		pools = r.apply(now, &changes[i], pools)
 	}
-	r.revision = max(r.revision, revision)
+	r.stamp = r.stamp.Max(complete)
 	return pools
 }
 
-// Replace takes the complete list of registrations at a revision. It treats
-// entries that the list lacks as removed by then, and returns the pools that
-// changed.
-func (r *Roster) Replace(now time.Time, list []Entry, revision int64) []string {
+// Replace takes the complete list of registrations at a stamp. It treats entries that
+// the list lacks as removed by then, and returns the pools that changed. If the list is
+// of an earlier era, it does nothing.
+func (r *Roster) Replace(now time.Time, list []Entry, complete stamp.Stamp) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if complete.Era < r.stamp.Era {
+		return nil
+	}
+	if complete.Era > r.stamp.Era && len(r.entries) > 0 {
+		r.extendGraceLocked(now.Add(recoveryGrace))
+	}
 	var pools []string
 	listed := make(map[string]bool, len(list))
 	for i := range list {
-		listed[list[i].ID] = true
-		pools = r.apply(now, &list[i], pools)
+		e := &list[i]
+		listed[e.ID] = true
+		if e.Gone || !r.hold(now, e) {
+			pools = r.apply(now, e, pools)
+		}
 	}
 	for id, e := range r.entries {
-		if !listed[id] && e.Revision <= revision {
-			pools = r.apply(now, &Entry{ID: id, Revision: revision, Gone: true}, pools)
+		if !listed[id] && !e.Stamp().After(complete) {
+			pools = r.apply(now, &Entry{ID: id, Revision: complete.Revision, Era: complete.Era, Gone: true}, pools)
+		}
+	}
+	for id := range r.held {
+		if !listed[id] {
+			delete(r.held, id)
 		}
 	}
-	r.revision = max(r.revision, revision)
+	r.stamp = r.stamp.Max(complete)
 	return pools
 }
 
+// hold reports whether a registration in a list may be from an older copy of the store and
+// contradicts newer knowledge of an earlier era. It then counts from the end of copyGrace on.
+func (r *Roster) hold(now time.Time, e *Entry) bool {
+	known, registered := r.entries[e.ID]
+	if !registered {
+		i := slices.IndexFunc(r.removals, func(removal Entry) bool { return removal.ID == e.ID })
+		if i < 0 {
+			return false
+		}
+		known = r.removals[i]
+	}
+	// A revision above the one that is known was given out in the later era.
+	if e.Era <= known.Era || e.Revision > known.Revision {
+		return false
+	}
+	same := *e
+	same.Era, same.Revision = known.Era, known.Revision
+	if registered && same == known {
+		delete(r.pending, e.ID)
+		return true
+	}
+	leaves := registered && known.Leaving && !e.Leaving
+	if e.Born > known.Born || e.Born == known.Born && registered && !leaves {
+		return false
+	}
+	h, held := r.held[e.ID]
+	if !held {
+		h.until = now.Add(copyGrace)
+	}
+	h.entry = *e
+	r.held[e.ID] = h
+	return true
+}
+
 func (r *Roster) apply(now time.Time, e *Entry, pools []string) []string {
 	if !e.Gone {
 		return r.put(e, pools)
 	}
 	if now.Before(r.graceEnds) {
-		if old, known := r.entries[e.ID]; known && old.Revision <= e.Revision {
+		delete(r.held, e.ID)
+		if old, known := r.entries[e.ID]; known && !old.Stamp().After(e.Stamp()) {
 			r.pending[e.ID] = pendingRemoval{entry: *e, until: r.graceEnds}
 		}
 		return pools
@@ -159,8 +242,8 @@
 	return r.remove(e, pools)
 }
 
-// Expire carries out the pending removals that are due, and returns the pools that
-// changed.
+// Expire carries out the pending removals that are due and takes the held registrations
+// whose time is up, and returns the pools that changed.
 func (r *Roster) Expire(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,15 +255,21 @@
 		delete(r.pending, id)
 		pools = r.remove(&p.entry, pools)
 	}
+	for _, h := range r.held {
+		if !now.Before(h.until) {
+			pools = r.put(&h.entry, pools)
+		}
+	}
 	return pools
 }
 
 func (r *Roster) put(e *Entry, pools []string) []string {
 	old, known := r.entries[e.ID]
-	if known && old.Revision >= e.Revision || r.removedAfter(e) {
+	if known && !e.Stamp().After(old.Stamp()) || r.removedAfter(e) {
 		return pools
 	}
 	delete(r.pending, e.ID)
+	delete(r.held, e.ID)
 	r.entries[e.ID] = *e
 	if known {
 		r.count(&old, -1)
@@ -209,20 +298,30 @@
 }
 
 func (r *Roster) removedAfter(e *Entry) bool {
-	return slices.ContainsFunc(r.removals, func(removal Entry) bool { return removal.ID == e.ID && removal.Revision > e.Revision })
+	return slices.ContainsFunc(r.removals, func(removal Entry) bool { return removal.ID == e.ID && removal.Stamp().After(e.Stamp()) })
 }
 
 func (r *Roster) remove(e *Entry, pools []string) []string {
 	old, known := r.entries[e.ID]
-	if known && old.Revision > e.Revision {
+	if known && old.Stamp().After(e.Stamp()) {
 		return pools
 	}
+	removal := *e
+	if known {
+		removal.Born = old.Born
+	}
 	delete(r.entries, e.ID)
 	delete(r.pending, e.ID)
-	r.removals = slices.DeleteFunc(r.removals, func(removal Entry) bool { return removal.ID == e.ID })
-	r.removals = append(r.removals, *e)
+	delete(r.held, e.ID)
+	r.removals = slices.DeleteFunc(r.removals, func(earlier Entry) bool {
+		if earlier.ID == e.ID && removal.Born == 0 {
+			removal.Born = earlier.Born
+		}
+		return earlier.ID == e.ID
+	})
+	r.removals = append(r.removals, removal)
 	if len(r.removals) > maxRemovals {
-		r.droppedRevision = max(r.droppedRevision, r.removals[0].Revision)
+		r.dropped = r.dropped.Max(r.removals[0].Stamp())
 		r.removals = slices.Delete(r.removals, 0, 1)
 	}
 	if !known {
@@ -240,31 +339,35 @@
 	}
 }
 
-// Since returns the changes that are missing from a roster complete up to the
-// revision.
-func (r *Roster) Since(now time.Time, revision int64) Delta {
+// Since returns the changes that are missing from a roster complete up to the stamp. For
+// a roster of another era these are all registrations.
+func (r *Roster) Since(now time.Time, base stamp.Stamp) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision < r.droppedRevision {
-		revision = 0
+	if base.Era != r.stamp.Era || r.dropped.After(base) {
+		base = stamp.Stamp{}
 	}
-	d := Delta{Base: revision, Revision: r.revision, GraceMillis: max(0, r.graceEnds.Sub(now).Milliseconds())}
-	for _, e := range r.entries {
-		if e.Revision > revision {
-			d.Entries = append(d.Entries, e)
+	d := Delta{Base: base, Stamp: r.stamp, GraceMillis: max(0, r.graceEnds.Sub(now).Milliseconds())}
+	add := func(e *Entry) {
+		if e.Stamp().After(base) {
+			d.Entries = append(d.Entries, *e)
 		}
 	}
+	for _, e := range r.entries {
+		add(&e)
+	}
+	for _, h := range r.held {
+		add(&h.entry)
+	}
 	for _, p := range r.pending {
-		if p.entry.Revision > revision {
-			d.Entries = append(d.Entries, p.entry)
-		}
+		add(&p.entry)
 	}
-	for _, e := range r.removals {
-		if revision > 0 && e.Revision > revision {
-			d.Entries = append(d.Entries, e)
+	for i := range r.removals {
+		if base != (stamp.Stamp{}) {
+			add(&r.removals[i])
 		}
 	}
-	slices.SortFunc(d.Entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(d.Entries, func(a, b Entry) int { return cmp.Or(cmp.Compare(a.ID, b.ID), a.Stamp().Compare(b.Stamp())) })
 	return d
 }
 
@@ -276,14 +379,14 @@
 		r.extendGrace(now.Add(min(time.Duration(d.GraceMillis)*time.Millisecond, recoveryGrace)))
 	}
 	switch {
-	case d.Revision <= r.Revision():
+	case !d.Stamp.After(r.Stamp()):
 		return nil
-	case d.Base == 0:
-		return r.Replace(now, d.Entries, d.Revision)
-	case d.Base > r.Revision():
+	case d.Base == stamp.Stamp{}:
+		return r.Replace(now, d.Entries, d.Stamp)
+	case d.Base.After(r.Stamp()) || d.Base.Era != r.Stamp().Era:
 		return nil
 	}
-	return r.Apply(now, d.Entries, d.Revision)
+	return r.Apply(now, d.Entries, d.Stamp)
 }
 
 // Pool returns the registrations of one pool, sorted by ID.
--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -10,6 +10,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 var start = time.Unix(1000, 0)
@@ -44,7 +46,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			r := New()
 			for _, changes := range tt.changes {
-				r.Apply(start, changes, changes[0].Revision)
+				r.Apply(start, changes, at(changes[0].Revision))
 			}
 			if got := ids(r); !slices.Equal(got, tt.want) {
 				t.Errorf("got %v, want %v", got, tt.want)
@@ -57,13 +59,13 @@
 // two seconds after the outage. If it does not, the roster removes it then.
 func TestRemovalsWaitAfterAnOutage(t *testing.T) {
 	r := New()
-	r.Apply(start, []Entry{entry("a", 1), entry("b", 2)}, 2)
+	r.Apply(start, []Entry{entry("a", 1), entry("b", 2)}, at(2))
 	r.StoreRecovered(start)
-	r.Apply(start, []Entry{gone("a", 3), gone("b", 4)}, 4)
+	r.Apply(start, []Entry{gone("a", 3), gone("b", 4)}, at(4))
 	if got := ids(r); len(got) != 2 {
 		t.Fatalf("entries were removed at once: %v left", got)
 	}
-	r.Apply(start.Add(time.Second), []Entry{entry("a", 5)}, 5)
+	r.Apply(start.Add(time.Second), []Entry{entry("a", 5)}, at(5))
 	r.Expire(start.Add(recoveryGrace - time.Millisecond))
 	if got := ids(r); len(got) != 2 {
 		t.Fatalf("entries were removed before the end of the grace period: %v left", got)
@@ -78,11 +80,11 @@
 // sent it.
 func TestPeersDeferRemovals(t *testing.T) {
 	reader, peer := New(), New()
-	reader.Apply(start, []Entry{entry("a", 1)}, 1)
-	peer.Merge(start, reader.Since(start, 0))
+	reader.Apply(start, []Entry{entry("a", 1)}, at(1))
+	peer.Merge(start, reader.Since(start, at(0)))
 	reader.StoreRecovered(start)
-	reader.Apply(start, []Entry{gone("a", 2)}, 2)
-	peer.Merge(start, reader.Since(start, peer.Revision()))
+	reader.Apply(start, []Entry{gone("a", 2)}, at(2))
+	peer.Merge(start, reader.Since(start, peer.Stamp()))
 	if got := ids(peer); len(got) != 1 {
 		t.Fatal("the peer removed the entry at once")
 	}
@@ -94,8 +96,8 @@
 
 func TestReplaceRemovesWhatTheListLacks(t *testing.T) {
 	r := New()
-	r.Apply(start, []Entry{entry("a", 1), entry("b", 5)}, 5)
-	r.Replace(start, []Entry{entry("c", 3)}, 4)
+	r.Apply(start, []Entry{entry("a", 1), entry("b", 5)}, at(5))
+	r.Replace(start, []Entry{entry("c", 3)}, at(4))
 	// b was written after the list was read.
 	if got := ids(r); !slices.Equal(got, []string{"b", "c"}) {
 		t.Errorf("got %v", got)
@@ -116,17 +118,17 @@
 			switch step / 5 % 4 {
 			case 0, 1:
 				revision++
-				daemons[0].Apply(start, []Entry{entry(id, revision)}, revision)
+				daemons[0].Apply(start, []Entry{entry(id, revision)}, at(revision))
 			case 2:
 				revision++
-				daemons[0].Apply(start, []Entry{gone(id, revision)}, revision)
+				daemons[0].Apply(start, []Entry{gone(id, revision)}, at(revision))
 			case 3:
 				from, to := daemons[step%3], daemons[(step/3)%3]
-				to.Merge(start, from.Since(start, to.Revision()))
+				to.Merge(start, from.Since(start, to.Stamp()))
 			}
 		}
 		for _, d := range daemons[1:] {
-			d.Merge(start, daemons[0].Since(start, d.Revision()))
+			d.Merge(start, daemons[0].Since(start, d.Stamp()))
 			if !slices.Equal(ids(d), ids(daemons[0])) {
 				return false
 			}
@@ -150,9 +152,9 @@
 		case 0:
 			r.StoreRecovered(start.Add(time.Duration(revision) * time.Millisecond))
 		case 1:
-			r.Replace(start.Add(time.Duration(revision)*time.Millisecond), []Entry{e}, revision)
+			r.Replace(start.Add(time.Duration(revision)*time.Millisecond), []Entry{e}, at(revision))
 		default:
-			r.Apply(start.Add(time.Duration(revision)*time.Millisecond), []Entry{e}, revision)
+			r.Apply(start.Add(time.Duration(revision)*time.Millisecond), []Entry{e}, at(revision))
 		}
 		r.Expire(start.Add(time.Duration(revision) * time.Millisecond))
 	}
@@ -178,10 +180,13 @@
 	for i := range entries {
 		entries[i] = Entry{ID: strconv.Itoa(i), Pool: strconv.Itoa(i % pools), Revision: int64(i + 1)}
 	}
-	r.Apply(start, entries, targets)
+	r.Apply(start, entries, at(targets))
 	for b.Loop() {
 		if len(r.Pool("7")) == 0 {
 			b.Fatal("the pool is empty")
 		}
 	}
 }
+
+// at returns the stamp of a revision in the first era.
+func at(revision int64) stamp.Stamp { return stamp.Stamp{Revision: revision} }
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -29,6 +29,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
 const (
@@ -167,7 +168,7 @@
 		return 0, err
 	}
 	w.apply(item)
-	w.Fresh.Confirm(asked, item.Revision)
+	w.Fresh.Confirm(asked, stamp.Stamp{Revision: item.Revision})
 	return item.Revision, nil
 }
 
--- a/internal/process/watch/watch_test.go
+++ b/internal/process/watch/watch_test.go
@@ -15,6 +15,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/change"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -38,7 +39,7 @@
 	f := &fixture{t: t, store: s, client: &store.Store{Endpoints: []string{"http://store"}, Transport: fakestore.NewTransport(s)}, keeper: epoch.NewKeeper()}
 	f.fresh = fresh.New(time.Now(), 1)
 	f.fresh.Patience = watch.Patience
-	f.fresh.State = func() (settings, roster int64) { return f.keeper.Current().Change.Revision, 0 }
+	f.fresh.State = func() (settings, roster stamp.Stamp) { return f.keeper.Stamp(), stamp.Stamp{} }
 	w := &watch.Watch{
 		Store: f.client, Keeper: f.keeper, Meter: meter.New(), Fresh: f.fresh, Clock: time.Now,
 		Table: member.New(time.Now(), member.Member{Name: "a", DataCentre: "dc", State: member.Ready, Link: "l"}, 1),
@@ -174,7 +175,7 @@
 		defer f.cancel()
 		for elapsed := time.Duration(0); elapsed < time.Minute; elapsed += 600 * time.Millisecond {
 			// The last read was up to eight seconds ago, and its news takes up to two.
-			f.fresh.Merge(time.Now(), elapsed%(8*time.Second)+2*time.Second, 600*time.Millisecond, 0, 0)
+			f.fresh.Merge(time.Now(), elapsed%(8*time.Second)+2*time.Second, 600*time.Millisecond, stamp.Stamp{}, stamp.Stamp{})
 			time.Sleep(600 * time.Millisecond)
 		}
 		if calls := f.calls(); calls > 0 {
--- a/internal/request/relay/attempt.go
+++ b/internal/request/relay/attempt.go
@@ -132,7 +132,7 @@
 	case fleet.Success, fleet.Cancelled, fleet.Withheld:
 	default:
 		r.Log.Failure(x.request.ID, "attempt failed", "pool", x.poolNames[a.Shard], "target", a.Target.ID, "address", a.Target.Address,
-			"outcome", classification.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "fingerprint", x.fingerprint, "registered", a.Target.Registered(), "born", a.Target.Born(), "error", err)
+			"outcome", classification.Outcome, "tookMillis", now.Sub(sent).Milliseconds(), "fingerprint", x.fingerprint, "registered", a.Target.Registered().Revision, "registeredEra", a.Target.Registered().Era, "born", a.Target.Born(), "error", err)
 	}
 	x.mu.Lock()
 	if u := x.inFlight[a.ID]; u != nil {
--- a/internal/version/epoch/epoch.go
+++ b/internal/version/epoch/epoch.go
@@ -1,13 +1,13 @@
 // Package epoch holds the revision of the settings that is in force on a daemon.
-// The store numbers the revisions. A higher revision replaces a lower one and
-// never the reverse, whichever source a revision comes from.
+// Stamps order the revisions. A later one replaces an earlier one and never the
+// reverse, whichever source a revision comes from.
 //
 // # Usage
 //
 //	k := epoch.NewKeeper()
 //	accepted, err := k.Apply(time.Now(), epoch.Change{Revision: 7, Files: files})
 //	inForce := k.Current()
-//	delta := k.Since(5) // for a daemon that has revision 5
+//	delta := k.Since(base) // for a daemon that has the settings of the stamp base
 //	change, ok := k.Patch(delta)
 //
 // A request keeps the *Epoch that it began with until it ends.
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -27,8 +28,9 @@
 
 // Change is one revision of the settings as the store holds it.
 type Change struct {
-	// Revision is the store's revision of the change; it orders changes.
+	// Revision is the store's revision of the change, in the era in which it was read.
 	Revision int64
+	Era      int64
 	// Number counts changes from 1.
 	Number int64
 	// ID identifies the apply that made the change.
@@ -40,6 +42,11 @@
 	Files      tree.Files
 }
 
+// Stamp orders the change among others.
+func (c *Change) Stamp() stamp.Stamp {
+	return stamp.Stamp{Number: c.Number, Era: c.Era, Revision: c.Revision}
+}
+
 // Epoch is a revision that is in force, with its parsed settings.
 type Epoch struct {
 	Change Change
@@ -48,10 +55,10 @@
 	Since time.Time
 }
 
-// Delta is a change as its difference from the revision Base. With Base zero it
-// holds every file.
+// Delta is a change as its difference from the one with the stamp Base. With Base zero
+// it holds every file.
 type Delta struct {
-	Base    int64
+	Base    stamp.Stamp
 	Change  Change
 	Deleted []string
 }
@@ -79,11 +86,14 @@
 // Current returns the epoch in force.
 func (k *Keeper) Current() *Epoch { return k.current.Load() }
 
+// Stamp returns the stamp of the change in force.
+func (k *Keeper) Stamp() stamp.Stamp { return k.Current().Change.Stamp() }
+
 // Apply puts a change in force if it is newer than the one in force, and reports
 // whether it did. An error means that the settings are invalid; the change is then
 // not put in force.
 func (k *Keeper) Apply(now time.Time, change Change) (accepted bool, err error) {
-	if change.Revision <= k.Current().Change.Revision {
+	if !change.Stamp().After(k.Stamp()) {
 		return false, nil
 	}
 	parsed, err := tree.Parse(change.Files)
@@ -93,7 +103,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	current := k.Current()
-	if change.Revision <= current.Change.Revision {
+	if !change.Stamp().After(current.Change.Stamp()) {
 		return false, nil
 	}
 	k.older = append(k.older, current.Change)
@@ -104,28 +114,28 @@
 	return true, nil
 }
 
-// Since returns the delta for a daemon that has the revision base. The delta holds
-// every file if the keeper no longer has that revision.
-func (k *Keeper) Since(base int64) Delta {
+// Since returns the delta for a daemon that has the change with the stamp base. The
+// delta holds every file if the keeper no longer has that change.
+func (k *Keeper) Since(base stamp.Stamp) Delta {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	change := k.Current().Change
 	for i := range k.older {
-		if base != 0 && k.older[i].Revision == base {
+		if base != (stamp.Stamp{}) && k.older[i].Stamp() == base {
 			return difference(&k.older[i], change)
 		}
 	}
 	return Delta{Change: change}
 }
 
-// Patch returns the complete change for a delta. If the revision in force is not the
+// Patch returns the complete change for a delta. If the change in force is not the
 // base of the delta, ok is false and this daemon has to ask for all files.
 func (k *Keeper) Patch(delta Delta) (change Change, ok bool) {
-	if delta.Base == 0 {
+	if delta.Base == (stamp.Stamp{}) {
 		return delta.Change, true
 	}
 	current := k.Current().Change
-	if current.Revision != delta.Base {
+	if current.Stamp() != delta.Base {
 		return Change{}, false
 	}
 	files := maps.Clone(current.Files)
@@ -139,7 +149,7 @@
 }
 
 func difference(base *Change, change Change) Delta {
-	delta := Delta{Base: base.Revision, Change: change}
+	delta := Delta{Base: base.Stamp(), Change: change}
 	delta.Change.Files = tree.Files{}
 	for path, content := range change.Files {
 		if old, had := base.Files[path]; !had || old != content {
--- a/internal/version/epoch/epoch_test.go
+++ b/internal/version/epoch/epoch_test.go
@@ -9,6 +9,7 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -60,8 +61,8 @@
 	if _, err := receiver.Apply(now, first); err != nil {
 		t.Fatal(err)
 	}
-	delta := sender.Since(2)
-	if delta.Base != 2 || len(delta.Change.Files) != 1 || len(delta.Deleted) != 1 {
+	delta := sender.Since(stamp.Stamp{Revision: 2})
+	if delta.Base != (stamp.Stamp{Revision: 2}) || len(delta.Change.Files) != 1 || len(delta.Deleted) != 1 {
 		t.Errorf("delta %+v", delta)
 	}
 	got, ok := receiver.Patch(delta)
@@ -71,7 +72,7 @@
 	if _, ok := NewKeeper().Patch(delta); ok {
 		t.Error("a delta was applied to another base")
 	}
-	if whole := sender.Since(99); whole.Base != 0 || !cmp.Equal(whole.Change, second) {
+	if whole := sender.Since(stamp.Stamp{Revision: 99}); whole.Base != (stamp.Stamp{}) || !cmp.Equal(whole.Change, second) {
 		t.Errorf("an unknown base got %+v", whole)
 	}
 }
