Register anew in a new era of the store

Cause: IDs of leases are given out again, so that a daemon renewed the lease of another one and took its own for valid.

A daemon that learns of a new era, from the store or from a peer, registers anew, spread over half a second, or longer in a large tier.

--- a/internal/process/feed/era_test.go
+++ b/internal/process/feed/era_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -10,6 +11,34 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
+// Guards against a daemon that renews a lease of an earlier era of the store, whose ID may be
+// that of another daemon's lease by now.
+func TestNewEraIsRegisteredIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &quietStore{}
+		f := unchosen(store)
+		f.Init()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{}, 2)
+		go func() { f.KeepRegistered(ctx); done <- struct{}{} }()
+		go func() { f.Run(ctx); done <- struct{}{} }()
+		time.Sleep(time.Second)
+		store.era.Store(1)
+		f.Roster.Apply(time.Now(), nil, stamp.Stamp{Era: 1, Revision: 1})
+		time.Sleep(electionInterval + registerRetryDelay(f.Table.Live()) + time.Millisecond)
+		if store.registrations.Load() != 2 || store.renewals.Load() != 0 {
+			t.Errorf("%d registrations, %d renewals; want 2 and none", store.registrations.Load(), store.renewals.Load())
+		}
+		time.Sleep(2 * renewInterval)
+		if store.registrations.Load() != 2 || store.renewals.Load() == 0 {
+			t.Errorf("then %d registrations, %d renewals; want 2 and some", store.registrations.Load(), store.renewals.Load())
+		}
+		cancel()
+		<-done
+		<-done
+	})
+}
+
 // Guards against a daemon that takes a store for sound which answers from an earlier state
 // than it has shown before.
 func TestStaleStoreCountsAsLost(t *testing.T) {
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -6,7 +6,8 @@
 // under a lease, so that daemons find each other after all of them were down.
 //
 // A store that was put back to an older copy is in a new era. Whatever it holds then replaces
-// what earlier eras gave, as packages stamp and roster order it.
+// what earlier eras gave, as packages stamp and roster order it, and daemons register anew: their
+// leases have gone, and the IDs of these may be given out again.
 //
 // The table may hold records of processes that are gone, so that nobody follows the
 // store, or nobody whom this daemon can reach. A daemon therefore also reads the store
@@ -153,14 +154,19 @@
 
 	// registering is closed after the first attempt to register.
 	registering chan struct{}
-	// era is the last era of the store that was noticed.
-	era int64
+	// newEra wakes KeepRegistered when the store is in a new era. era is the last one that
+	// was noticed.
+	newEra chan struct{}
+	era    int64
 	// lostSince is when the store stopped answering; zero while it answers.
 	lostSince time.Time
 }
 
 // Init prepares the feed.
-func (f *Feed) Init() { f.registering = make(chan struct{}) }
+func (f *Feed) Init() {
+	f.registering = make(chan struct{})
+	f.newEra = make(chan struct{}, 1)
+}
 
 // followers returns the daemons that follow the store: in each data centre the
 // first ones that reach it. The leader is the first of all followers.
@@ -212,7 +218,8 @@
 	}
 }
 
-// noticeEra logs that the store is in a new era, of which this daemon or a peer has learnt.
+// noticeEra makes the daemon register anew if the store is in a new era, of which this
+// daemon or a peer has learnt.
 func (f *Feed) noticeEra() {
 	at := f.Roster.Stamp()
 	if at.Era == f.era {
@@ -221,6 +228,10 @@
 	f.Meter.CountDecision("NewStoreEra")
 	f.Log.State("the store was put back to an older copy; what it holds now is in force", "era", at.Era, "before", f.era, "rosterRevision", at.Revision)
 	f.era = at.Era
+	select {
+	case f.newEra <- struct{}{}:
+	default:
+	}
 }
 
 // follow reads the whole store once and then waits for changes, until this daemon
--- a/internal/process/feed/register.go
+++ b/internal/process/feed/register.go
@@ -43,7 +43,7 @@
 	for {
 		if err == nil {
 			retry.Reset()
-			if !sleep.For(ctx, renewInterval+rand.N(renewInterval/4)) {
+			if !f.awaitRenewal(ctx) {
 				return
 			}
 			err = f.register(ctx, &r)
@@ -62,6 +62,21 @@
 	}
 }
 
+// awaitRenewal waits until the lease is to be renewed, or was lost with the era in which it
+// was granted. It returns false if ctx has ended.
+func (f *Feed) awaitRenewal(ctx context.Context) bool {
+	timer := time.NewTimer(renewInterval + rand.N(renewInterval/4))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	case <-f.newEra:
+		return sleep.For(ctx, rand.N(registerRetryDelay(f.Table.Live())))
+	}
+}
+
 // Registering returns a channel that is closed once this daemon is registered or its first
 // attempt has failed.
 func (f *Feed) Registering() <-chan struct{} { return f.registering }
@@ -72,6 +87,9 @@
 func (f *Feed) register(ctx context.Context, r *registration) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
+	if r.lease.Era < f.Roster.Stamp().Era {
+		*r = registration{}
+	}
 	if r.recorded {
 		err := f.Source.Renew(ctx, r.lease)
 		r.forgetLapsed(err)
