--- a/internal/process/roster/era_test.go
+++ b/internal/process/roster/era_test.go
@@ -30,8 +30,8 @@
 	return e
 }
 
-func removed(id string, era, revision int64) Entry {
-	return Entry{ID: id, Era: era, Revision: revision, Gone: true}
+func removed(era, revision int64) Entry {
+	return Entry{ID: "a", Era: era, Revision: revision, Gone: true}
 }
 
 // states describes the registrations of a pool.
@@ -84,7 +84,7 @@
 			"left before, ready in the copy, then gone",
 			[]Entry{target("a", 1, 1, 10), leaving(target("a", 1, 1, 35))},
 			[]Entry{target("a", 1, 2, 10)},
-			[]Entry{removed("a", 2, 25)},
+			[]Entry{removed(2, 25)},
 			"a:1:leaving ", "", "",
 		},
 		{
@@ -96,21 +96,21 @@
 		},
 		{
 			"gone before, in the copy",
-			[]Entry{target("a", 1, 1, 10), removed("a", 1, 35)},
+			[]Entry{target("a", 1, 1, 10), removed(1, 35)},
 			[]Entry{target("a", 1, 2, 10)},
 			nil,
 			"", "", "a:1:ready ",
 		},
 		{
 			"gone before, in the copy, and gone again",
-			[]Entry{target("a", 1, 1, 10), removed("a", 1, 35)},
+			[]Entry{target("a", 1, 1, 10), removed(1, 35)},
 			[]Entry{target("a", 1, 2, 10)},
-			[]Entry{removed("a", 2, 25)},
+			[]Entry{removed(2, 25)},
 			"", "", "",
 		},
 		{
 			"gone before, and written again",
-			[]Entry{target("a", 1, 1, 10), removed("a", 1, 35)},
+			[]Entry{target("a", 1, 1, 10), removed(1, 35)},
 			[]Entry{target("a", 1, 2, 10)},
 			[]Entry{target("a", 1, 2, 23)},
 			"a:1:ready ", "a:1:ready ", "a:1:ready ",
@@ -144,7 +144,7 @@
 		},
 		{
 			"came back under its ID, then leaves",
-			[]Entry{target("a", 1, 1, 10), removed("a", 1, 30), target("a", 2, 1, 38)},
+			[]Entry{target("a", 1, 1, 10), removed(1, 30), target("a", 2, 1, 38)},
 			[]Entry{target("a", 1, 2, 10)},
 			[]Entry{leaving(target("a", 2, 2, 24))},
 			"a:2:leaving ", "a:2:leaving ", "a:2:leaving ",
