Let gossip and the feed run in virtual time

Both read the clock that advances while the host is suspended, and gossip needed a QUIC link, so that a tier could only be simulated by rules written down a second time. Clock is a field, as in package watch, and the link is an interface of gossip. No change of behaviour.

--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -139,7 +139,7 @@
 	d.hosts = &hosts.Hosts{URL: d.Setup.HostList}
 	d.link = &link.Link{Address: d.Setup.Link, Keys: d.Keys, Handle: d.handle, WrapSocket: d.WrapLink}
 	d.gossip = &gossip.Gossip{
-		Link: d.link, Keeper: d.Keeper, Fresh: d.fresh, Poison: d.Poison, Quota: d.Quota, Meter: d.Meter,
+		Link: d.link, Keeper: d.Keeper, Fresh: d.fresh, Clock: mono.Now, Poison: d.Poison, Quota: d.Quota, Meter: d.Meter,
 		Accepted: func(string) { d.applySettings() }, Execute: d.executeForwarded,
 	}
 	d.gossip.Init()
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -15,7 +15,7 @@
 //
 // # Usage
 //
-//	f := &feed.Feed{Source: source, Table: table, Roster: roster, Fresh: tracker, Meter: m, Log: l, Watchers: 2, SilentAfter: silentAfter, ApplySettings: apply, Registered: registered, MembersChanged: changed}
+//	f := &feed.Feed{Source: source, Table: table, Roster: roster, Fresh: tracker, Clock: mono.Now, Meter: m, Log: l, Watchers: 2, SilentAfter: silentAfter, ApplySettings: apply, Registered: registered, MembersChanged: changed}
 //	f.Init()
 //	go f.KeepRegistered(ctx)
 //	<-f.Registering()         // this daemon is registered, or the first attempt has failed
@@ -38,7 +38,6 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/logger"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
-	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/sleep"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
@@ -138,8 +137,10 @@
 	Table  *member.Table
 	Roster *roster.Roster
 	Fresh  *fresh.Tracker
-	Meter  *meter.Meter
-	Log    *logger.Log
+	// Clock returns the time on a clock that advances while the host is suspended.
+	Clock func() time.Time
+	Meter *meter.Meter
+	Log   *logger.Log
 	// Watchers is the number of daemons of each data centre that follow the store.
 	Watchers int
 	// SilentAfter returns the time after which a daemon without heartbeats is silent.
@@ -211,7 +212,7 @@
 			f.follow(ctx)
 			continue
 		}
-		if f.Fresh.Overdue(mono.Now(), f.Table.Live(), f.SilentAfter()) {
+		if f.Fresh.Overdue(f.Clock(), f.Table.Live(), f.SilentAfter()) {
 			f.refresh(ctx)
 		}
 		sleep.For(ctx, electionInterval)
@@ -274,7 +275,7 @@
 // next waits for the changes after a stamp. It also returns a time at or after which
 // the store gave the answer.
 func (f *Feed) next(ctx context.Context, after stamp.Stamp) (changes *Changes, confirmed time.Time, err error) {
-	asked := mono.Now()
+	asked := f.Clock()
 	f.Fresh.Attempt(asked)
 	if after == (stamp.Stamp{}) {
 		changes, err := f.load(ctx, 0)
@@ -292,7 +293,7 @@
 	changes, err = f.Source.Follow(waiting, after, wait)
 	if err == nil && changes.Stamp == after {
 		// The store has waited for the whole time.
-		return changes, asked.Add(min(wait, mono.Now().Sub(asked))), nil
+		return changes, asked.Add(min(wait, f.Clock().Sub(asked))), nil
 	}
 	if err == nil || !errors.Is(context.Cause(waiting), errOtherLost) {
 		return changes, asked, err
@@ -301,7 +302,7 @@
 	// something that it answers at once.
 	ctx, cancelCheck := context.WithTimeout(ctx, waitSlack)
 	defer cancelCheck()
-	asked = mono.Now()
+	asked = f.Clock()
 	changes, err = f.Source.Follow(ctx, after, minWaitTimeout)
 	return changes, asked, err
 }
@@ -315,7 +316,7 @@
 func (f *Feed) attend(ctx context.Context, interrupt context.CancelCauseFunc) {
 	known := f.othersWithoutStore(time.Now())
 	for sleep.For(ctx, electionInterval) {
-		f.Fresh.Attempt(mono.Now())
+		f.Fresh.Attempt(f.Clock())
 		lost := f.othersWithoutStore(time.Now())
 		for name := range lost {
 			if !known[name] {
@@ -399,7 +400,7 @@
 // LoadOnce reads the whole store, for a daemon that cannot get the content from
 // another one. It fails if the store holds more than maxKeys keys, unless that is zero.
 func (f *Feed) LoadOnce(ctx context.Context, maxKeys int) error {
-	asked := mono.Now()
+	asked := f.Clock()
 	changes, err := f.load(ctx, maxKeys)
 	if err != nil {
 		return err
--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -98,7 +98,7 @@
 		self := member.Member{Name: "follower" + strconv.Itoa(i), DataCentre: "dc1", Region: "r", Incarnation: 1, Version: 1, State: member.Ready}
 		f := &Feed{
 			Source: store, Table: member.New(now, self, 1), Roster: roster.New(), Meter: meter.New(), Watchers: 1,
-			ApplySettings: func(epoch.Change) {}, Registered: func([]string) {}, MembersChanged: func([]member.Member) {}, Fresh: fresh.New(mono.Now(), 1), SilentAfter: func() time.Duration { return 2 * time.Second },
+			ApplySettings: func(epoch.Change) {}, Registered: func([]string) {}, MembersChanged: func([]member.Member) {}, Fresh: fresh.New(mono.Now(), 1), Clock: mono.Now, SilentAfter: func() time.Duration { return 2 * time.Second },
 		}
 		f.Table.Merge(now, []member.Member{*leader})
 		if _, name := f.followers(now); name == leader.Name {
--- a/internal/process/feed/refresh.go
+++ b/internal/process/feed/refresh.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
@@ -16,7 +15,7 @@
 // refresh reads what has changed in the store since the state of this daemon was last
 // confirmed, and the records of the other daemons, which it may need to reach them.
 func (f *Feed) refresh(ctx context.Context) {
-	now := mono.Now()
+	now := f.Clock()
 	confirmed, attempted := f.Fresh.Ages(now)
 	f.Meter.CountDecision("RefreshFromStore")
 	f.Log.State("nothing confirms the settings and registrations, reading the store", "revision", f.Fresh.Stamp().Revision, "era", f.Fresh.Stamp().Era,
@@ -33,7 +32,7 @@
 // readChanges reads the changes since the state of this daemon was last confirmed, or the
 // whole store if that is too long ago.
 func (f *Feed) readChanges(ctx context.Context) error {
-	asked, after := mono.Now(), f.Fresh.Stamp()
+	asked, after := f.Clock(), f.Fresh.Stamp()
 	if after == (stamp.Stamp{}) {
 		return f.LoadOnce(ctx, 0)
 	}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	g := &gossip.Gossip{Table: table, Link: l, Keeper: keeper, Fresh: tracker, Poison: register, Quota: q, Meter: m, Accepted: apply}
+//	g := &gossip.Gossip{Table: table, Link: l, Clock: mono.Now, Keeper: keeper, Fresh: tracker, Poison: register, Quota: q, Meter: m, Accepted: apply}
 //	g.Init()
 //	l.Handle = g.Handle
 //	g.Join(ctx, seeds, 3)
@@ -24,7 +24,6 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/meter"
-	"github.com/magnoliarelay/magnoliarelay/internal/process/mono"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/mutex"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/poison"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/quota"
@@ -79,14 +78,26 @@
 	AttemptedMillis int64
 }
 
+// Link carries messages to other daemons. *link.Link implements it.
+type Link interface {
+	// Send sends a message, which may be lost.
+	Send(address string, kind link.Type, body []byte)
+	// Ask sends a message and returns the reply.
+	Ask(ctx context.Context, address string, kind link.Type, body []byte) ([]byte, error)
+	// Renew closes the connection to an earlier incarnation of a daemon.
+	Renew(address string, fingerprint []byte)
+}
+
 // FromStore stands for the store where the sender of a state is named.
 const FromStore = "store"
 
 // Gossip exchanges state with other daemons on behalf of one daemon. Exported
 // fields are set before Run.
 type Gossip struct {
-	Table  *member.Table
-	Link   *link.Link
+	Table *member.Table
+	Link  Link
+	// Clock returns the time on a clock that advances while the host is suspended.
+	Clock  func() time.Time
 	Keeper *epoch.Keeper
 	Poison *poison.Register
 	Quota  *quota.Quota
@@ -195,7 +206,7 @@
 		h.Claims = g.Quota.Claims(now)
 	}
 	// The ages come first: what is read after them is as new as they say, or newer.
-	confirmed, attempted := g.Fresh.Ages(mono.Now())
+	confirmed, attempted := g.Fresh.Ages(g.Clock())
 	h.ConfirmedMillis, h.AttemptedMillis = ageMillis(confirmed), ageMillis(attempted)
 	if g.Roster != nil {
 		h.Roster = g.Roster.Stamp()
@@ -271,7 +282,7 @@
 	g.compareSettings(h.Settings, &from)
 	g.compareRosters(h.Roster, &from)
 	g.compareDigests(now, h.Digest, &from)
-	g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Settings, h.Roster)
+	g.Fresh.Merge(g.Clock(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Settings, h.Roster)
 }
 
 // ageMillis and ageOf convert an age that may be unknown.
@@ -415,11 +426,12 @@
 // seed has answered.
 func (g *Gossip) Join(ctx context.Context, seeds []string, limit int) bool {
 	joined := 0
+	own := g.Table.Self(time.Now()).Link
 	for _, seed := range seeds {
 		if joined == limit || ctx.Err() != nil {
 			break
 		}
-		if seed == g.Link.Address {
+		if seed == own {
 			continue
 		}
 		ask, cancel := context.WithTimeout(ctx, askTimeout)
--- a/internal/process/gossip/pull_test.go
+++ b/internal/process/gossip/pull_test.go
@@ -47,14 +47,15 @@
 		t.Fatal(err)
 	}
 	k.Trusted = func([]byte) bool { return true }
-	g := &Gossip{Keeper: epoch.NewKeeper(), Poison: poison.New(), Meter: meter.New(), Roster: roster.New(), Fresh: fresh.New(mono.Now(), 1), Accepted: func(string) {}, Registered: func([]string, string) {}}
+	g := &Gossip{Keeper: epoch.NewKeeper(), Poison: poison.New(), Meter: meter.New(), Roster: roster.New(), Fresh: fresh.New(mono.Now(), 1), Clock: mono.Now, Accepted: func(string) {}, Registered: func([]string, string) {}}
 	g.Init()
-	g.Link = &link.Link{Address: "127.0.0.1:0", Keys: k, Handle: g.Handle}
-	if err := g.Link.Start(); err != nil {
+	l := &link.Link{Address: "127.0.0.1:0", Keys: k, Handle: g.Handle}
+	if err := l.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(g.Link.Close)
-	g.Table = member.New(time.Now(), member.Member{Name: name, Link: g.Link.Address, State: member.Ready, Incarnation: 1}, 1)
+	t.Cleanup(l.Close)
+	g.Link = l
+	g.Table = member.New(time.Now(), member.Member{Name: name, Link: l.Address, State: member.Ready, Incarnation: 1}, 1)
 	return g
 }
 
@@ -70,15 +71,15 @@
 	t.Cleanup(func() { dead.Close() })
 	other.ApplySettings(epoch.Change{Revision: 85, Number: 15, Files: tree.Files{"firm.ini": "[Cost]\nQueueLength = 9\n"}})
 	other.Roster.Apply(time.Now(), []roster.Entry{{ID: "t", Pool: "p", Revision: 85}}, stamp.Stamp{Revision: 85})
-	address := dead.LocalAddr().String()
+	address, from := dead.LocalAddr().String(), other.Table.Self(time.Now()).Link
 	go behind.fetchSettings(address, stamp.Stamp{Revision: 85})
 	go behind.fetchEntries(address, stamp.Stamp{Revision: 85})
 	buffer := make([]byte, 2048)
 	if _, _, err := dead.ReadFrom(buffer); err != nil {
 		t.Fatal(err)
 	}
-	behind.fetchSettings(other.Link.Address, stamp.Stamp{Revision: 85})
-	behind.fetchEntries(other.Link.Address, stamp.Stamp{Revision: 85})
+	behind.fetchSettings(from, stamp.Stamp{Revision: 85})
+	behind.fetchEntries(from, stamp.Stamp{Revision: 85})
 	for end := time.Now().Add(15 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		settings, entries := behind.Keeper.Current().Change.Revision, behind.Roster.Stamp().Revision
 		if settings == 85 && entries == 85 {
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -226,7 +226,7 @@
 	n.Pools.SetSharers(1, 1, n.allocator.Fraction(mono.Now(), 1, true))
 	n.link = &link.Link{Address: n.Setup.Link, Handle: n.handle, HandleGather: n.assist, Sent: n.countSent, SendFailed: n.countUnsent, WrapSocket: n.WrapLink, IdleTimeout: linkIdleTimeout}
 	n.gossip = &gossip.Gossip{
-		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster, Fresh: n.fresh,
+		Link: n.link, Keeper: n.Keeper, Poison: n.Poison, Meter: n.Meter, Roster: n.Roster, Fresh: n.fresh, Clock: mono.Now,
 		Accepted: n.applySettings, Registered: n.applyRegistrations, Noticed: n.handleNotice, Users: n.activePeers,
 	}
 	n.gossip.Init()
@@ -267,7 +267,7 @@
 	n.gossip.Table = n.Table
 	n.membership = &joiner.Membership{Table: n.Table, Push: n.gossip.Push, JoinInterval: joinInterval}
 	n.feed = &feed.Feed{
-		Source: n.Source, Table: n.Table, Roster: n.Roster, Fresh: n.fresh, Meter: n.Meter, Log: n.Log, Watchers: watchersPerDataCentre,
+		Source: n.Source, Table: n.Table, Roster: n.Roster, Fresh: n.fresh, Clock: mono.Now, Meter: n.Meter, Log: n.Log, Watchers: watchersPerDataCentre,
 		SilentAfter:   func() time.Duration { return n.Keeper.Current().Tree.Resolve("", "", "").SilentAfter },
 		ApplySettings: n.gossip.ApplySettings, Registered: n.gossip.AnnounceRegistrations, MembersChanged: n.gossip.MembersChanged,
 	}
