Pass on what became of registrations in a copy

What was seen, in virtual time with three daemons: targets that had ended were ready again at some daemons ten seconds after the return of the store, and for good; others that were there were missing for good; one went back to an earlier process.

Cause: differences between daemons are complete up to a stamp, but not everything that a roster knew of the new era had a stamp of it. A registration that was listed again kept its old stamp, so peers that waited for it to come back never saw it. A removal of a registration that was only held back was not recorded, nor was one that fell into a time in which the daemon read a list (this without eras, too). A daemon that started got what was held back, and not why.

Change: a registration that is listed again takes the stamp of its era, which the fleet does not take for a new statement; removals of held registrations are recorded; after a list, peers with a state from in between get the whole list; daemons that start get the removals of what is held back.

Evidence: TestPeersLearnOfRemovalFromCopy, TestPeersLearnOfRemovalInGap, TestPeersLearnOfRegistrationInLaterList, the daemon that starts in TestRegistrationsAfterStoreWasPutBack and TestRepeatedRegistrationIsNoStatement fail before the change and pass after it.

It works because a daemon can answer for every stamp from which it gives differences.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -116,11 +116,17 @@
 // last one. An older one must not override what the target itself has reported
 // since.
 func (f *Fleet) applyEntry(t *Target, e *roster.Entry) {
-	registration := e.Stamp()
-	if !registration.After(t.Registered()) {
+	registration, previous := e.Stamp(), t.Registered()
+	if !registration.After(previous) {
 		return
 	}
 	t.registration.Store(&registration)
+	// A store that was put back to an older copy has the registration under a later era.
+	repeated := registration.Era > previous.Era && registration.Revision <= previous.Revision && e.Leaving == t.registeredLeaving
+	t.registeredLeaving = e.Leaving
+	if repeated {
+		return
+	}
 	if e.Leaving {
 		if t.state != StateLeaving {
 			f.notify(t, Notice{Kind: NoticeLeavingRegistration})
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -258,3 +258,22 @@
 		})
 	}
 }
+
+// Guards against a target that gets requests again, after it has said that it takes none, since the store was put
+// back and holds its earlier registration under a later era.
+func TestRepeatedRegistrationIsNoStatement(t *testing.T) {
+	f, g := pool()
+	g.Finish(start, g.pickAt(start).Target, 0, Gone, 0.001, nil)
+	for _, tt := range []struct {
+		revision int64
+		want     string
+	}{{1, "far"}, {9, "near"}} {
+		f.SetEntries(start, []roster.Entry{
+			{ID: "far", Pool: "p", Address: "b", DataCentre: "there", Slots: 2, Revision: 2, Era: 1},
+			{ID: "near", Pool: "p", Address: "a", DataCentre: "here", Slots: 2, Revision: tt.revision, Era: 1},
+		}, func(dataCentre string) string { return dataCentre })
+		if got := g.pickAt(start).Target.ID; got != tt.want {
+			t.Errorf("revision %d: picked %s, want %s", tt.revision, got, tt.want)
+		}
+	}
+}
--- a/internal/process/fleet/target.go
+++ b/internal/process/fleet/target.go
@@ -99,8 +99,9 @@
 	registered bool
 	born       int64
 	// registration is the stamp of the registration that was last applied.
-	registration atomic.Pointer[stamp.Stamp]
-	responses    responseTimes
+	registration      atomic.Pointer[stamp.Stamp]
+	registeredLeaving bool
+	responses         responseTimes
 	// peerUnansweredSince is the time since when a peer has had no answer.
 	peerUnansweredSince time.Time
 	// A target that refused connections gets no attempts before downUntil.
--- a/internal/process/roster/era_test.go
+++ b/internal/process/roster/era_test.go
@@ -166,6 +166,9 @@
 					t.Errorf("stamp %v", r.Stamp())
 				}
 			}
+			if got := states(restarted); got != tt.atOnce {
+				t.Errorf("a daemon that starts has %q, want %q", got, tt.atOnce)
+			}
 			for _, step := range []struct {
 				after time.Duration
 				want  string
@@ -186,3 +189,95 @@
 		})
 	}
 }
+
+// exchange lets the daemons follow each other until they have the same state.
+func exchange(daemons ...*Roster) {
+	for _, from := range daemons {
+		for _, to := range daemons {
+			to.Merge(start, from.Since(start, to.Stamp()))
+		}
+	}
+}
+
+// Guards against peers that take a registration of the copy for valid in the end, as they have not
+// learnt that the store has removed it meanwhile.
+func TestPeersLearnOfRemovalFromCopy(t *testing.T) {
+	other := target("other", 1, 2, 11)
+	for _, tt := range []struct {
+		name   string
+		remove func(follower *Roster)
+	}{
+		{"by an event", func(r *Roster) { r.Apply(start, []Entry{removed(2, 25)}, in(2, 25)) }},
+		{"by a list", func(r *Roster) { r.Replace(start, []Entry{other}, in(2, 25)) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			follower, peer := New(), New()
+			for _, r := range []*Roster{follower, peer} {
+				r.Apply(start, []Entry{target("a", 1, 1, 10), target("other", 1, 1, 11), removed(1, 35)}, in(1, known))
+			}
+			follower.Replace(start, []Entry{target("a", 1, 2, 10), other}, in(2, copied))
+			exchange(follower, peer)
+			tt.remove(follower)
+			exchange(follower, peer)
+			for name, r := range map[string]*Roster{"follower": follower, "peer": peer} {
+				r.Expire(start.Add(copyGrace))
+				if got := states(r); got != "other:1:ready " {
+					t.Errorf("%s has %q", name, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against peers that keep a target for good which was registered and removed while the
+// daemon that they follow did not read single changes.
+func TestPeersLearnOfRemovalInGap(t *testing.T) {
+	follower, peer := New(), New()
+	follower.Apply(start, nil, at(28))
+	peer.Apply(start, []Entry{entry("a", 30)}, at(30))
+	follower.Replace(start, nil, at(35))
+	peer.Merge(start, follower.Since(start, peer.Stamp()))
+	if got := ids(peer); len(got) != 0 {
+		t.Errorf("the peer has %v", got)
+	}
+}
+
+// Guards against peers that remove a target, or go back to an earlier process of it, although it
+// has written its registration again: the daemon that they follow has seen this in a list.
+func TestPeersLearnOfRegistrationInLaterList(t *testing.T) {
+	lost := target("a", 2, 1, 35)
+	again := target("a", 2, 2, 23)
+	for _, tt := range []struct {
+		name string
+		copy []Entry
+		// second is true if another daemon than the first reads the later list.
+		second bool
+	}{
+		{"lost, read by the same daemon", nil, false},
+		{"lost, read by another daemon", nil, true},
+		{"earlier process, read by the same daemon", []Entry{target("a", 1, 2, 10)}, false},
+		{"earlier process, read by another daemon", []Entry{target("a", 1, 2, 10)}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second, peer := New(), New(), New()
+			for _, r := range []*Roster{first, second, peer} {
+				r.Apply(start, []Entry{lost}, in(1, known))
+			}
+			first.Replace(start, tt.copy, in(2, copied))
+			peer.Merge(start, first.Since(start, peer.Stamp()))
+			reader := first
+			if tt.second {
+				reader = second
+			}
+			reader.Replace(start, []Entry{again}, in(2, 24))
+			peer.Merge(start, reader.Since(start, peer.Stamp()))
+			for name, r := range map[string]*Roster{"reader": reader, "peer": peer} {
+				r.Expire(start.Add(recoveryGrace))
+				r.Expire(start.Add(copyGrace))
+				if got := states(r); got != "a:2:ready " {
+					t.Errorf("%s has %q", name, got)
+				}
+			}
+		})
+	}
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -41,6 +41,8 @@
 	copyGrace = 10 * time.Second
 	// maxRemovals is the maximum number of removals kept for peers that lag behind.
 	maxRemovals = 4096
+	// maxGaps is the maximum number of gaps kept. Peers lag behind by seconds.
+	maxGaps = 16
 )
 
 // Entry is the registration of one target.
@@ -101,11 +103,17 @@
 	dropped   stamp.Stamp
 	pending   map[string]pendingRemoval
 	graceEnds time.Time
+	// gaps are the latest ranges whose changes were not read one by one, oldest first. A target may have
+	// been registered and removed in between, so that neither is known.
+	gaps []gap
 	// held are registrations from an older copy of the store that contradict what is
 	// known.
 	held map[string]heldEntry
 }
 
+// gap is a range of stamps, without its ends.
+type gap struct{ after, before stamp.Stamp }
+
 // heldEntry is a registration that counts from a time on, if the store still has it.
 type heldEntry struct {
 	entry Entry
@@ -172,11 +180,17 @@
 		r.extendGraceLocked(now.Add(recoveryGrace))
 	}
 	var pools []string
-	listed := make(map[string]bool, len(list))
+	listed, gone, held := make(map[string]bool, len(list)), map[string]bool{}, map[string]bool{}
 	for i := range list {
 		e := &list[i]
 		listed[e.ID] = true
-		if e.Gone || !r.hold(now, e) {
+		switch {
+		case e.Gone:
+			gone[e.ID] = true
+			pools = r.apply(now, e, pools)
+		case r.hold(now, e):
+			held[e.ID] = r.held[e.ID].entry == *e
+		default:
 			pools = r.apply(now, e, pools)
 		}
 	}
@@ -185,15 +199,46 @@
 			pools = r.apply(now, &Entry{ID: id, Revision: complete.Revision, Era: complete.Era, Gone: true}, pools)
 		}
 	}
-	for id := range r.held {
-		if !listed[id] {
-			delete(r.held, id)
+	for id, h := range r.held {
+		if held[id] || h.entry.Stamp().After(complete) {
+			continue
+		}
+		delete(r.held, id)
+		if _, registered := r.entries[id]; !registered {
+			pools = r.remove(&Entry{ID: id, Revision: complete.Revision, Era: complete.Era, Gone: true}, pools)
+		}
+	}
+	for id, p := range r.pending {
+		if listed[id] && !gone[id] && !p.entry.Stamp().After(complete) {
+			delete(r.pending, id)
 		}
 	}
+	r.skip(complete)
 	r.stamp = r.stamp.Max(complete)
 	return pools
 }
 
+// skip records that the roster takes the state at a stamp without the changes before it.
+func (r *Roster) skip(to stamp.Stamp) {
+	if !to.After(r.stamp) {
+		return
+	}
+	if to.Era > r.stamp.Era {
+		r.dropped = r.dropped.Max(to)
+		return
+	}
+	r.gaps = append(r.gaps, gap{after: r.stamp, before: to})
+	if len(r.gaps) > maxGaps {
+		r.dropped = r.dropped.Max(r.gaps[0].before)
+		r.gaps = slices.Delete(r.gaps, 0, 1)
+	}
+}
+
+// inGap reports whether changes after the stamp are not known.
+func (r *Roster) inGap(at stamp.Stamp) bool {
+	return slices.ContainsFunc(r.gaps, func(g gap) bool { return at.After(g.after) && g.before.After(at) })
+}
+
 // hold reports whether a registration in a list may be from an older copy of the store and
 // contradicts newer knowledge of an earlier era. It then counts from the end of copyGrace on.
 func (r *Roster) hold(now time.Time, e *Entry) bool {
@@ -212,7 +257,10 @@
 	same := *e
 	same.Era, same.Revision = known.Era, known.Revision
 	if registered && same == known {
+		// Peers that lack it find it by its new stamp.
+		r.entries[e.ID] = *e
 		delete(r.pending, e.ID)
+		delete(r.held, e.ID)
 		return true
 	}
 	leaves := registered && known.Leaving && !e.Leaving
@@ -232,14 +280,15 @@
 	if !e.Gone {
 		return r.put(e, pools)
 	}
-	if now.Before(r.graceEnds) {
+	old, known := r.entries[e.ID]
+	if !known || !now.Before(r.graceEnds) {
+		return r.remove(e, pools)
+	}
+	if !old.Stamp().After(e.Stamp()) {
 		delete(r.held, e.ID)
-		if old, known := r.entries[e.ID]; known && !old.Stamp().After(e.Stamp()) {
-			r.pending[e.ID] = pendingRemoval{entry: *e, until: r.graceEnds}
-		}
-		return pools
+		r.pending[e.ID] = pendingRemoval{entry: *e, until: r.graceEnds}
 	}
-	return r.remove(e, pools)
+	return pools
 }
 
 // Expire carries out the pending removals that are due and takes the held registrations
@@ -344,7 +393,7 @@
 func (r *Roster) Since(now time.Time, base stamp.Stamp) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if base.Era != r.stamp.Era || r.dropped.After(base) {
+	if base.Era != r.stamp.Era || r.dropped.After(base) || r.inGap(base) {
 		base = stamp.Stamp{}
 	}
 	d := Delta{Base: base, Stamp: r.stamp, GraceMillis: max(0, r.graceEnds.Sub(now).Milliseconds())}
@@ -363,7 +412,8 @@
 		add(&p.entry)
 	}
 	for i := range r.removals {
-		if base != (stamp.Stamp{}) {
+		// A daemon that starts learns from these that a held registration does not count.
+		if _, held := r.held[r.removals[i].ID]; held || base != (stamp.Stamp{}) {
 			add(&r.removals[i])
 		}
 	}
