Remove a target after an outage only on an answer of the store

What was seen, in virtual time with three daemons: targets that lived were missing for a second or more after the return of the store, and targets that had ended stayed too long.

Cause: two seconds after the return, a roster removed what the store lacked, whether or not it had heard from the store in this time: the reply to a watch was lost, the store was away again, or a peer was late. And each daemon that regained the store by itself deferred removals at all of them once more.

Change: removals that were deferred, and registrations that were held back, take effect when the store has confirmed the state at or after the end of that time. A removal is deferred once in an era, and only an outage in which the store has answered nobody defers any.

Evidence: TestGraceEndsWithAnswerOfTheStore, TestRemovalIsDeferredOnce and TestOnlyOutageOfTheStoreDefersRemovals fail before the change and pass after it.

It works because the age of a confirmation holds for the state that it names, at any daemon.

--- a/internal/process/feed/era_test.go
+++ b/internal/process/feed/era_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
@@ -58,3 +59,28 @@
 		})
 	}
 }
+
+// Guards against targets that stay for longer after an outage of the store each time that one more daemon
+// reaches it again.
+func TestOnlyOutageOfTheStoreDefersRemovals(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		confirmed time.Duration
+		deferred  bool
+	}{
+		{"the store has answered nobody", minLapseOutage, true},
+		{"nothing is known", fresh.Unknown, true},
+		{"the store has answered others", time.Second, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := unchosen(&quietStore{})
+			f.lostSince = time.Now().Add(-minLapseOutage)
+			f.Clock = time.Now
+			f.Fresh.Merge(f.Clock(), tt.confirmed, 0, stamp.Stamp{}, stamp.Stamp{})
+			f.storeAnswered()
+			if grace := f.Roster.Since(time.Now(), stamp.Stamp{}).GraceMillis; grace > 0 != tt.deferred {
+				t.Errorf("%s: removals are deferred for %d ms", tt.name, grace)
+			}
+		})
+	}
+}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -357,7 +357,7 @@
 }
 
 // storeAnswered records an answer. After an outage, registrations that lapsed
-// during it get time to come back.
+// during it get time to come back. While the store has answered other daemons, none has lapsed for that.
 func (f *Feed) storeAnswered() {
 	if f.lostSince.IsZero() {
 		return
@@ -367,7 +367,7 @@
 	f.lostSince = time.Time{}
 	f.Meter.CountDecision("StoreRegained")
 	f.Log.State("the store answers again", "awayMillis", away.Milliseconds(), "rosterRevision", f.Roster.Stamp().Revision)
-	if away >= minLapseOutage {
+	if confirmed, _ := f.Fresh.Ages(f.Clock()); away >= minLapseOutage && (confirmed < 0 || confirmed >= minLapseOutage) {
 		f.Roster.StoreRecovered(now)
 	}
 	f.Table.SetStoreLost(now, false)
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -141,7 +141,8 @@
 	for round := 1; sleep.For(ctx, maintenanceInterval); round++ {
 		now := time.Now()
 		ahead = n.checkClock(now, ahead)
-		n.gossip.AnnounceRegistrations(n.Roster.Expire(now))
+		confirmed, _ := n.fresh.Ages(mono.Now())
+		n.gossip.AnnounceRegistrations(n.Roster.Expire(now, confirmed))
 		n.shareTargets(now)
 		if round%roundsPerSweep == 0 {
 			n.Pools.Sweep(now)
--- a/internal/process/roster/era_test.go
+++ b/internal/process/roster/era_test.go
@@ -174,7 +174,7 @@
 				want  string
 			}{{0, tt.atOnce}, {recoveryGrace, tt.soon}, {copyGrace, tt.later}} {
 				for name, r := range map[string]*Roster{"follower": follower, "peer": peer} {
-					r.Expire(start.Add(step.after))
+					r.Expire(start.Add(step.after), 0)
 					if got := states(r); got != step.want {
 						t.Errorf("%s after %v: %q, want %q", name, step.after, got, step.want)
 					}
@@ -220,7 +220,7 @@
 			tt.remove(follower)
 			exchange(follower, peer)
 			for name, r := range map[string]*Roster{"follower": follower, "peer": peer} {
-				r.Expire(start.Add(copyGrace))
+				r.Expire(start.Add(copyGrace), 0)
 				if got := states(r); got != "other:1:ready " {
 					t.Errorf("%s has %q", name, got)
 				}
@@ -272,8 +272,8 @@
 			reader.Replace(start, []Entry{again}, in(2, 24))
 			peer.Merge(start, reader.Since(start, peer.Stamp()))
 			for name, r := range map[string]*Roster{"reader": reader, "peer": peer} {
-				r.Expire(start.Add(recoveryGrace))
-				r.Expire(start.Add(copyGrace))
+				r.Expire(start.Add(recoveryGrace), 0)
+				r.Expire(start.Add(copyGrace), 0)
 				if got := states(r); got != "a:2:ready " {
 					t.Errorf("%s has %q", name, got)
 				}
@@ -281,3 +281,41 @@
 		})
 	}
 }
+
+// Guards against a target that is removed, or taken from a copy, because the store has not answered in the time in which
+// it has written its registration again.
+func TestGraceEndsWithAnswerOfTheStore(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{target("lost", 1, 1, 35), leaving(target("left", 1, 1, 36))}, in(1, known))
+	r.Replace(start, []Entry{target("left", 1, 2, 10)}, in(2, copied))
+	end := start.Add(copyGrace)
+	for _, tt := range []struct {
+		confirmed time.Duration
+		want      string
+	}{
+		{-time.Second, "left:1:leaving lost:1:ready "},
+		{copyGrace - recoveryGrace + time.Millisecond, "left:1:leaving lost:1:ready "},
+		{copyGrace - recoveryGrace, "left:1:leaving "},
+		{time.Millisecond, "left:1:leaving "},
+		{0, "left:1:ready "},
+	} {
+		r.Expire(end, tt.confirmed)
+		if got := states(r); got != tt.want {
+			t.Errorf("confirmed %v ago: %q, want %q", tt.confirmed, got, tt.want)
+		}
+	}
+}
+
+// Guards against a target that is gone and stays for longer each time that another daemon regains the store.
+func TestRemovalIsDeferredOnce(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{entry("a", 1)}, at(1))
+	r.StoreRecovered(start)
+	r.Replace(start, nil, at(2))
+	r.StoreRecovered(start.Add(time.Second))
+	r.Replace(start.Add(time.Second), nil, at(3))
+	r.Expire(start.Add(recoveryGrace), 0)
+	if got := ids(r); len(got) != 0 {
+		t.Errorf("%v left", got)
+	}
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -286,26 +286,37 @@
 	}
 	if !old.Stamp().After(e.Stamp()) {
 		delete(r.held, e.ID)
-		r.pending[e.ID] = pendingRemoval{entry: *e, until: r.graceEnds}
+		until := r.graceEnds
+		if p, pending := r.pending[e.ID]; pending && p.entry.Era == e.Era {
+			// This daemon alone may have lost the store meanwhile.
+			until = p.until
+		}
+		r.pending[e.ID] = pendingRemoval{entry: *e, until: until}
 	}
 	return pools
 }
 
 // Expire carries out the pending removals that are due and takes the held registrations
-// whose time is up, and returns the pools that changed.
-func (r *Roster) Expire(now time.Time) []string {
+// whose time is up, and returns the pools that changed. Confirmed is the time since the store
+// confirmed the state, or negative if it has not: without an answer from after the end of that time, nobody knows
+// whether a target has come back.
+func (r *Roster) Expire(now time.Time, confirmed time.Duration) []string {
+	if confirmed < 0 {
+		return nil
+	}
+	known := now.Add(-confirmed)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var pools []string
 	for id, p := range r.pending {
-		if now.Before(p.until) {
+		if known.Before(p.until) {
 			continue
 		}
 		delete(r.pending, id)
 		pools = r.remove(&p.entry, pools)
 	}
 	for _, h := range r.held {
-		if !now.Before(h.until) {
+		if !known.Before(h.until) {
 			pools = r.put(&h.entry, pools)
 		}
 	}
--- a/internal/process/roster/roster_test.go
+++ b/internal/process/roster/roster_test.go
@@ -66,11 +66,11 @@
 		t.Fatalf("entries were removed at once: %v left", got)
 	}
 	r.Apply(start.Add(time.Second), []Entry{entry("a", 5)}, at(5))
-	r.Expire(start.Add(recoveryGrace - time.Millisecond))
+	r.Expire(start.Add(recoveryGrace-time.Millisecond), 0)
 	if got := ids(r); len(got) != 2 {
 		t.Fatalf("entries were removed before the end of the grace period: %v left", got)
 	}
-	r.Expire(start.Add(recoveryGrace))
+	r.Expire(start.Add(recoveryGrace), 0)
 	if got := ids(r); !slices.Equal(got, []string{"a"}) {
 		t.Errorf("%v left, want a", got)
 	}
@@ -88,7 +88,7 @@
 	if got := ids(peer); len(got) != 1 {
 		t.Fatal("the peer removed the entry at once")
 	}
-	peer.Expire(start.Add(recoveryGrace))
+	peer.Expire(start.Add(recoveryGrace), 0)
 	if got := ids(peer); len(got) != 0 {
 		t.Error("the peer did not remove the entry after the grace period")
 	}
@@ -156,7 +156,7 @@
 		default:
 			r.Apply(start.Add(time.Duration(revision)*time.Millisecond), []Entry{e}, at(revision))
 		}
-		r.Expire(start.Add(time.Duration(revision) * time.Millisecond))
+		r.Expire(start.Add(time.Duration(revision)*time.Millisecond), 0)
 	}
 	listed := 0
 	for pool := range 6 {
