Apply the latest registrations last

Cause: the store, replies of other daemons and the end of a grace period deliver registrations from goroutines of their own. Each reads the roster and then sets the targets of the pool, so that one which has read earlier can set them later. The target stays until the next change of a registration in its pool. Settings go the same way to the pools, which takes only their numbers of connections from them.

Change: one lock covers the read and what follows from it.

--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -148,7 +148,10 @@
 	Pools  *pools.Pools
 	Poison *poison.Register
 
-	mu           mutex.Mutex // guards Setup after the start
+	mu mutex.Mutex // guards Setup after the start
+	// applyMu orders what is applied to Pools: several goroutines deliver settings and
+	// registrations, and the latest must be applied last.
+	applyMu      mutex.Mutex
 	started      time.Time
 	keys         *keys.Keys
 	link         *link.Link
@@ -310,6 +313,8 @@
 
 // applySettings applies the current revision of the settings to the pools.
 func (n *Node) applySettings(from string) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
 	e := n.Keeper.Current()
 	n.origins.settingsFrom(time.Now(), from)
 	routes := e.Tree.Routes()
@@ -323,6 +328,8 @@
 
 // applyRegistrations applies changed registrations to their pools.
 func (n *Node) applyRegistrations(changed []string, from string) {
+	n.applyMu.Lock()
+	defer n.applyMu.Unlock()
 	now := time.Now()
 	n.origins.registrationsFrom(now, from)
 	seen := map[string]bool{}
