Keep removals that wait for the end of a grace period

What was seen, in tests of package roster in virtual time: within the two seconds after an outage of the store in which a removal waits, since the target may come back, - an earlier registration of the target that arrives late cancels the removal for good (TestEarlierRegistrationKeepsWaitingRemoval), also if the target was not known (TestEarlierListKeepsRemovalOfUnknownTarget): a daemon reads the whole store while a peer tells it of the removal; - each daemon that reaches the store again reads its whole list, and puts the removal off once more for all (TestRemovalIsPutOffOnce: three daemons, 1.9 s apart, and the target is still in use 5.7 s after its removal was read). All three fail before this change and pass with it.

Cause: a registration was compared with the one that is known and with removals in force, not with those that wait; and a removal that was read again waited anew.

Change: a waiting removal counts like one in force where registrations are compared, a removal of an unknown target takes effect at once, and a removal that is read again in the same era keeps the end of its wait.

--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -79,7 +79,7 @@
 }
 
 // pendingRemoval is a removal that was read during the grace period after an
-// outage of the store. It takes effect at until.
+// outage of the store. It takes effect at until, the end of the first such period.
 type pendingRemoval struct {
 	entry Entry
 	until time.Time
@@ -232,14 +232,21 @@
 	if !e.Gone {
 		return r.put(e, pools)
 	}
-	if now.Before(r.graceEnds) {
-		delete(r.held, e.ID)
-		if old, known := r.entries[e.ID]; known && !old.Stamp().After(e.Stamp()) {
-			r.pending[e.ID] = pendingRemoval{entry: *e, until: r.graceEnds}
-		}
+	old, known := r.entries[e.ID]
+	if !known || !now.Before(r.graceEnds) {
+		return r.remove(e, pools)
+	}
+	delete(r.held, e.ID)
+	if old.Stamp().After(e.Stamp()) {
 		return pools
 	}
-	return r.remove(e, pools)
+	until := r.graceEnds
+	// The removal may be read again in a later grace period.
+	if p, waits := r.pending[e.ID]; waits && p.entry.Era == e.Era && p.until.Before(until) {
+		until = p.until
+	}
+	r.pending[e.ID] = pendingRemoval{entry: *e, until: until}
+	return pools
 }
 
 // Expire carries out the pending removals that are due and takes the held registrations
@@ -297,7 +304,12 @@
 	}
 }
 
+// removedAfter reports whether a removal is known, in force or not, that is later than the
+// registration.
 func (r *Roster) removedAfter(e *Entry) bool {
+	if p, waits := r.pending[e.ID]; waits && p.entry.Stamp().After(e.Stamp()) {
+		return true
+	}
 	return slices.ContainsFunc(r.removals, func(removal Entry) bool { return removal.ID == e.ID && removal.Stamp().After(e.Stamp()) })
 }
 
