--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -81,7 +81,7 @@
 }
 
 // pendingRemoval is a removal that was read during the grace period after an
-// outage of the store. It takes effect at until.
+// outage of the store. It takes effect at until, the end of the first such period.
 type pendingRemoval struct {
 	entry Entry
 	until time.Time
@@ -287,8 +287,8 @@
 	if !old.Stamp().After(e.Stamp()) {
 		delete(r.held, e.ID)
 		until := r.graceEnds
-		if p, pending := r.pending[e.ID]; pending && p.entry.Era == e.Era {
-			// This daemon alone may have lost the store meanwhile.
+		// The removal may be read again in a later grace period.
+		if p, waits := r.pending[e.ID]; waits && p.entry.Era == e.Era && p.until.Before(until) {
 			until = p.until
 		}
 		r.pending[e.ID] = pendingRemoval{entry: *e, until: until}
@@ -357,7 +357,12 @@
 	}
 }
 
+// removedAfter reports whether a removal is known, in force or not, that is later than the
+// registration.
 func (r *Roster) removedAfter(e *Entry) bool {
+	if p, waits := r.pending[e.ID]; waits && p.entry.Stamp().After(e.Stamp()) {
+		return true
+	}
 	return slices.ContainsFunc(r.removals, func(removal Entry) bool { return removal.ID == e.ID && removal.Stamp().After(e.Stamp()) })
 }
 
