Pass the removal of a held registration on to peers

Callers could be sent to a target that was gone, for good: if the store came back with its registration and removed it again within the two seconds in which registrations get time to come back, or before the next list, the follower dropped what it held and kept no removal. Peers that held it too never heard, and used the target ten seconds after the return.

A removal of a target that isn't registered has nothing to wait for, so it is recorded at once. A list that lacks a held registration counts as its removal.

--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -187,7 +187,8 @@
 	}
 	for id := range r.held {
 		if !listed[id] {
-			delete(r.held, id)
+			// Peers that hold it too learn of its end by the removal.
+			pools = r.apply(now, &Entry{ID: id, Revision: complete.Revision, Era: complete.Era, Gone: true}, pools)
 		}
 	}
 	r.stamp = r.stamp.Max(complete)
@@ -232,14 +233,15 @@
 	if !e.Gone {
 		return r.put(e, pools)
 	}
-	if now.Before(r.graceEnds) {
-		delete(r.held, e.ID)
-		if old, known := r.entries[e.ID]; known && !old.Stamp().After(e.Stamp()) {
-			r.pending[e.ID] = pendingRemoval{entry: *e, until: r.graceEnds}
-		}
-		return pools
+	old, known := r.entries[e.ID]
+	if !known || !now.Before(r.graceEnds) {
+		return r.remove(e, pools)
 	}
-	return r.remove(e, pools)
+	delete(r.held, e.ID)
+	if !old.Stamp().After(e.Stamp()) {
+		r.pending[e.ID] = pendingRemoval{entry: *e, until: r.graceEnds}
+	}
+	return pools
 }
 
 // Expire carries out the pending removals that are due and takes the held registrations
