Hold registrations anew in each era

A second return of the store left what it held of the first one with the time that had been left of that, so a target that had left was used again before it could be removed from the second copy.

TestSecondReturnHoldsRegistrationsAnew failed before and passes now.

--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -221,7 +221,7 @@
 		return false
 	}
 	h, held := r.held[e.ID]
-	if !held {
+	if !held || h.entry.Era < e.Era {
 		h.until = now.Add(copyGrace)
 	}
 	h.entry = *e
