--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -258,3 +258,16 @@
 		})
 	}
 }
+
+// Guards against a target that leaves in a new era of the store, whose revisions are lower, and
+// goes on getting requests.
+func TestRegistrationOfNewEraCounts(t *testing.T) {
+	f, g := pool()
+	f.SetEntries(start, []roster.Entry{
+		{ID: "far", Pool: "p", Address: "b", DataCentre: "there", Slots: 2, Revision: 2},
+		{ID: "near", Pool: "p", Address: "a", DataCentre: "here", Slots: 2, Revision: 1, Era: 1, Leaving: true},
+	}, func(dataCentre string) string { return dataCentre })
+	if got := g.pickAt(start).Target.ID; got != "far" {
+		t.Errorf("picked %s though it leaves", got)
+	}
+}
--- a/internal/process/fresh/fresh_test.go
+++ b/internal/process/fresh/fresh_test.go
@@ -310,3 +310,18 @@
 
 // at returns the stamp of a revision in the first era.
 func at(revision int64) stamp.Stamp { return stamp.Stamp{Revision: revision} }
+
+// Guards against a claim for a new era of the store, whose revisions are lower, that confirms the state of
+// the earlier one.
+func TestClaimForNewEraConfirmsNoEarlierState(t *testing.T) {
+	for name, newEra := range map[string]func(t *Tracker, to stamp.Stamp){
+		"settings":      func(t *Tracker, to stamp.Stamp) { t.Merge(start, 0, 0, to, at(1)) },
+		"registrations": func(t *Tracker, to stamp.Stamp) { t.Merge(start, 0, 0, at(1), to) },
+	} {
+		tracker := newTracker(1)
+		newEra(tracker, stamp.Stamp{Era: 1, Revision: 1})
+		if confirmed, attempted := tracker.Ages(start); confirmed >= 0 || attempted >= 0 {
+			t.Errorf("%s: confirmed %v ago, attempted %v ago", name, confirmed, attempted)
+		}
+	}
+}
--- a/internal/process/gossip/pull_test.go
+++ b/internal/process/gossip/pull_test.go
@@ -89,3 +89,36 @@
 		}
 	}
 }
+
+// Guards against a daemon that has announced a new era of the store, whose revisions are lower, and
+// is not asked.
+func TestPullsAskForNewEra(t *testing.T) {
+	var p pulls
+	p.begin("a", stamp.Stamp{Era: 1, Revision: 5})
+	p.begin("b", stamp.Stamp{Era: 2, Revision: 3})
+	if got, found := p.next(stamp.Stamp{Era: 1, Revision: 5}); !found || got != "b" {
+		t.Errorf("next is %q, %v, want b", got, found)
+	}
+}
+
+// Guards against a daemon that hears of a new era of the store, whose revisions are lower, from a peer
+// alone and keeps the settings and registrations of the earlier one.
+func TestNewEraIsFetchedFromPeer(t *testing.T) {
+	const wait = 5 * time.Second
+	behind, ahead := startGossip(t, "behind"), startGossip(t, "ahead")
+	now := time.Now()
+	for era, g := range []*Gossip{behind, ahead} {
+		written := stamp.Stamp{Era: int64(era), Revision: int64(9 - era)}
+		if _, err := g.Keeper.Apply(now, epoch.Change{Era: written.Era, Revision: written.Revision, Number: 1, Files: tree.Files{}}); err != nil {
+			t.Fatal(err)
+		}
+		g.Roster.Replace(now, nil, written)
+	}
+	behind.Table.Merge(now, []member.Member{ahead.Table.Self(now)})
+	for end := now.Add(wait); behind.Roster.Stamp() != ahead.Roster.Stamp() || behind.Keeper.Stamp() != ahead.Keeper.Stamp(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("registrations at %v, settings at %v", behind.Roster.Stamp(), behind.Keeper.Stamp())
+		}
+		behind.Handle(t.Context(), nil, link.Heartbeat, ahead.encode(time.Now(), nil))
+	}
+}
