Hold back a process that has left, at whatever revision of a copy

A second return to a copy from before the first one brings back revisions above those of the era between. They were taken for new, and a target that had said in that era that it leaves was used again. A process that leaves does not become ready again, so the revision says nothing there.

TestSecondReturnToCopyOfFirstEra failed before and passes now. A target that was removed between the two returns can't be told from one that is back, and counts at once, as before.

--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -216,8 +216,14 @@
 		}
 		known = r.removals[i]
 	}
-	// A revision above the one that is known was given out in the later era.
-	if e.Era <= known.Era || e.Revision > known.Revision {
+	if e.Era <= known.Era {
+		return false
+	}
+	// A process that leaves does not become ready again, at whatever revision.
+	leaves := registered && known.Leaving && !e.Leaving && e.Born == known.Born
+	// A revision above the one that is known was given out in the later era, unless the copy is
+	// from before the known one.
+	if e.Revision > known.Revision && (!leaves || e.Born == 0) {
 		return false
 	}
 	same := *e
@@ -226,7 +232,6 @@
 		delete(r.pending, e.ID)
 		return true
 	}
-	leaves := registered && known.Leaving && !e.Leaving
 	if e.Born > known.Born || e.Born == known.Born && registered && !leaves {
 		return false
 	}
