--- a/internal/process/watch/watch_test.go
+++ b/internal/process/watch/watch_test.go
@@ -234,3 +234,25 @@
 		}
 	}
 }
+
+// A store is restored from a snapshot and its revision raised above all it has given out. Guards
+// against changes that are ignored since they are counted from the snapshot on.
+func TestChangeAfterRestoreAtHigherRevisionIsInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		defer f.cancel()
+		f.apply(0)
+		snapshot, err := f.client.Get(t.Context(), watch.SettingsKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.apply(1)
+		lost := f.apply(2)
+		f.waitForRevision(maxChangeDelay, lost)
+		restored, err := f.client.Swap(t.Context(), store.Swap{Key: watch.SettingsKey, Expect: lost, Value: snapshot.Value})
+		if err != nil || restored <= lost {
+			t.Fatalf("restored at revision %d, error %v", restored, err)
+		}
+		f.waitForRevision(maxChangeDelay, f.apply(3))
+	})
+}
