Tell daemons that start of the removals behind what is held

A full list had the registrations of the copy that a daemon holds back, and not the removals for which it does. A daemon that started, or had missed the removal, used the target at once.

A full list now has these removals. They are of an earlier era than the list and have waited as long as they had to, so they count at once. TestHeldRegistrationIsHeldByDaemonsThatMissedTheRemoval failed in both cases before and passes now. A daemon that has read the store before it asks a peer is not helped (TestStartedDaemonHearsOfTargetsThatWereGone).

--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -186,7 +186,11 @@
 	for i := range list {
 		e := &list[i]
 		listed[e.ID] = true
-		if e.Gone || !r.hold(now, e) {
+		switch {
+		case e.Gone && e.Era < complete.Era:
+			// A peer knows of the removal from an earlier era. It has waited as long as it had to.
+			pools = r.remove(e, pools)
+		case e.Gone || !r.hold(now, e):
 			pools = r.apply(now, e, pools)
 		}
 	}
@@ -380,7 +384,7 @@
 		add(&p.entry)
 	}
 	for i := range r.removals {
-		if base != (stamp.Stamp{}) {
+		if _, held := r.held[r.removals[i].ID]; held || base != (stamp.Stamp{}) {
 			add(&r.removals[i])
 		}
 	}
