Look at the registrations of the restarted daemon too

TestRegistrationsAfterStoreWasPutBack made a roster that starts from a peer and looked at its stamp alone. With its registrations among those that are checked, the test fails on the roster of where a target was gone before the return.

--- a/internal/process/roster/era_test.go
+++ b/internal/process/roster/era_test.go
@@ -170,7 +170,7 @@
 				after time.Duration
 				want  string
 			}{{0, tt.atOnce}, {recoveryGrace, tt.soon}, {copyGrace, tt.later}} {
-				for name, r := range map[string]*Roster{"follower": follower, "peer": peer} {
+				for name, r := range map[string]*Roster{"follower": follower, "peer": peer, "restarted": restarted} {
 					r.Expire(start.Add(step.after))
 					if got := states(r); got != step.want {
 						t.Errorf("%s after %v: %q, want %q", name, step.after, got, step.want)
