--- a/internal/process/feed/era_test.go
+++ b/internal/process/feed/era_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
@@ -58,3 +60,34 @@
 		})
 	}
 }
+
+// Guards against daemons of a large tier that all register at the moment at which they learn of a new era.
+func TestRegistrationsInNewEraAreSpread(t *testing.T) {
+	const daemons, samples = 300, 24
+	early := 0
+	for range samples {
+		synctest.Test(t, func(t *testing.T) {
+			store := &quietStore{}
+			f := unchosen(store)
+			for i := range daemons {
+				f.Table.Merge(time.Now(), []member.Member{{Name: "other" + strconv.Itoa(i), DataCentre: "dc2", Region: "r", Incarnation: 1, Version: 1, State: member.Ready}})
+			}
+			f.Init()
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{}, 2)
+			go func() { f.KeepRegistered(ctx); done <- struct{}{} }()
+			go func() { f.Run(ctx); done <- struct{}{} }()
+			time.Sleep(time.Second)
+			store.era.Store(1)
+			f.Roster.Apply(time.Now(), nil, stamp.Stamp{Era: 1, Revision: 1})
+			time.Sleep(electionInterval + minRegisterDelay)
+			early += int(store.registrations.Load()) - 1
+			cancel()
+			<-done
+			<-done
+		})
+	}
+	if early > samples/2 {
+		t.Errorf("%d of %d daemons have registered within %v", early, samples, minRegisterDelay)
+	}
+}
