--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -185,6 +185,10 @@
 		e := &list[i]
 		listed[e.ID] = true
 		switch {
+		case e.Gone && e.Era < complete.Era:
+			// A peer knows of the removal from an earlier era. It has waited as long as it had to.
+			gone[e.ID] = true
+			pools = r.remove(e, pools)
 		case e.Gone:
 			gone[e.ID] = true
 			pools = r.apply(now, e, pools)
@@ -250,8 +254,14 @@
 		}
 		known = r.removals[i]
 	}
-	// A revision above the one that is known was given out in the later era.
-	if e.Era <= known.Era || e.Revision > known.Revision {
+	if e.Era <= known.Era {
+		return false
+	}
+	// A process that leaves does not become ready again, at whatever revision.
+	leaves := registered && known.Leaving && !e.Leaving && e.Born == known.Born
+	// A revision above the one that is known was given out in the later era, unless the copy is
+	// from before the known one.
+	if e.Revision > known.Revision && (!leaves || e.Born == 0) {
 		return false
 	}
 	same := *e
@@ -263,12 +273,11 @@
 		delete(r.held, e.ID)
 		return true
 	}
-	leaves := registered && known.Leaving && !e.Leaving
 	if e.Born > known.Born || e.Born == known.Born && registered && !leaves {
 		return false
 	}
 	h, held := r.held[e.ID]
-	if !held {
+	if !held || h.entry.Era < e.Era {
 		h.until = now.Add(copyGrace)
 	}
 	h.entry = *e
@@ -316,7 +325,8 @@
 		pools = r.remove(&p.entry, pools)
 	}
 	for _, h := range r.held {
-		if !known.Before(h.until) {
+		// In an outage nobody could remove it from the store.
+		if !known.Before(h.until) && !known.Before(r.graceEnds) {
 			pools = r.put(&h.entry, pools)
 		}
 	}
