Order changes by their time where the store counts no eras

A change was ordered by its number and the store's revision; the command takes the number from the store, so both are given out again.

Change: a change carries its order, the time of the apply raised above that of the change before it, which goes first in the stamp. Changes that earlier commands wrote have their time.

--- a/internal/conn/etcd/etcd.go
+++ b/internal/conn/etcd/etcd.go
@@ -10,7 +10,10 @@
 
 // Header is part of every response.
 type Header struct {
-	Revision int64 `json:"revision,string"`
+	// ClusterID and MemberID are others after a restore from a snapshot. They have no order.
+	ClusterID uint64 `json:"cluster_id,string"`
+	MemberID  uint64 `json:"member_id,string"`
+	Revision  int64  `json:"revision,string"`
 }
 
 // KeyValue is one key with its value and revisions.
--- a/internal/fake/store/store.go
+++ b/internal/fake/store/store.go
@@ -1,13 +1,15 @@
 // Package store implements a fake of the platform's key-value service: a subset
 // of the etcd v3 JSON gateway with compare-and-swap, leases and watches. It counts
 // calls, limits their rate, and can be down, slow, or drop the reply to a write
-// that took effect.
+// that took effect. It can also be restored from a snapshot.
 //
 // # Usage
 //
 //	s := &store.Store{}
 //	err := s.Start("127.0.0.1:0")
 //	s.SetFaults(store.Faults{LoseReplies: 1})
+//	snapshot := s.Snapshot()
+//	s.Restore(snapshot) // what was written since is gone, and revisions are given out again
 package store
 
 import (
@@ -51,8 +53,11 @@
 	changed         chan struct{}
 	calls           map[string]int64
 	limiter         *rate.Limiter
-	server          *http.Server
-	address         string
+	// restores is the number of restores. It determines the IDs of the cluster and of its
+	// member, and ends the watches of before.
+	restores uint64
+	server   *http.Server
+	address  string
 }
 
 // Start listens and serves. After a Stop, Start serves the same keys again.
@@ -180,7 +185,7 @@
 
 func (s *Store) rangeKeys(q *etcd.RangeRequest) (etcd.RangeResponse, bool) {
 	s.expire()
-	response := etcd.RangeResponse{Header: etcd.Header{Revision: s.revision}}
+	response := etcd.RangeResponse{Header: s.header()}
 	for key, kv := range s.keys {
 		inRange := len(q.RangeEnd) > 0 && key >= string(q.Key) && key < string(q.RangeEnd)
 		if key == string(q.Key) || inRange {
@@ -218,7 +223,7 @@
 	if wrote {
 		s.wakeWatches()
 	}
-	response.Header.Revision = s.revision
+	response.Header = s.header()
 	return response, wrote
 }
 
@@ -283,6 +288,10 @@
 	return response, false
 }
 
+func (s *Store) header() etcd.Header {
+	return etcd.Header{ClusterID: 1 + s.restores, MemberID: 101 + s.restores, Revision: s.revision}
+}
+
 // watch streams the changes of a key.
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
 	var request etcd.WatchRequest
@@ -306,8 +315,10 @@
 		next = s.revision + 1
 	}
 	compacted := next <= s.compactRevision
-	s.mu.Unlock()
+	restores := s.restores
 	var created etcd.WatchResponse
+	created.Result.Header = s.header()
+	s.mu.Unlock()
 	created.Result.Created = true
 	created.Result.Canceled = compacted
 	if compacted {
@@ -317,8 +328,8 @@
 		return
 	}
 	for {
-		events, changed, down := s.eventsSince(&request, &next)
-		if down {
+		events, changed, ended := s.eventsSince(&request, restores, &next)
+		if ended {
 			panic(http.ErrAbortHandler)
 		}
 		if len(events) > 0 {
@@ -341,8 +352,9 @@
 }
 
 // eventsSince returns the events of the watched key since revision next, and
-// advances next past the current revision.
-func (s *Store) eventsSince(request *etcd.WatchRequest, next *int64) (events []etcd.Event, changed <-chan struct{}, down bool) {
+// advances next past the current revision. A watch from a later revision waits for it.
+// It reports whether the watch, which began after the given number of restores, has ended.
+func (s *Store) eventsSince(request *etcd.WatchRequest, restores uint64, next *int64) (events []etcd.Event, changed <-chan struct{}, ended bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.log {
@@ -350,6 +362,6 @@
 			events = append(events, e)
 		}
 	}
-	*next = s.revision + 1
-	return events, s.changed, s.faults.Down
+	*next = max(*next, s.revision+1)
+	return events, s.changed, s.faults.Down || s.restores != restores
 }
--- /dev/null
+++ b/internal/process/watch/restore_test.go
@@ -0,0 +1,109 @@
+package watch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+)
+
+func (f *fixture) queue() int {
+	return f.keeper.Current().Tree.Resolve("", "", "").QueueLength
+}
+
+// raise writes to another key until the store has the given revision.
+func (f *fixture) raise(revision int64) {
+	f.t.Helper()
+	for at := f.store.Snapshot(); at.Revision() < revision; at = f.store.Snapshot() {
+		lease, err := f.client.Grant(f.t.Context(), time.Hour)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if err := f.client.PutLeased(f.t.Context(), "/other", []byte("v"), lease); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a daemon that ignores the changes of a store that was restored from a
+// snapshot: their numbers and revisions fall and are given out again for others.
+func TestChangeIsInForceAfterRestore(t *testing.T) {
+	const kept, lost, first = 8, 2, 100
+	tests := []struct {
+		name   string
+		before func(f *fixture, inForce int64)
+		again  int
+	}{
+		{"lower number, lower revision", nil, 1},
+		{"the number of the lost change, lower revision", nil, lost},
+		{"lower number, the lost revision", func(f *fixture, inForce int64) { f.raise(inForce - 1) }, 1},
+		{"lower number, revision passed unseen", func(f *fixture, inForce int64) { f.raise(inForce + 50) }, 1},
+		{"history dropped", func(f *fixture, _ int64) { f.store.Compact() }, 1},
+		{"store built anew", func(f *fixture, _ int64) { f.store.Restore(fakestore.Snapshot{}) }, 1},
+		{"the store is away for a minute", func(f *fixture, _ int64) {
+			f.store.SetFaults(fakestore.Faults{Down: true})
+			time.Sleep(time.Minute)
+			f.store.SetFaults(fakestore.Faults{})
+		}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := start(t)
+				defer f.cancel()
+				var snapshot fakestore.Snapshot
+				for n := range kept + lost {
+					if n == kept {
+						snapshot = f.store.Snapshot()
+					}
+					f.waitForRevision(maxChangeDelay, f.apply(first+n))
+				}
+				inForce := f.keeper.Current().Change
+				f.store.Restore(snapshot)
+				if tt.before != nil {
+					tt.before(f, inForce.Revision)
+				}
+				time.Sleep(time.Minute)
+				if got := f.queue(); got != first+kept+lost-1 {
+					t.Errorf("queue length %d before the operator applies again: an older change came back", got)
+				}
+				want := 0
+				for n := range tt.again {
+					want = 2*first + n
+					f.apply(want)
+					time.Sleep(maxChangeDelay)
+					if got := f.queue(); got != want {
+						t.Errorf("queue length %d, want %d, %v after it was applied", got, want, maxChangeDelay)
+					}
+				}
+				time.Sleep(time.Minute)
+				if got := f.queue(); got != want {
+					t.Errorf("queue length %d a minute later, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a daemon that goes on with an older change because it is shown again, as an
+// endpoint that lags or belongs to the cluster of before would show it.
+func TestOlderAnswersBringNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		defer f.cancel()
+		f.waitForRevision(maxChangeDelay, f.apply(1))
+		snapshot := f.store.Snapshot()
+		f.waitForRevision(maxChangeDelay, f.apply(2))
+		latest := f.store.Snapshot()
+		for n := range 20 {
+			f.store.Restore([]fakestore.Snapshot{snapshot, latest}[n%2])
+			for range 50 {
+				time.Sleep(200 * time.Millisecond)
+				if got := f.queue(); got != 2 {
+					t.Fatalf("queue length %d, want 2", got)
+				}
+			}
+		}
+	})
+}
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -12,6 +12,7 @@
 package watch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -191,6 +192,8 @@
 		return epoch.Change{}, err
 	}
 	change.Revision = item.Revision
+	// Earlier commands wrote the time only.
+	change.Order = cmp.Or(change.Order, change.UnixMillis)
 	return change, nil
 }
 
--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -107,9 +107,10 @@
 	if request.Expect != nil && *request.Expect != current.Revision {
 		return nil, conflict(*request.Expect, current)
 	}
+	now := time.Now().UnixMilli()
 	change := epoch.Change{
-		Number: current.Number + 1, ID: uuid.NewString(), Author: request.Author, Message: request.Message,
-		UnixMillis: time.Now().UnixMilli(), Files: request.Files,
+		Number: current.Number + 1, Order: max(now, current.Order+1), ID: uuid.NewString(),
+		Author: request.Author, Message: request.Message, UnixMillis: now, Files: request.Files,
 	}
 	value, err := codec.Encode(&change)
 	if err != nil {
--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -9,9 +9,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -178,3 +182,45 @@
 		t.Errorf("a dropped change gives %v", err)
 	}
 }
+
+// Guards against a change that is ordered before the one that it replaces because the clock of
+// its operator is behind that of the operator before.
+func TestOrderRisesWhenClocksDisagree(t *testing.T) {
+	s, c := newStore(t)
+	ahead := epoch.Change{Number: 1, Order: time.Now().Add(time.Hour).UnixMilli(), Files: queue(1)}
+	value, err := codec.Encode(&ahead)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Store.Swap(t.Context(), store.Swap{Key: watch.SettingsKey, Value: value}); err != nil {
+		t.Fatal(err)
+	}
+	s.SetFaults(fakestore.Faults{LoseReplies: 1})
+	for n := range 3 {
+		result, err := c.Apply(t.Context(), Request{Files: queue(2 + n)})
+		if err != nil || result.Change.Order <= ahead.Order {
+			t.Fatalf("order %d after %d, %v", result.Change.Order, ahead.Order, err)
+		}
+		ahead = result.Change
+	}
+}
+
+// Guards against a change that is ordered before one that an earlier version of the command wrote.
+func TestOrderRisesAfterChangeWithoutOrder(t *testing.T) {
+	_, c := newStore(t)
+	value, err := codec.Encode(&epoch.Change{Number: 7, UnixMillis: time.Now().Add(time.Hour).UnixMilli(), Files: queue(1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Store.Swap(t.Context(), store.Swap{Key: watch.SettingsKey, Value: value}); err != nil {
+		t.Fatal(err)
+	}
+	before, err := c.Current(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := c.Apply(t.Context(), Request{Files: queue(2)})
+	if err != nil || !result.Change.Stamp().After(before.Stamp()) {
+		t.Errorf("%v after %v, %v", result, before.Stamp(), err)
+	}
+}
--- a/internal/version/epoch/epoch.go
+++ b/internal/version/epoch/epoch.go
@@ -14,6 +14,7 @@
 package epoch
 
 import (
+	"cmp"
 	"maps"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,10 @@
 	Era      int64
 	// Number counts changes from 1.
 	Number int64
+	// Order goes first in the order of changes: the time of the apply in milliseconds, but
+	// later than that of the change before it. A store that was restored gives out numbers
+	// and revisions again, but not times. If it is zero, the number takes its place.
+	Order int64
 	// ID identifies the apply that made the change.
 	ID      string
 	Author  string
@@ -44,7 +49,7 @@
 
 // Stamp orders the change among others.
 func (c *Change) Stamp() stamp.Stamp {
-	return stamp.Stamp{Number: c.Number, Era: c.Era, Revision: c.Revision}
+	return stamp.Stamp{Number: cmp.Or(c.Order, c.Number), Era: c.Era, Revision: c.Revision}
 }
 
 // Epoch is a revision that is in force, with its parsed settings.
--- a/internal/version/stamp/stamp.go
+++ b/internal/version/stamp/stamp.go
@@ -11,8 +11,9 @@
 //		// the store was put back, and what was read replaces what is known
 //	}
 //
-// Settings also have the operator's number, which goes before the era: a store that was put
-// back may hold older settings until the operator writes the newer ones again.
+// Settings also have a number from the operator, which goes before the era: a store that was put
+// back may hold older settings until the operator writes the newer ones again. It is the operator's
+// version or, where the store gives out versions again too, the time of the change (package epoch).
 package stamp
 
 import (
@@ -24,7 +25,7 @@
 // before any other one.
 type Stamp struct {
 	_ struct{} `cbor:",toarray"`
-	// Number is the operator's number of a change of the settings; zero for anything else.
+	// Number orders the changes of the settings as the operator made them; zero for anything else.
 	Number int64
 	// Era counts how often the store was put back to an older copy. It is zero for a store
 	// that does not count.
