Register a watcher anew when its lease holds no record

A daemon that starts with an empty host list does not find it.

Cause: the watcher renews its lease and never looks at its record.

Change: after each renewal the watcher reads its record, and registers anew if another lease or none holds it.

--- a/internal/fake/store/snapshot.go
+++ b/internal/fake/store/snapshot.go
@@ -51,3 +51,12 @@
 
 // Revision returns the revision of the snapshot.
 func (s *Snapshot) Revision() int64 { return s.revision }
+
+// Without returns the snapshot without a key, as if it had been taken before the key was
+// written.
+func (s *Snapshot) Without(key string) Snapshot {
+	without := *s
+	without.keys = maps.Clone(s.keys)
+	delete(without.keys, key)
+	return without
+}
--- a/internal/process/store/store.go
+++ b/internal/process/store/store.go
@@ -62,6 +62,8 @@
 	Key      string
 	Value    []byte
 	Revision int64
+	// Lease is the lease that holds the key, or zero.
+	Lease int64
 }
 
 // Swap is a compare-and-swap: a write that takes effect only if a key has the
@@ -262,7 +264,7 @@
 }
 
 func item(kv *etcd.KeyValue) Item {
-	return Item{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision}
+	return Item{Key: string(kv.Key), Value: kv.Value, Revision: kv.ModRevision, Lease: kv.Lease}
 }
 
 // prefixEnd returns the first key after all keys with the prefix.
--- a/internal/process/watch/restore_test.go
+++ b/internal/process/watch/restore_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
 )
 
 func (f *fixture) queue() int {
@@ -107,3 +108,35 @@
 		}
 	})
 }
+
+// Guards against a watcher that renews a lease for good that holds no record of its own: the
+// snapshot may have the lease without the record, and the number of a lost lease may be
+// given out to another daemon.
+func TestDaemonRegistersAnewAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		defer f.cancel()
+		f.waitForRevision(maxChangeDelay, f.apply(1))
+		time.Sleep(time.Second)
+		registered := f.store.Snapshot()
+		for _, snapshot := range []fakestore.Snapshot{{}, registered.Without(watch.MembersPrefix + "a")} {
+			f.store.Restore(snapshot)
+			for range 30 {
+				if _, err := f.client.Grant(t.Context(), time.Hour); err != nil {
+					t.Fatal(err)
+				}
+			}
+			time.Sleep(maxChangeDelay)
+			for n := range 3 {
+				links, err := watch.Seeds(t.Context(), f.client)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(links) != 1 {
+					t.Errorf("%d daemons registered %v after the restore", len(links), maxChangeDelay+time.Duration(n)*10*time.Second)
+				}
+				time.Sleep(10 * time.Second)
+			}
+		}
+	})
+}
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -253,14 +253,21 @@
 }
 
 func (w *Watch) renew(ctx context.Context, lease int64) (int64, error) {
+	self := w.Table.Self(time.Now())
 	if lease != 0 {
-		return lease, w.Store.KeepAlive(ctx, lease)
+		if err := w.Store.KeepAlive(ctx, lease); err != nil {
+			return 0, err
+		}
+		// A store that was restored from a snapshot may have the lease and not the key.
+		held, err := w.Store.Get(ctx, MembersPrefix+self.Name)
+		if err != nil || held.Lease == lease {
+			return lease, err
+		}
 	}
 	lease, err := w.Store.Grant(ctx, leaseTTL)
 	if err != nil {
 		return 0, err
 	}
-	self := w.Table.Self(time.Now())
 	value, err := codec.Encode(&self)
 	if err != nil {
 		return 0, err
