Say that the outcome is unknown if the store fell back meanwhile

What an operator would see: an apply whose reply was lost ends with "another change came first" and exit code 3, nothing written, although daemons have it in force.

Cause: the outcome is read from the store. A lower one shows a restore.

Evidence: TestOutcomeIsUnknownIfStoreIsRestoredMeanwhile got kind "Conflict" before.

--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -153,9 +153,13 @@
 	if err != nil {
 		return nil, &Error{Op: "apply", Kind: KindUnknown, Err: errors.Join(cause, err)}
 	}
-	if now.Revision != base {
+	if now.Revision > base {
 		return nil, conflict(base, now)
 	}
+	if now.Revision < base {
+		putBack := fault.Causef("the store was put back from revision %d to %d meanwhile; daemons may have the change in force", base, now.Revision)
+		return nil, &Error{Op: "apply", Kind: KindUnknown, Err: errors.Join(putBack, cause)}
+	}
 	// The key is unchanged, but a write still in flight could change it.
 	return nil, &Error{Op: "apply", Kind: KindUnknown, Err: cause}
 }
--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -224,3 +225,36 @@
 		t.Errorf("%v after %v, %v", result, before.Stamp(), err)
 	}
 }
+
+// afterWrite calls a function after each transaction, before its reply is passed on.
+type afterWrite struct {
+	http.RoundTripper
+
+	call func()
+}
+
+func (a *afterWrite) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := a.RoundTripper.RoundTrip(r)
+	if strings.HasSuffix(r.URL.Path, "/txn") {
+		a.call()
+	}
+	return response, err
+}
+
+// Guards against an apply that says "nothing was written" where its reply was lost and the store
+// was put back before the outcome was read: daemons may have the change in force.
+func TestOutcomeIsUnknownIfStoreIsRestoredMeanwhile(t *testing.T) {
+	s, c := newStore(t)
+	if _, err := c.Apply(t.Context(), Request{Files: queue(1)}); err != nil {
+		t.Fatal(err)
+	}
+	snapshot := s.Snapshot()
+	if _, err := c.Apply(t.Context(), Request{Files: queue(2)}); err != nil {
+		t.Fatal(err)
+	}
+	c.Store.Transport = &afterWrite{RoundTripper: http.DefaultTransport, call: func() { s.Restore(snapshot) }}
+	s.SetFaults(fakestore.Faults{LoseReplies: 1})
+	if _, err := c.Apply(t.Context(), Request{Files: queue(3)}); kindOf(err) != KindUnknown {
+		t.Errorf("error %v, want kind %q", err, KindUnknown)
+	}
+}
