Refuse an apply to a store that has lost what is in force

With a clock that is behind that of the lost change, it is ignored by all daemons.

Cause: the command knew only the store, and daemons are ahead of it then.

Status has the order and prints the number of the change. The history drops all entries that a jump of the number leaves behind. Daemons that can't be asked are named.

TestApplyToStoreThatLostChanges holds the number, the order and the history where the clock of the lost change was ahead.

--- a/internal/cmd/settings/apply/apply.go
+++ b/internal/cmd/settings/apply/apply.go
@@ -16,6 +16,7 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/change"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -29,6 +30,8 @@
 	Message   string   `help:"Description of the change." required:""`
 	Author    string   `help:"Author of the change; the current user by default."`
 	Expect    int64    `help:"Revision that the change is based on; if another revision is in force, the command fails with a conflict." default:"-1"`
+	Daemon    []string `help:"Base URL of a daemon to ask what is in force, besides those registered in the store."`
+	Restored  bool     `help:"Apply although the store has lost a change that a daemon has in force, as after a restore from a snapshot."`
 	DryRun    bool     `help:"Print the difference without applying it."`
 	JSON      bool     `help:"Print the result as JSON." name:"json"`
 }
@@ -36,7 +39,7 @@
 // Help adds examples to the command's help.
 func (o *Options) Help() string {
 	return "The change is a single compare-and-swap: it takes effect as a whole or not at all.\n" +
-		"Exit codes: 3 if another change was applied first, 4 if the outcome is unknown.\n\n" +
+		"Exit codes: 3 if another change was applied first, or if the store has lost one, 4 if the outcome is unknown.\n\n" +
 		"Examples:\n  magnoliarelay settings apply ./settings --store http://127.0.0.1:2379 --message \"longer queues\"\n" +
 		"  magnoliarelay settings apply --number 41 --store http://127.0.0.1:2379 --message \"roll back\""
 }
@@ -48,10 +51,16 @@
 	if err != nil {
 		return err
 	}
+	// Daemons are asked first, so that what the store holds is later unless it has lost changes.
+	inForce, err := source.AskInForce(ctx, changer, o.Daemon)
+	if err != nil {
+		return source.WrapError("apply", err)
+	}
 	current, err := changer.Current(ctx)
 	if err != nil {
 		return source.WrapError("apply", err)
 	}
+	o.showLost(inForce, current)
 	difference := source.Diff(current.Files, files)
 	if o.DryRun {
 		o.Streams.PrintErrf("dry run against revision %d; nothing was written", current.Revision)
@@ -62,7 +71,7 @@
 	if o.Expect >= 0 {
 		expect = o.Expect
 	}
-	result, err := changer.Apply(ctx, change.Request{Files: files, Author: o.author(), Message: o.Message, Expect: &expect})
+	result, err := changer.Apply(ctx, change.Request{Files: files, Author: o.author(), Message: o.Message, Expect: &expect, InForce: inForce.Change, Restored: o.Restored})
 	if err != nil {
 		o.showConflict(ctx, changer, expect, files, err)
 		return source.WrapError("apply", err)
@@ -70,6 +79,17 @@
 	return o.report(result)
 }
 
+// showLost warns of changes that the store has lost, and of daemons that could not be asked.
+func (o *Options) showLost(inForce source.InForce, current epoch.Change) {
+	for _, err := range inForce.Failures {
+		o.Streams.PrintErrf("a daemon could not be asked what it has in force: %v", err)
+	}
+	if change.Behind(current, inForce.Change) {
+		o.Streams.PrintErrf("daemon %s has change %d (revision %d) in force, which the store has lost: its latest is change %d (revision %d)",
+			inForce.Daemon, inForce.Change.Number, inForce.Change.Revision, current.Number, current.Revision)
+	}
+}
+
 func (o *Options) report(result *change.Result) error {
 	if result.Resolved {
 		o.Streams.PrintErrf("the store's reply was lost, but the store contains the change")
--- a/internal/cmd/settings/source/source.go
+++ b/internal/cmd/settings/source/source.go
@@ -8,18 +8,27 @@
 package source
 
 import (
+	"context"
 	"errors"
 	"os"
+	"slices"
 	"strings"
+	"time"
 
 	"github.com/sergi/go-diff/diffmatchpatch"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/cmd/status"
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/change"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
+// askTimeout bounds the time that daemons have to say what they have in force.
+const askTimeout = 2 * time.Second
+
 // ReadDirectory reads and checks the settings tree in a directory.
 func ReadDirectory(path string) (tree.Files, *tree.Tree, error) {
 	files, err := tree.Read(os.DirFS(path))
@@ -44,7 +53,7 @@
 	var e *change.Error
 	if errors.As(err, &e) {
 		switch e.Kind {
-		case change.KindConflict:
+		case change.KindConflict, change.KindLost:
 			kind = term.KindConflict
 		case change.KindUnknown:
 			kind = term.KindUnknown
@@ -57,6 +66,51 @@
 	return &term.Error{Op: op, Kind: kind, Err: err}
 }
 
+// InForce is what daemons have answered about the change that they have in force.
+type InForce struct {
+	// Change is the latest one, without its files, and Daemon the name of a daemon that has
+	// it in force.
+	Change epoch.Change
+	Daemon string
+	// Failures are those of daemons that could not be asked.
+	Failures []error
+}
+
+// AskInForce asks the given daemons and those registered in the store.
+func AskInForce(ctx context.Context, changer *change.Change, daemons []string) (InForce, error) {
+	registered, err := changer.Daemons(ctx)
+	if err != nil {
+		return InForce{}, err
+	}
+	urls := slices.Compact(slices.Sorted(slices.Values(append(registered, daemons...))))
+	type reply struct {
+		status *daemon.Status
+		err    error
+	}
+	replies := make(chan reply, len(urls))
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, url := range urls {
+		go func() {
+			answer, err := status.Fetch(ctx, url)
+			replies <- reply{answer, err}
+		}()
+	}
+	var found InForce
+	for range urls {
+		r := <-replies
+		if r.err != nil {
+			found.Failures = append(found.Failures, r.err)
+			continue
+		}
+		if answer := r.status; answer.SettingsOrder > found.Change.Order {
+			found.Daemon = answer.Name
+			found.Change = epoch.Change{Number: answer.SettingsNumber, Order: answer.SettingsOrder, Revision: answer.SettingsRevision}
+		}
+	}
+	return found, nil
+}
+
 // Diff returns the lines that differ, file by file, or an empty string.
 func Diff(from, to tree.Files) string {
 	var out strings.Builder
--- a/internal/cmd/status/status.go
+++ b/internal/cmd/status/status.go
@@ -11,10 +11,12 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/cmd/term"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/daemon"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/fault"
 )
 
 const timeout = 5 * time.Second
@@ -34,15 +36,15 @@
 
 // Run fetches the status from the daemon and prints it.
 func (o *Options) Run(ctx context.Context) error {
-	status, err := o.fetch(ctx)
+	status, err := Fetch(ctx, o.Daemon)
 	if err != nil {
 		return &term.Error{Op: "status", Kind: term.KindFailed, Err: err}
 	}
 	if o.JSON {
 		return o.Streams.JSON(status)
 	}
-	o.Streams.PrintErrf("%s: %s %s, settings revision %d, %d idempotency keys, %d queries quarantined",
-		status.Name, status.State, status.Reason, status.SettingsRevision, status.IdempotencyKeys, status.Quarantined)
+	o.Streams.PrintErrf("%s: %s %s, settings revision %d, change %d, %d idempotency keys, %d queries quarantined",
+		status.Name, status.State, status.Reason, status.SettingsRevision, status.SettingsNumber, status.IdempotencyKeys, status.Quarantined)
 	members := o.Streams.Table("DAEMON", "STATE", "DATA CENTRE", "URL")
 	for _, m := range status.Members {
 		members.Row(m.Name, m.State, m.DataCentre, m.URL)
@@ -60,10 +62,11 @@
 	return services.Flush()
 }
 
-func (o *Options) fetch(ctx context.Context) (*daemon.Status, error) {
+// Fetch returns the status of the daemon at a base URL.
+func Fetch(ctx context.Context, url string) (*daemon.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, o.Daemon+"/v1/status", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(url, "/")+"/v1/status", nil)
 	if err != nil {
 		return nil, err
 	}
@@ -72,6 +75,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, fault.Causef("%s answered %s", url, response.Status)
+	}
 	var status daemon.Status
 	return &status, json.NewDecoder(response.Body).Decode(&status)
 }
--- a/internal/cmd/term/term.go
+++ b/internal/cmd/term/term.go
@@ -34,7 +34,7 @@
 	KindFailed Kind = "Failed"
 	// KindUsage exits with 2.
 	KindUsage Kind = "Usage"
-	// KindConflict exits with 3: another change was applied first.
+	// KindConflict exits with 3: another change was applied first, or the store has lost one.
 	KindConflict Kind = "Conflict"
 	// KindUnknown exits with 4: the outcome is unknown.
 	KindUnknown Kind = "Unknown"
--- a/internal/process/daemon/status.go
+++ b/internal/process/daemon/status.go
@@ -18,6 +18,7 @@
 	UptimeMillis     int64
 	SettingsRevision int64
 	SettingsNumber   int64
+	SettingsOrder    int64
 	Watching         bool
 	IdempotencyKeys  int
 	Quarantined      int
@@ -63,7 +64,7 @@
 	sent, heard := d.link.Bytes()
 	s := &Status{
 		Name: d.self.Name, Ready: ready, Reason: reason, State: d.Table.Self(now).State.String(),
-		UptimeMillis: d.uptime().Milliseconds(), SettingsRevision: e.Change.Revision, SettingsNumber: e.Change.Number,
+		UptimeMillis: d.uptime().Milliseconds(), SettingsRevision: e.Change.Revision, SettingsNumber: e.Change.Number, SettingsOrder: e.Change.Order,
 		Watching: d.watch != nil && d.watch.Chosen(now), IdempotencyKeys: d.home.Keys(), Quarantined: d.Poison.Count(now),
 		LinkBytesSent: sent, LinkBytesHeard: heard, Violations: d.Meter.ViolationCounts(),
 	}
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -277,18 +277,28 @@
 
 // Seeds returns the link addresses of the daemons registered in the store.
 func Seeds(ctx context.Context, s *store.Store) ([]string, error) {
+	members, err := Members(ctx, s)
+	var links []string
+	for i := range members {
+		links = append(links, members[i].Link)
+	}
+	return links, err
+}
+
+// Members returns the daemons registered in the store.
+func Members(ctx context.Context, s *store.Store) ([]member.Member, error) {
 	items, err := s.List(ctx, MembersPrefix)
 	if err != nil {
 		return nil, err
 	}
-	var links []string
+	var members []member.Member
 	for i := range items {
 		var m member.Member
 		if codec.Decode(items[i].Value, &m) == nil {
-			links = append(links, m.Link)
+			members = append(members, m)
 		}
 	}
-	return links, nil
+	return members, nil
 }
 
 func newBackoff() *backoff.ExponentialBackOff {
--- a/internal/version/change/change.go
+++ b/internal/version/change/change.go
@@ -42,6 +42,9 @@
 	KindUnavailable Kind = "Unavailable"
 	// KindUnknown means that it is unknown whether the change took effect.
 	KindUnknown Kind = "Unknown"
+	// KindLost means that a daemon has a later change in force than the store holds;
+	// nothing was written.
+	KindLost Kind = "Lost"
 	// KindNotFound means that the history has no change with the number.
 	KindNotFound Kind = "NotFound"
 )
@@ -69,6 +72,12 @@
 	// Expect is the revision that the change is based on; nil means the one in force
 	// when Apply starts.
 	Expect *int64
+	// InForce is the latest change that a daemon has in force, without its files. The zero
+	// value means that none is known.
+	InForce epoch.Change
+	// Restored allows a change of a store that has lost the one in force. The new change is
+	// ordered after it.
+	Restored bool
 }
 
 // Result is a change that took effect.
@@ -107,9 +116,14 @@
 	if request.Expect != nil && *request.Expect != current.Revision {
 		return nil, conflict(*request.Expect, current)
 	}
+	inForce := request.InForce
+	if !request.Restored && Behind(current, inForce) {
+		return nil, &Error{Op: "apply", Kind: KindLost, Err: fault.Causef("the store has lost changes after %d, up to %d; "+
+			"make sure that the tree holds what they did, then apply it as restored (--restored)", current.Number, inForce.Number)}
+	}
 	now := time.Now().UnixMilli()
 	change := epoch.Change{
-		Number: current.Number + 1, Order: max(now, current.Order+1), ID: uuid.NewString(),
+		Number: max(current.Number, inForce.Number) + 1, Order: max(now, current.Order+1, inForce.Order+1), ID: uuid.NewString(),
 		Author: request.Author, Message: request.Message, UnixMillis: now, Files: request.Files,
 	}
 	value, err := codec.Encode(&change)
@@ -120,8 +134,8 @@
 		Key: watch.SettingsKey, Expect: current.Revision, Value: value,
 		Also: []store.Item{{Key: historyKey(change.Number), Value: value}},
 	}
-	if change.Number > maxHistory {
-		swap.Drop = []string{historyKey(change.Number - maxHistory)}
+	for n := max(1, current.Number+1-maxHistory); n <= min(current.Number, change.Number-maxHistory); n++ {
+		swap.Drop = append(swap.Drop, historyKey(n))
 	}
 	revision, err := c.Store.Swap(ctx, swap)
 	if err == nil {
@@ -131,6 +145,10 @@
 	return c.resolve(ctx, change, current.Revision, err)
 }
 
+// Behind reports whether the store, with the given current change, has lost a change that a
+// daemon has in force.
+func Behind(current, inForce epoch.Change) bool { return inForce.Order > current.Order }
+
 // resolve determines the outcome of a write that returned an error.
 func (c *Change) resolve(ctx context.Context, change epoch.Change, base int64, cause error) (*Result, error) {
 	var e *store.Error
@@ -170,6 +188,19 @@
 	return &Error{Op: "apply", Kind: KindConflict, Err: cause}
 }
 
+// Daemons returns the base URLs of the daemons that are registered in the store.
+func (c *Change) Daemons(ctx context.Context) ([]string, error) {
+	members, err := watch.Members(ctx, c.Store)
+	if err != nil {
+		return nil, &Error{Op: "read daemons", Kind: KindUnavailable, Err: err}
+	}
+	urls := make([]string, 0, len(members))
+	for i := range members {
+		urls = append(urls, members[i].URL)
+	}
+	return urls, nil
+}
+
 // History returns the changes in the store, oldest first.
 func (c *Change) History(ctx context.Context) ([]epoch.Change, error) {
 	items, err := c.Store.List(ctx, watch.HistoryPrefix)
--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -226,6 +226,45 @@
 	}
 }
 
+// Guards against an apply that undoes, without a word, changes that daemons have in force and
+// the store has lost, and against one that is then ordered before them.
+func TestApplyToStoreThatLostChanges(t *testing.T) {
+	s, c := newStore(t)
+	for n := range maxHistory + 2 {
+		if _, err := c.Apply(t.Context(), Request{Files: queue(n)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	snapshot := s.Snapshot()
+	// The clock of whoever applied the last lost change was ahead.
+	inForce := epoch.Change{Number: maxHistory + 5, Order: time.Now().Add(time.Hour).UnixMilli(), Revision: 90}
+	s.Restore(snapshot)
+	request := Request{Files: queue(200), InForce: inForce}
+	if _, err := c.Apply(t.Context(), request); kindOf(err) != KindLost {
+		t.Fatalf("error %v, want kind %q", err, KindLost)
+	}
+	if current, err := c.Current(t.Context()); err != nil || current.Number != maxHistory+2 {
+		t.Fatalf("change %d was written, %v", current.Number, err)
+	}
+	request.Restored = true
+	result, err := c.Apply(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Change.Number != inForce.Number+1 || !result.Change.Stamp().After(inForce.Stamp()) {
+		t.Errorf("change %d, order %d after change %d, order %d", result.Change.Number, result.Change.Order, inForce.Number, inForce.Order)
+	}
+	history, err := c.History(t.Context())
+	if err != nil || history[0].Number <= result.Change.Number-maxHistory {
+		t.Errorf("the history begins with change %d, %v", history[0].Number, err)
+	}
+	request.InForce = result.Change
+	request.Restored = false
+	if _, err := c.Apply(t.Context(), request); err != nil {
+		t.Errorf("the next change: %v", err)
+	}
+}
+
 // afterWrite calls a function after each transaction, before its reply is passed on.
 type afterWrite struct {
 	http.RoundTripper
