Log that the store has lost the change in force

Change: a daemon that reads the settings compares them with what it had in force before it asked. It logs once that the store holds an earlier change, and counts StoreBehind at each read.

Evidence: TestLostChangeIsReported; the line comes once for each of its two restores.

--- a/internal/process/watch/restore_test.go
+++ b/internal/process/watch/restore_test.go
@@ -1,6 +1,9 @@
 package watch_test
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +143,45 @@
 		}
 	})
 }
+
+// reports returns the metric line that counts how often the store was behind, or an empty line.
+func (f *fixture) reports() string {
+	page := httptest.NewRecorder()
+	f.meter.Handler().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	for line := range strings.Lines(page.Body.String()) {
+		if strings.Contains(line, `"StoreBehind"`) {
+			return line
+		}
+	}
+	return ""
+}
+
+// Guards against a store that has lost what is in force without a sign of it at the daemons.
+func TestLostChangeIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := start(t)
+		defer f.cancel()
+		f.waitForRevision(maxChangeDelay, f.apply(1))
+		snapshot := f.store.Snapshot()
+		f.waitForRevision(maxChangeDelay, f.apply(2))
+		time.Sleep(time.Minute)
+		last := f.reports()
+		if last != "" {
+			t.Errorf("%q before the restore", last)
+		}
+		for range 2 {
+			f.store.Restore(snapshot)
+			time.Sleep(maxChangeDelay)
+			if got := f.reports(); got == last {
+				t.Errorf("no report %v after the restore", maxChangeDelay)
+			}
+			f.apply(3)
+			time.Sleep(maxChangeDelay)
+			last = f.reports()
+			time.Sleep(time.Minute)
+			if got := f.reports(); got != last {
+				t.Errorf("%q, and %q after the next change had been in force for a minute", last, got)
+			}
+		}
+	})
+}
--- a/internal/process/watch/watch.go
+++ b/internal/process/watch/watch.go
@@ -16,6 +16,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -72,6 +73,9 @@
 	Clock func() time.Time
 	// ApplySettings is called with each change that the store returns.
 	ApplySettings func(epoch.Change)
+
+	// behind is the order of the change in force for which the log says that the store lacks it.
+	behind atomic.Int64
 }
 
 // Run watches while this daemon is chosen, until the context ends.
@@ -164,25 +168,45 @@
 
 func (w *Watch) read(ctx context.Context) (int64, error) {
 	asked := w.Clock()
+	inForce := w.Keeper.Current().Change
 	item, err := w.Store.Get(ctx, SettingsKey)
 	if err != nil {
 		return 0, err
 	}
-	w.apply(item)
+	if change, readable := w.apply(item); readable {
+		w.reportLost(inForce, change)
+	}
 	w.Fresh.Confirm(asked, stamp.Stamp{Revision: item.Revision})
 	return item.Revision, nil
 }
 
-func (w *Watch) apply(item store.Item) {
+// apply passes the change of an item to ApplySettings. The change is zero if the store
+// has none.
+func (w *Watch) apply(item store.Item) (change epoch.Change, readable bool) {
 	if item.Revision == 0 {
-		return
+		return epoch.Change{}, true
 	}
 	change, err := Decode(item)
 	if err != nil {
 		klog.Errorf("the store's settings at revision %d cannot be read: %v", item.Revision, err)
-		return
+		return epoch.Change{}, false
 	}
 	w.ApplySettings(change)
+	return change, true
+}
+
+// reportLost logs, once for each change, that the store holds an earlier one than was in force
+// when the store was asked.
+func (w *Watch) reportLost(inForce, held epoch.Change) {
+	if inForce.Order <= held.Order {
+		w.behind.Store(0)
+		return
+	}
+	w.Meter.CountDecision("StoreBehind")
+	if w.behind.Swap(inForce.Order) != inForce.Order {
+		klog.InfoS("the store has lost the change in force, which stays in force until a later one is applied", "change", inForce.Number,
+			"revision", inForce.Revision, "storeChange", held.Number, "storeRevision", held.Revision)
+	}
 }
 
 // Decode decodes a change from an item of the store.
@@ -232,7 +256,7 @@
 			}
 		}
 	}()
-	return w.Store.Watch(ctx, SettingsKey, revision+1, w.apply)
+	return w.Store.Watch(ctx, SettingsKey, revision+1, func(item store.Item) { w.apply(item) })
 }
 
 // register keeps this daemon's key in the store, where new daemons find it as a
--- a/internal/process/watch/watch_test.go
+++ b/internal/process/watch/watch_test.go
@@ -28,6 +28,7 @@
 	client *store.Store
 	keeper *epoch.Keeper
 	fresh  *fresh.Tracker
+	meter  *meter.Meter
 	cancel context.CancelFunc
 }
 
@@ -49,6 +50,7 @@
 			}
 		},
 	}
+	f.meter = w.Meter
 	w.Table.Merge(time.Now(), others)
 	ctx, cancel := context.WithCancel(t.Context())
 	f.cancel = cancel
