--- a/internal/version/change/change_test.go
+++ b/internal/version/change/change_test.go
@@ -5,13 +5,18 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/magnoliarelay/magnoliarelay/internal/conn/codec"
 	fakestore "github.com/magnoliarelay/magnoliarelay/internal/fake/store"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/store"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/watch"
+	"github.com/magnoliarelay/magnoliarelay/internal/version/epoch"
 	"github.com/magnoliarelay/magnoliarelay/pkg/tree"
 )
 
@@ -178,3 +183,117 @@
 		t.Errorf("a dropped change gives %v", err)
 	}
 }
+
+// Guards against a change that is ordered before the one that it replaces because the clock of
+// its operator is behind that of the operator before.
+func TestOrderRisesWhenClocksDisagree(t *testing.T) {
+	s, c := newStore(t)
+	ahead := epoch.Change{Number: 1, Order: time.Now().Add(time.Hour).UnixMilli(), Files: queue(1)}
+	value, err := codec.Encode(&ahead)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Store.Swap(t.Context(), store.Swap{Key: watch.SettingsKey, Value: value}); err != nil {
+		t.Fatal(err)
+	}
+	s.SetFaults(fakestore.Faults{LoseReplies: 1})
+	for n := range 3 {
+		result, err := c.Apply(t.Context(), Request{Files: queue(2 + n)})
+		if err != nil || result.Change.Order <= ahead.Order {
+			t.Fatalf("order %d after %d, %v", result.Change.Order, ahead.Order, err)
+		}
+		ahead = result.Change
+	}
+}
+
+// Guards against a change that is ordered before one that an earlier version of the command wrote.
+func TestOrderRisesAfterChangeWithoutOrder(t *testing.T) {
+	_, c := newStore(t)
+	value, err := codec.Encode(&epoch.Change{Number: 7, UnixMillis: time.Now().Add(time.Hour).UnixMilli(), Files: queue(1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Store.Swap(t.Context(), store.Swap{Key: watch.SettingsKey, Value: value}); err != nil {
+		t.Fatal(err)
+	}
+	before, err := c.Current(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := c.Apply(t.Context(), Request{Files: queue(2)})
+	if err != nil || !result.Change.Stamp().After(before.Stamp()) {
+		t.Errorf("%v after %v, %v", result, before.Stamp(), err)
+	}
+}
+
+// Guards against an apply that undoes, without a word, changes that daemons have in force and
+// the store has lost, and against one that is then ordered before them.
+func TestApplyToStoreThatLostChanges(t *testing.T) {
+	s, c := newStore(t)
+	for n := range maxHistory + 2 {
+		if _, err := c.Apply(t.Context(), Request{Files: queue(n)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	snapshot := s.Snapshot()
+	// The clock of whoever applied the last lost change was ahead.
+	inForce := epoch.Change{Number: maxHistory + 5, Order: time.Now().Add(time.Hour).UnixMilli(), Revision: 90}
+	s.Restore(snapshot)
+	request := Request{Files: queue(200), InForce: inForce}
+	if _, err := c.Apply(t.Context(), request); kindOf(err) != KindLost {
+		t.Fatalf("error %v, want kind %q", err, KindLost)
+	}
+	if current, err := c.Current(t.Context()); err != nil || current.Number != maxHistory+2 {
+		t.Fatalf("change %d was written, %v", current.Number, err)
+	}
+	request.Restored = true
+	result, err := c.Apply(t.Context(), request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Change.Number != inForce.Number+1 || !result.Change.Stamp().After(inForce.Stamp()) {
+		t.Errorf("change %d, order %d after change %d, order %d", result.Change.Number, result.Change.Order, inForce.Number, inForce.Order)
+	}
+	history, err := c.History(t.Context())
+	if err != nil || history[0].Number <= result.Change.Number-maxHistory {
+		t.Errorf("the history begins with change %d, %v", history[0].Number, err)
+	}
+	request.InForce = result.Change
+	request.Restored = false
+	if _, err := c.Apply(t.Context(), request); err != nil {
+		t.Errorf("the next change: %v", err)
+	}
+}
+
+// afterWrite calls a function after each transaction, before its reply is passed on.
+type afterWrite struct {
+	http.RoundTripper
+
+	call func()
+}
+
+func (a *afterWrite) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := a.RoundTripper.RoundTrip(r)
+	if strings.HasSuffix(r.URL.Path, "/txn") {
+		a.call()
+	}
+	return response, err
+}
+
+// Guards against an apply that says "nothing was written" where its reply was lost and the store
+// was put back before the outcome was read: daemons may have the change in force.
+func TestOutcomeIsUnknownIfStoreIsRestoredMeanwhile(t *testing.T) {
+	s, c := newStore(t)
+	if _, err := c.Apply(t.Context(), Request{Files: queue(1)}); err != nil {
+		t.Fatal(err)
+	}
+	snapshot := s.Snapshot()
+	if _, err := c.Apply(t.Context(), Request{Files: queue(2)}); err != nil {
+		t.Fatal(err)
+	}
+	c.Store.Transport = &afterWrite{RoundTripper: http.DefaultTransport, call: func() { s.Restore(snapshot) }}
+	s.SetFaults(fakestore.Faults{LoseReplies: 1})
+	if _, err := c.Apply(t.Context(), Request{Files: queue(3)}); kindOf(err) != KindUnknown {
+		t.Errorf("error %v, want kind %q", err, KindUnknown)
+	}
+}
