--- a/internal/process/roster/held_test.go
+++ b/internal/process/roster/held_test.go
@@ -100,7 +100,7 @@
 		t.Run(name, func(t *testing.T) {
 			r, _ := putBack([]Entry{target("a", 1, 1, 10), removed(1, 35)}, []Entry{target("a", 1, 2, 10)})
 			learn(r, start.Add(time.Second))
-			r.Expire(start.Add(2 * copyGrace), 0)
+			r.Expire(start.Add(2*copyGrace), 0)
 			if got, want := states(r), "other:1:ready "; got != want {
 				t.Errorf("%q, want %q", got, want)
 			}
--- a/internal/process/roster/review_test.go
+++ b/internal/process/roster/review_test.go
@@ -70,7 +70,7 @@
 	follower, _ := putBack(left, []Entry{target("a", 1, 2, 10)})
 	again := start.Add(copyGrace - time.Second)
 	follower.Replace(again, []Entry{target("other", 1, 3, 5), target("a", 1, 3, 10)}, in(3, copied))
-	follower.Expire(again.Add(copyGrace - time.Second), 0)
+	follower.Expire(again.Add(copyGrace-time.Second), 0)
 	if got, want := states(follower), "a:1:leaving other:1:ready "; got != want {
 		t.Errorf("%q, want %q", got, want)
 	}
@@ -83,7 +83,7 @@
 	follower.Apply(start, []Entry{target("a", 1, 2, 22)}, in(2, 22))
 	follower.Apply(start, []Entry{leaving(target("a", 1, 2, 24))}, in(2, 24))
 	follower.Replace(start.Add(time.Second), []Entry{target("other", 1, 3, 5), target("a", 1, 3, 35)}, in(3, 38))
-	follower.Expire(start.Add(2 * time.Second), 0)
+	follower.Expire(start.Add(2*time.Second), 0)
 	if got, want := states(follower), "a:1:leaving other:1:ready "; got != want {
 		t.Errorf("%q, want %q", got, want)
 	}
@@ -132,7 +132,7 @@
 	back := start.Add(copyGrace - time.Second)
 	follower.StoreRecovered(back)
 	follower.Replace(back, []Entry{target("other", 1, 2, 5), target("a", 1, 2, 10)}, in(2, copied))
-	follower.Expire(back.Add(recoveryGrace - time.Millisecond), 0)
+	follower.Expire(back.Add(recoveryGrace-time.Millisecond), 0)
 	if got, want := states(follower), "other:1:ready "; got != want {
 		t.Errorf("%q, want %q", got, want)
 	}
