Answer with all registrations to any state before a list

Now all states before a list get all registrations. The cost in a large tier, one full list for each daemon that lags when its follower reads a list after missed changes, was not measured.

--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -95,13 +95,10 @@
 	pools   map[string]map[string]struct{}
 	centres map[string]int
 	// removals are past removals, oldest first, each with the start of the target that was
-	// removed. dropped is the latest stamp among those that were dropped to stay
-	// within maxRemovals.
-	removals []Entry
-	dropped  stamp.Stamp
-	// skipped is the last part of the history that was replaced by a list: the roster
-	// lacks the removals of targets that were registered within it.
-	skipped   span
+	// removed. dropped is the latest stamp before which removals may be missing: some
+	// were dropped to stay within maxRemovals, or are in no list.
+	removals  []Entry
+	dropped   stamp.Stamp
 	pending   map[string]pendingRemoval
 	graceEnds time.Time
 	// held are registrations from an older copy of the store that contradict what is
@@ -115,9 +112,6 @@
 	until time.Time
 }
 
-// span is the history between two stamps.
-type span struct{ from, to stamp.Stamp }
-
 // New returns an empty roster.
 func New() *Roster {
 	return &Roster{
@@ -178,8 +172,8 @@
 		r.extendGraceLocked(now.Add(recoveryGrace))
 	}
 	if complete.After(r.stamp) {
-		r.dropped = r.dropped.Max(r.skipped.to)
-		r.skipped = span{from: r.stamp, to: complete}
+		// A list lacks the removals of targets that were registered since the last state.
+		r.dropped = complete
 	}
 	var pools []string
 	listed := make(map[string]bool, len(list))
@@ -365,7 +359,7 @@
 func (r *Roster) Since(now time.Time, base stamp.Stamp) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if base.Era != r.stamp.Era || r.dropped.After(base) || base.After(r.skipped.from) && r.skipped.to.After(base) {
+	if base.Era != r.stamp.Era || r.dropped.After(base) {
 		base = stamp.Stamp{}
 	}
 	d := Delta{Base: base, Stamp: r.stamp, GraceMillis: max(0, r.graceEnds.Sub(now).Milliseconds())}
