Show statements that are lost between two followers (failing)

TestStatementWrittenAgainBetweenTwoListsIsPassedOn: two followers read the store before and after a target writes again, at a revision not above the known one, what was known of it. The second keeps the stamp of the earlier era, so daemons that have the list of the first never get it: one that leaves is used again for good ten seconds after the return, one that lives is lost for good after two.

--- a/internal/process/roster/review_test.go
+++ b/internal/process/roster/review_test.go
@@ -137,3 +137,36 @@
 		t.Errorf("%q, want %q", got, want)
 	}
 }
+
+// Two followers read the store at different moments after its return. Guards against a statement that is
+// written again between them, is the same as was known, and does not reach daemons that have the first follower's
+// list: a target that leaves is used again, and one that lives is lost.
+func TestStatementWrittenAgainBetweenTwoListsIsPassedOn(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		before []Entry
+		copied []Entry
+		again  Entry
+		want   string
+	}{
+		{"leaves", []Entry{target("a", 1, 1, 10), leaving(target("a", 1, 1, 35))}, []Entry{target("a", 1, 2, 10)}, leaving(target("a", 1, 2, 22)), "a:1:leaving "},
+		{"lives", []Entry{target("a", 1, 1, 35)}, nil, target("a", 1, 2, 22), "a:1:ready "},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			early, late, peer := New(), New(), New()
+			for _, r := range []*Roster{early, late, peer} {
+				r.Apply(start, tt.before, in(1, known))
+			}
+			early.Replace(start, tt.copied, in(2, copied))
+			carry(start, early, peer)
+			late.Replace(start.Add(time.Second), []Entry{tt.again}, in(2, copied+5))
+			carry(start.Add(time.Second), late, peer)
+			expire(start.Add(2*copyGrace), late, peer)
+			for name, r := range map[string]*Roster{"late follower": late, "peer": peer} {
+				if got := states(r); got != tt.want || r.Stamp() != in(2, copied+5) {
+					t.Errorf("%s: %q at %v, want %q", name, got, r.Stamp(), tt.want)
+				}
+			}
+		})
+	}
+}
