Pass on registrations that are read again unchanged

What was read unchanged in a new era kept the stamp of the earlier one, so that the target's own word since was not forgotten. Differences and lists then lacked it: a daemon with the list of another follower never learnt that a target had written its leaving again, and used it ten seconds after the return, or lost one that lived after two, for good. One that knew otherwise, from its own earlier era, kept that for good.

A registration now has the stamp at which it was read, by which daemons pass it on, and that of the statement, by which a target is used.

--- a/internal/process/fleet/registered.go
+++ b/internal/process/fleet/registered.go
@@ -116,7 +116,7 @@
 // last one. An older one must not override what the target itself has reported
 // since.
 func (f *Fleet) applyEntry(t *Target, e *roster.Entry) {
-	registration := e.Stamp()
+	registration := e.Statement()
 	if !registration.After(t.Registered()) {
 		return
 	}
--- a/internal/process/fleet/registered_test.go
+++ b/internal/process/fleet/registered_test.go
@@ -271,3 +271,18 @@
 		t.Errorf("picked %s though it leaves", got)
 	}
 }
+
+// Guards against a target that has said itself that it is gone, and is used again since its registration
+// was read again, unchanged, in a new era of the store.
+func TestRegistrationReadAgainKeepsTheTargetsWord(t *testing.T) {
+	f, g := pool()
+	near := g.pickAt(start).Target
+	g.Finish(start, near, 0, Gone, 0.001, nil)
+	f.SetEntries(start, []roster.Entry{
+		{ID: "far", Pool: "p", Address: "b", DataCentre: "there", Slots: 2, Revision: 2},
+		{ID: "near", Pool: "p", Address: "a", DataCentre: "here", Slots: 2, Revision: 9, Era: 1, Stated: near.Registered()},
+	}, func(dataCentre string) string { return dataCentre })
+	if got := g.pickAt(start).Target.ID; got != "far" {
+		t.Errorf("picked %s though it has said that it is gone", got)
+	}
+}
--- a/internal/process/roster/held_test.go
+++ b/internal/process/roster/held_test.go
@@ -48,14 +48,18 @@
 
 // Guards against a target that the copy has as it was known, and whose own word since, that it leaves, is
 // forgotten with its registration of the new era.
-func TestUnchangedRegistrationKeepsItsStamp(t *testing.T) {
+func TestUnchangedRegistrationKeepsItsStatement(t *testing.T) {
 	r := New()
 	r.Apply(start, []Entry{target("a", 1, 1, 10)}, in(1, known))
-	if changed := r.Replace(start, []Entry{target("a", 1, 2, 10)}, in(2, copied)); len(changed) > 0 {
-		t.Errorf("changed %v", changed)
+	for era := int64(2); era <= 3; era++ {
+		r.Replace(start, []Entry{target("a", 1, era, 10)}, in(era, copied))
+		if e := r.Pool("p")[0]; e.Statement() != in(1, 10) || e.Stamp() != in(era, 10) {
+			t.Errorf("stamp %v, statement %v", e.Stamp(), e.Statement())
+		}
 	}
-	if e := r.Pool("p")[0]; e.Stamp() != in(1, 10) {
-		t.Errorf("stamp %v", e.Stamp())
+	r.Apply(start, []Entry{target("a", 1, 3, 25)}, in(3, 25))
+	if e := r.Pool("p")[0]; e.Statement() != in(3, 25) {
+		t.Errorf("a new statement is of %v", e.Statement())
 	}
 }
 
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -62,11 +62,22 @@
 	Era      int64
 	// Gone is true for a registration that was removed.
 	Gone bool
+	// Stated is the stamp of the registration in an earlier era from which it was read again
+	// unchanged; zero if it was not.
+	Stated stamp.Stamp
 }
 
 // Stamp orders the registration among others of the same ID.
 func (e *Entry) Stamp() stamp.Stamp { return stamp.Stamp{Era: e.Era, Revision: e.Revision} }
 
+// Statement returns the stamp at which the target has made the statement.
+func (e *Entry) Statement() stamp.Stamp {
+	if e.Stated == (stamp.Stamp{}) {
+		return e.Stamp()
+	}
+	return e.Stated
+}
+
 // Delta holds the changes after the stamp Base. If Base is zero, it holds all
 // registrations.
 type Delta struct {
@@ -178,14 +189,14 @@
 	var pools []string
 	listed := make(map[string]bool, len(list))
 	for i := range list {
-		e := &list[i]
+		e := list[i]
 		listed[e.ID] = true
 		switch {
 		case e.Gone && e.Era < complete.Era:
 			// A peer knows of the removal from an earlier era. It has waited as long as it had to.
-			pools = r.remove(e, pools)
-		case e.Gone || !r.hold(now, e):
-			pools = r.apply(now, e, pools)
+			pools = r.remove(&e, pools)
+		case e.Gone || !r.hold(now, &e):
+			pools = r.apply(now, &e, pools)
 		}
 	}
 	for id, e := range r.entries {
@@ -205,6 +216,7 @@
 
 // hold reports whether a registration in a list may be from an older copy of the store and
 // contradicts newer knowledge of an earlier era. It then counts from the end of copyGrace on.
+// If the registration says what is known, hold records since when.
 func (r *Roster) hold(now time.Time, e *Entry) bool {
 	known, registered := r.entries[e.ID]
 	if !registered {
@@ -225,10 +237,10 @@
 		return false
 	}
 	same := *e
-	same.Era, same.Revision = known.Era, known.Revision
+	same.Era, same.Revision, same.Stated = known.Era, known.Revision, known.Stated
 	if registered && same == known {
-		delete(r.pending, e.ID)
-		return true
+		e.Stated = known.Statement()
+		return false
 	}
 	if e.Born > known.Born || e.Born == known.Born && registered && !leaves {
 		return false
