--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -75,6 +75,9 @@
 	Base    stamp.Stamp
 	Stamp   stamp.Stamp
 	Entries []Entry
+	// Skipped is the end of the last gap after Base, which the receiver has as well; zero
+	// if there is none.
+	Skipped stamp.Stamp
 	// GraceMillis is how long removals are still deferred after an outage of the
 	// store.
 	GraceMillis int64
@@ -203,8 +206,22 @@
 			pools = r.apply(now, &Entry{ID: id, Revision: complete.Revision, Era: complete.Era, Gone: true}, pools)
 		}
 	}
+	pools = r.endHeld(held, complete, pools)
+	for id, p := range r.pending {
+		if listed[id] && !gone[id] && !p.entry.Stamp().After(complete) {
+			delete(r.pending, id)
+		}
+	}
+	r.skip(complete)
+	r.stamp = r.stamp.Max(complete)
+	return pools
+}
+
+// endHeld ends the registrations that a list no longer holds back. A removal tells peers that
+// hold them too.
+func (r *Roster) endHeld(still map[string]bool, complete stamp.Stamp, pools []string) []string {
 	for id, h := range r.held {
-		if held[id] || h.entry.Stamp().After(complete) {
+		if still[id] || h.entry.Stamp().After(complete) {
 			continue
 		}
 		delete(r.held, id)
@@ -212,13 +229,6 @@
 			pools = r.remove(&Entry{ID: id, Revision: complete.Revision, Era: complete.Era, Gone: true}, pools)
 		}
 	}
-	for id, p := range r.pending {
-		if listed[id] && !gone[id] && !p.entry.Stamp().After(complete) {
-			delete(r.pending, id)
-		}
-	}
-	r.skip(complete)
-	r.stamp = r.stamp.Max(complete)
 	return pools
 }
 
@@ -238,6 +248,17 @@
 	}
 }
 
+// lastGapAfter returns the end of the last gap that ends after the stamp, or zero.
+func (r *Roster) lastGapAfter(at stamp.Stamp) stamp.Stamp {
+	if len(r.gaps) == 0 {
+		return stamp.Stamp{}
+	}
+	if last := r.gaps[len(r.gaps)-1].before; last.After(at) {
+		return last
+	}
+	return stamp.Stamp{}
+}
+
 // inGap reports whether changes after the stamp are not known.
 func (r *Roster) inGap(at stamp.Stamp) bool {
 	return slices.ContainsFunc(r.gaps, func(g gap) bool { return at.After(g.after) && g.before.After(at) })
@@ -422,7 +443,7 @@
 	if base.Era != r.stamp.Era || r.dropped.After(base) || r.inGap(base) {
 		base = stamp.Stamp{}
 	}
-	d := Delta{Base: base, Stamp: r.stamp, GraceMillis: max(0, r.graceEnds.Sub(now).Milliseconds())}
+	d := Delta{Base: base, Stamp: r.stamp, Skipped: r.lastGapAfter(base), GraceMillis: max(0, r.graceEnds.Sub(now).Milliseconds())}
 	add := func(e *Entry) {
 		if e.Stamp().After(base) {
 			d.Entries = append(d.Entries, *e)
@@ -462,6 +483,9 @@
 	case d.Base.After(r.Stamp()) || d.Base.Era != r.Stamp().Era:
 		return nil
 	}
+	r.mu.Lock()
+	r.skip(d.Skipped)
+	r.mu.Unlock()
 	return r.Apply(now, d.Entries, d.Stamp)
 }
 
