Ask peers at the start which targets of a copy have left

Found by the review: a daemon that restarts after the return of the store reads the copy, is then at the stamp of its peers, and never hears what they know better.

Cause: daemons exchange what differs between stamps, and what a roster holds back is no difference.

Change: a daemon that starts asks a peer for what it knows of registrations that it holds, until one has its record and answers. The answer is empty in any other case.

TestStartedDaemonWithholdsWhatOthersDo has the cases.

--- a/internal/process/gossip/entries.go
+++ b/internal/process/gossip/entries.go
@@ -13,7 +13,12 @@
 	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
 
-type entriesRequest struct{ Have stamp.Stamp }
+type entriesRequest struct {
+	Have stamp.Stamp
+	// Withheld asks for what the daemon knows of targets whose registrations it holds back, and
+	// for nothing else.
+	Withheld bool
+}
 
 // compareRosters fetches registrations from a peer that has a newer roster, or
 // sends a heartbeat to a peer that has an older one.
@@ -42,25 +47,44 @@
 }
 
 func (g *Gossip) fetchEntriesFrom(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	// If it fails, the next heartbeat from a daemon with a newer roster triggers another attempt.
+	if delta, ok := g.askEntries(context.Background(), address, &entriesRequest{Have: g.Roster.Stamp()}); ok {
+		g.announceRegistrations(g.Roster.Merge(time.Now(), *delta), address)
+	}
+}
+
+// FetchWithheld asks daemons, one after the other until one answers, which registrations in the
+// store are from an older copy and contradict what the daemon knows. It reports whether one has
+// answered.
+func (g *Gossip) FetchWithheld(ctx context.Context, addresses []string) bool {
+	for _, address := range addresses {
+		if delta, ok := g.askEntries(ctx, address, &entriesRequest{Withheld: true}); ok {
+			g.announceRegistrations(g.Roster.Withhold(time.Now(), delta.Entries), address)
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gossip) askEntries(ctx context.Context, address string, request *entriesRequest) (*roster.Delta, bool) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	body, err := codec.Encode(&entriesRequest{Have: g.Roster.Stamp()})
+	body, err := codec.Encode(request)
 	if err != nil {
 		klog.ErrorS(err, "cannot encode the request for registrations")
-		return
+		return nil, false
 	}
 	reply, err := g.Link.Ask(ctx, address, link.Entries, body)
 	if err != nil {
-		// The next heartbeat from a daemon with a newer roster triggers another attempt.
 		g.Meter.CountDecision("RegistrationsNotFetched")
-		return
+		return nil, false
 	}
 	var delta roster.Delta
 	if err := codec.Unpack(reply, &delta); err != nil {
 		g.Meter.CountDecision("DropMalformedRegistrations")
-		return
+		return nil, false
 	}
-	g.announceRegistrations(g.Roster.Merge(time.Now(), delta), address)
+	return &delta, true
 }
 
 // AnnounceRegistrations announces that registrations of some pools have changed in the
@@ -80,7 +104,11 @@
 	if err := codec.Decode(body, &request); err != nil || g.Roster == nil {
 		return nil
 	}
-	reply, err := codec.Pack(g.Roster.Since(time.Now(), request.Have))
+	delta := g.Roster.Since(time.Now(), request.Have)
+	if request.Withheld {
+		delta = roster.Delta{Entries: g.Roster.Withheld()}
+	}
+	reply, err := codec.Pack(delta)
 	if err != nil {
 		klog.ErrorS(err, "cannot encode the registrations for a peer")
 		return nil
--- a/internal/process/node/life.go
+++ b/internal/process/node/life.go
@@ -26,9 +26,23 @@
 	n.Log.State("ready", "uptimeMillis", time.Since(n.started).Milliseconds(), "members", n.Table.Live(),
 		"targets", n.Roster.Len(), "revision", n.Keeper.Current().Change.Revision)
 	n.awaitRegistration(ctx)
+	if !n.Setup.FirstStart {
+		go n.fetchWithheld(ctx)
+	}
 	n.feed.Run(ctx)
 }
 
+// fetchWithheld asks other daemons what they know of targets that a copy of the store brings back.
+// They answer once they have this daemon's record.
+func (n *Node) fetchWithheld(ctx context.Context) {
+	for range maxWithheldRounds {
+		links := n.peerLinks()
+		if n.gossip.FetchWithheld(ctx, links[:min(len(links), maxJoinSeeds)]) || !sleep.For(ctx, joinInterval) {
+			return
+		}
+	}
+}
+
 // joinRound is one round of joining. It reports whether the daemon can serve. A
 // daemon that restarts reads the store while it registers, since its callers wait;
 // at the first start of all, one daemon of each data centre reads it for the others.
--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -97,6 +97,9 @@
 	// number of daemons that a joining daemon asks in a round.
 	joinInterval = 200 * time.Millisecond
 	maxJoinSeeds = 3
+	// maxWithheldRounds is the maximum number of rounds in which a daemon that starts asks its
+	// peers what they know of targets that a copy of the store brings back.
+	maxWithheldRounds = 10
 	// peerOnlyRounds is the number of rounds in which a daemon that is not chosen to
 	// read the store asks only its peers for routes and targets.
 	peerOnlyRounds = 4
--- a/internal/process/roster/held_test.go
+++ b/internal/process/roster/held_test.go
@@ -122,3 +122,33 @@
 		t.Errorf("changed %v, stamp %v", changed, r.Stamp())
 	}
 }
+
+// Guards against a daemon that starts, reads the copy, and uses targets of which the others know that
+// they have left, or an earlier process of one that was restarted.
+func TestStartedDaemonWithholdsWhatOthersDo(t *testing.T) {
+	copyOf := func(e Entry) Entry {
+		e.ID = "left"
+		return e
+	}
+	again := target("again", 1, 1, 11)
+	before := []Entry{copyOf(target("a", 1, 1, 9)), copyOf(leaving(target("a", 1, 1, 34))), target("a", 1, 1, 10), removed(1, 35), again, target("again", 2, 1, 36)}
+	list := []Entry{copyOf(target("a", 1, 2, 9)), target("a", 1, 2, 10), target("again", 1, 2, 11)}
+	follower, _ := putBack(before, list)
+	late := New()
+	late.Replace(start, append([]Entry{target("other", 1, 2, 5)}, list...), in(2, copied))
+	if changed := late.Withhold(start, follower.Withheld()); len(changed) == 0 {
+		t.Error("no pool has changed")
+	}
+	if got, want := states(late), states(follower); got != want || want != "again:2:ready left:1:leaving other:1:ready " {
+		t.Errorf("%q, want %q", got, want)
+	}
+	for _, r := range []*Roster{follower, late} {
+		r.Apply(start, []Entry{target("a", 1, 2, 24)}, in(2, 24))
+		if got, want := states(r), "a:1:ready again:2:ready left:1:leaving other:1:ready "; got != want {
+			t.Errorf("after a new statement %q, want %q", got, want)
+		}
+	}
+	if changed := late.Withhold(start, New().Withheld()); len(changed) > 0 {
+		t.Errorf("a daemon that holds nothing has changed %v", changed)
+	}
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -489,6 +489,54 @@
 	return r.Apply(now, d.Entries, d.Stamp)
 }
 
+// Withheld returns what is known from an earlier era of the targets whose registrations are
+// held: that they leave, are gone, or have been restarted.
+func (r *Roster) Withheld() []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var known []Entry
+	for id := range r.held {
+		if e, registered := r.entries[id]; registered {
+			known = append(known, e)
+		}
+	}
+	for i := range r.removals {
+		if _, held := r.held[r.removals[i].ID]; held {
+			known = append(known, r.removals[i])
+		}
+	}
+	return known
+}
+
+// Withhold takes what another daemon knows from an earlier era, for a daemon that has started
+// and has read a copy of the store. It holds its own registrations that contradict it, and returns
+// the pools that changed.
+func (r *Roster) Withhold(now time.Time, known []Entry) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var pools []string
+	for i := range known {
+		k := &known[i]
+		e, registered := r.entries[k.ID]
+		if !registered || e.Era <= k.Era {
+			continue
+		}
+		delete(r.entries, k.ID)
+		r.count(&e, -1)
+		r.unlist(&e)
+		if k.Gone {
+			pools = r.remove(k, pools)
+		} else {
+			pools = r.put(k, pools)
+		}
+		if !r.hold(now, &e) {
+			pools = r.put(&e, pools)
+		}
+		pools = append(pools, e.Pool)
+	}
+	return pools
+}
+
 // Pool returns the registrations of one pool, sorted by ID.
 func (r *Roster) Pool(name string) []Entry {
 	r.mu.Lock()
