Ask the store when a deferred removal is due

What was seen, in virtual time with three daemons: a target that had left was removed up to 1.3 s after the end of the two seconds, since the next answer of the store came then; and one that lived was removed on a late answer, from before it had written its registration again.

Cause: a follower waits for a second or five, and an answer with changes confirms the time of the call. A removal that had been deferred was carried out at once when a list without the target was read after the end of the time, however old.

Change: a follower waits no longer than until the next removal is due, and carries it out with the answer. A removal that is deferred takes effect by its confirmation alone.

--- a/internal/process/feed/era_test.go
+++ b/internal/process/feed/era_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/magnoliarelay/magnoliarelay/internal/process/fresh"
+	"github.com/magnoliarelay/magnoliarelay/internal/process/member"
 	"github.com/magnoliarelay/magnoliarelay/internal/process/roster"
 	"github.com/magnoliarelay/magnoliarelay/internal/version/stamp"
 )
@@ -84,3 +85,34 @@
 		})
 	}
 }
+
+// Guards against a target that is gone and stays until the next answer of the store, for which a follower waits for seconds.
+func TestFollowerAsksWhenRemovalIsDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const grace = 2 * time.Second
+		store := &quietStore{}
+		f := followerBeside(&member.Member{Name: "leader", DataCentre: "dc2", Region: "r", Incarnation: 1, Version: 1, State: member.Ready}, store)
+		f.Clock = time.Now
+		f.Fresh = fresh.New(time.Now(), 1)
+		now := time.Now()
+		f.Roster.Apply(now, []roster.Entry{{ID: "t", Pool: "p", Revision: 1}}, stamp.Stamp{Revision: 1})
+		f.Roster.StoreRecovered(now)
+		f.Roster.Apply(now, []roster.Entry{{ID: "t", Revision: 1, Gone: true}}, stamp.Stamp{Revision: 1})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		time.Sleep(grace - time.Millisecond)
+		if f.Roster.Len() != 1 {
+			t.Error("the target was removed before the end of its time")
+		}
+		time.Sleep(10 * time.Millisecond)
+		if f.Roster.Len() != 0 {
+			t.Error("the target was not removed")
+		}
+		if calls := store.calls.Load(); calls > 3 {
+			t.Errorf("%d calls", calls)
+		}
+		cancel()
+		<-done
+	})
+}
--- a/internal/process/feed/feed.go
+++ b/internal/process/feed/feed.go
@@ -285,6 +285,10 @@
 	if _, leader := f.followers(time.Now()); leader == f.Table.Self(time.Now()).Name {
 		wait = leaderWaitTimeout
 	}
+	if due := f.Roster.Due(); !due.IsZero() {
+		// An answer at that time tells whether a target has come back.
+		wait = min(wait, max(0, time.Until(due))+minWaitTimeout)
+	}
 	waiting, cancel := context.WithTimeout(ctx, wait+waitSlack)
 	defer cancel()
 	waiting, interrupt := context.WithCancelCause(waiting)
@@ -387,7 +391,8 @@
 		pools = f.Roster.Apply(now, changes.Entries, changes.Stamp)
 	}
 	f.Fresh.Confirm(confirmed, changes.Stamp)
-	f.Registered(pools)
+	age, _ := f.Fresh.Ages(f.Clock())
+	f.Registered(append(pools, f.Roster.Expire(now, age)...))
 	f.mergeMembers(changes.Members)
 }
 
--- a/internal/process/roster/era_test.go
+++ b/internal/process/roster/era_test.go
@@ -319,3 +319,20 @@
 		t.Errorf("%v left", got)
 	}
 }
+
+// Guards against a target that is removed on a late answer of the store, from before it has written its registration again.
+func TestLateListDoesNotEndGrace(t *testing.T) {
+	r := New()
+	r.Apply(start, []Entry{target("a", 1, 1, 35)}, in(1, known))
+	r.Replace(start, nil, in(2, copied))
+	late := start.Add(recoveryGrace)
+	r.Replace(late, nil, in(2, copied+1))
+	r.Expire(late, time.Second)
+	if got := states(r); got != "a:1:ready " {
+		t.Errorf("%q after a late answer", got)
+	}
+	r.Expire(late, 0)
+	if got := states(r); got != "" {
+		t.Errorf("%q after an answer of that time", got)
+	}
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -281,14 +281,16 @@
 		return r.put(e, pools)
 	}
 	old, known := r.entries[e.ID]
-	if !known || !now.Before(r.graceEnds) {
+	p, deferred := r.pending[e.ID]
+	deferred = deferred && p.entry.Era == e.Era
+	if !known || !deferred && !now.Before(r.graceEnds) {
 		return r.remove(e, pools)
 	}
 	if !old.Stamp().After(e.Stamp()) {
 		delete(r.held, e.ID)
 		until := r.graceEnds
-		if p, pending := r.pending[e.ID]; pending && p.entry.Era == e.Era {
-			// This daemon alone may have lost the store meanwhile.
+		if deferred {
+			// This daemon alone may have lost the store meanwhile, or the answer is a late one.
 			until = p.until
 		}
 		r.pending[e.ID] = pendingRemoval{entry: *e, until: until}
@@ -323,6 +325,25 @@
 	return pools
 }
 
+// Due returns the earliest time at which Expire has something to do; zero if nothing waits.
+func (r *Roster) Due() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := time.Time{}
+	add := func(until time.Time) {
+		if due.IsZero() || until.Before(due) {
+			due = until
+		}
+	}
+	for _, p := range r.pending {
+		add(p.until)
+	}
+	for _, h := range r.held {
+		add(h.until)
+	}
+	return due
+}
+
 func (r *Roster) put(e *Entry, pools []string) []string {
 	old, known := r.entries[e.ID]
 	if known && !e.Stamp().After(old.Stamp()) || r.removedAfter(e) {
