Say in heartbeats up to which revision a daemon's state is complete

What was seen: a daemon that has the registrations of revision 100 and not yet the settings of revision 95 tells others of its last confirmation, and another daemon in the same state takes both for complete up to 100 (TestClaimOfDaemonThatLacksSettings: "the state counts as complete up to revision 100, but the settings of 95 are missing"). If that daemon then asks the store what has changed since 100, it does not get these settings.

Cause: settings and registrations are fetched from peers one by one, and what a heartbeat said counted for the revision of its registrations.

Change: a heartbeat also carries the revision up to which its sender's state is complete. The calls of Merge in tests pass what was implied before.

Evidence: the test fails with the revision of the registrations and passes with the new one. No run of daemons has shown the effect: it takes a daemon that hears from others and cannot fetch from those which have the settings.

--- a/internal/process/feed/feed_test.go
+++ b/internal/process/feed/feed_test.go
@@ -167,7 +167,7 @@
 				f := unchosen(store)
 				f.Fresh = fresh.New(mono.Now().Add(-cutOff), 1)
 				f.Fresh.State = func() (settings, roster stamp.Stamp) { return stamp.Stamp{Revision: 1}, stamp.Stamp{Revision: 1} }
-				f.Fresh.Merge(mono.Now(), tt.confirmed, tt.attempted, stamp.Stamp{Revision: 1}, stamp.Stamp{Revision: tt.roster})
+				f.Fresh.Merge(mono.Now(), tt.confirmed, tt.attempted, stamp.Stamp{Revision: 1}, stamp.Stamp{Revision: tt.roster}, stamp.Stamp{Revision: tt.roster})
 				var news []member.Member
 				f.MembersChanged = func(records []member.Member) { news = append(news, records...) }
 				ctx, cancel := context.WithCancel(t.Context())
--- a/internal/process/fresh/fresh.go
+++ b/internal/process/fresh/fresh.go
@@ -22,7 +22,7 @@
 //	t.Attempt(now)            // this daemon asks the store
 //	t.Confirm(asked, stamp)   // the store has answered
 //	confirmed, attempted := t.Ages(now) // for a heartbeat
-//	t.Merge(now, confirmed, attempted, settings, roster) // from a heartbeat
+//	t.Merge(now, confirmed, attempted, settings, roster, complete) // from a heartbeat
 //	if t.Overdue(now, daemons, 2*time.Second) {
 //		// ask the store
 //	}
@@ -87,6 +87,9 @@
 type claim struct {
 	confirmed, attempted time.Time
 	settings, roster     stamp.Stamp
+	// complete is the stamp of the store up to which both are complete. It is earlier than
+	// theirs if the sender got one of them and still lacks a change of the other.
+	complete stamp.Stamp
 }
 
 // New returns the tracker of a daemon that knows nothing yet.
@@ -118,10 +121,10 @@
 	t.stamp = t.stamp.Max(complete)
 }
 
-// Merge records what another daemon has sent: the ages, and the stamps of the settings and
-// of the registrations for which they hold.
-func (t *Tracker) Merge(now time.Time, confirmed, attempted time.Duration, settings, roster stamp.Stamp) {
-	c := claim{settings: settings, roster: roster}
+// Merge records what another daemon has sent: the ages, the stamps of the settings and of the
+// registrations for which they hold, and the stamp up to which these are complete.
+func (t *Tracker) Merge(now time.Time, confirmed, attempted time.Duration, settings, roster, complete stamp.Stamp) {
+	c := claim{settings: settings, roster: roster, complete: complete}
 	if confirmed >= 0 {
 		c.confirmed = now.Add(-confirmed)
 	}
@@ -145,7 +148,7 @@
 			return false
 		}
 		if !c.confirmed.IsZero() {
-			t.confirm(c.confirmed, c.roster)
+			t.confirm(c.confirmed, c.complete)
 		}
 		t.attempted = later(t.attempted, c.attempted)
 		return true
--- a/internal/process/fresh/fresh_test.go
+++ b/internal/process/fresh/fresh_test.go
@@ -113,7 +113,7 @@
 	}
 	for _, h := range sent {
 		if !w.cutOff[h.to] {
-			w.trackers[h.to].Merge(w.now, h.confirmed, h.attempted, at(1), at(1))
+			w.trackers[h.to].Merge(w.now, h.confirmed, h.attempted, at(1), at(1), at(1))
 		}
 	}
 }
@@ -222,13 +222,13 @@
 		confirmed, attempted time.Duration
 		revision             int64
 	}{
-		{"unknown ages", func() { tracker.Merge(now, Unknown, Unknown, at(5), at(9)) }, Unknown, Unknown, 0},
-		{"an attempt elsewhere", func() { tracker.Merge(now, Unknown, 3*time.Second, at(5), at(9)) }, Unknown, 3 * time.Second, 0},
-		{"a confirmation", func() { tracker.Merge(now, 4*time.Second, 3*time.Second, at(5), at(9)) }, 4 * time.Second, 3 * time.Second, 9},
-		{"an older one", func() { tracker.Merge(now, 5*time.Second, 5*time.Second, at(4), at(8)) }, 4 * time.Second, 3 * time.Second, 9},
-		{"one of newer settings", func() { tracker.Merge(now, 3*time.Second, 2*time.Second, at(6), at(9)) }, 4 * time.Second, 3 * time.Second, 9},
+		{"unknown ages", func() { tracker.Merge(now, Unknown, Unknown, at(5), at(9), at(9)) }, Unknown, Unknown, 0},
+		{"an attempt elsewhere", func() { tracker.Merge(now, Unknown, 3*time.Second, at(5), at(9), at(9)) }, Unknown, 3 * time.Second, 0},
+		{"a confirmation", func() { tracker.Merge(now, 4*time.Second, 3*time.Second, at(5), at(9), at(9)) }, 4 * time.Second, 3 * time.Second, 9},
+		{"an older one", func() { tracker.Merge(now, 5*time.Second, 5*time.Second, at(4), at(8), at(8)) }, 4 * time.Second, 3 * time.Second, 9},
+		{"one of newer settings", func() { tracker.Merge(now, 3*time.Second, 2*time.Second, at(6), at(9), at(9)) }, 4 * time.Second, 3 * time.Second, 9},
 		{"the newer settings", func() { settings = 6 }, 3 * time.Second, 2 * time.Second, 9},
-		{"one of a newer roster", func() { tracker.Merge(now, 2*time.Second, 2*time.Second, at(6), at(10)) }, 3 * time.Second, 2 * time.Second, 9},
+		{"one of a newer roster", func() { tracker.Merge(now, 2*time.Second, 2*time.Second, at(6), at(10), at(10)) }, 3 * time.Second, 2 * time.Second, 9},
 		{"the newer roster", func() { roster = 11 }, 2 * time.Second, 2 * time.Second, 10},
 		{"an own attempt", func() { tracker.Attempt(now.Add(-time.Second)) }, 2 * time.Second, time.Second, 10},
 		{"an own confirmation", func() { tracker.Confirm(now.Add(-time.Second/2), at(12)) }, time.Second / 2, time.Second / 2, 12},
@@ -251,7 +251,7 @@
 	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(step) {
 		newest++
 		if now.Sub(start)%heartbeatInterval == 0 {
-			tracker.Merge(now, heartbeatInterval, 0, at(1), at(newest))
+			tracker.Merge(now, heartbeatInterval, 0, at(1), at(newest), at(newest))
 		}
 		if tracker.Overdue(now, 300, silentAfter) {
 			t.Fatalf("overdue %v after the start", now.Sub(start))
@@ -263,14 +263,14 @@
 // on those that ask the store.
 func TestDaemonThatStaysBehindAsksTheStore(t *testing.T) {
 	tracker := newTracker(1)
-	tracker.Merge(start, 0, 0, at(1), at(1))
+	tracker.Merge(start, 0, 0, at(1), at(1), at(1))
 	const bound = silentAfter + minSpread + step
 	for now := start; !tracker.Overdue(now, 24, silentAfter); now = now.Add(step) {
 		if now.Sub(start) > bound {
 			t.Fatalf("not overdue after %v", bound)
 		}
 		if now.Sub(start)%heartbeatInterval == 0 {
-			tracker.Merge(now, 0, 0, at(2), at(1))
+			tracker.Merge(now, 0, 0, at(2), at(1), at(1))
 		}
 	}
 }
@@ -281,7 +281,7 @@
 	const timeout = 5 * time.Second
 	tracker := New(start, 1)
 	tracker.State = func() (settings, roster stamp.Stamp) { return at(0), at(0) }
-	tracker.Merge(start, 0, 0, at(1), at(1))
+	tracker.Merge(start, 0, 0, at(1), at(1), at(1))
 	asking := false
 	tracker.State = func() (settings, roster stamp.Stamp) {
 		if !asking {
@@ -294,7 +294,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		tracker.Merge(start, 0, 0, at(1), at(1))
+		tracker.Merge(start, 0, 0, at(1), at(1), at(1))
 		tracker.Ages(start)
 		tracker.Overdue(start, 1, silentAfter)
 	}()
@@ -310,3 +310,27 @@
 
 // at returns the stamp of a revision in the first era.
 func at(revision int64) stamp.Stamp { return stamp.Stamp{Revision: revision} }
+
+// A daemon gets the registrations of a revision before the settings of one below it, and tells
+// others how old its last confirmation is. Guards against a daemon that takes what both have for
+// complete, and that misses these settings when it asks the store for what has changed since.
+func TestClaimOfDaemonThatLacksSettings(t *testing.T) {
+	const before, settings, registrations = 90, 95, 100
+	lacking := func(seed uint64) *Tracker {
+		tracker := New(start, seed)
+		tracker.State = func() (settings, roster stamp.Stamp) { return at(before), at(registrations) }
+		return tracker
+	}
+	first, second := lacking(1), lacking(2)
+	first.Merge(start, 0, 0, at(before), at(before), at(before))
+	now := start.Add(time.Second)
+	first.Merge(now, 0, 0, at(settings), at(registrations), at(registrations))
+	confirmed, attempted := first.Ages(now)
+	second.Merge(now, confirmed, attempted, at(before), at(registrations), first.Stamp())
+	if got := second.Stamp(); got.After(at(settings - 1)) {
+		t.Errorf("the state counts as complete up to revision %d, but the settings of %d are missing", got.Revision, settings)
+	}
+	if got, _ := second.Ages(now); got != time.Second {
+		t.Errorf("confirmed %v ago, want %v", got, time.Second)
+	}
+}
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -77,6 +77,9 @@
 	// has asked the store; negative if unknown.
 	ConfirmedMillis int64
 	AttemptedMillis int64
+	// Complete is the stamp of the store up to which the sender's settings and roster are
+	// complete.
+	Complete stamp.Stamp
 }
 
 // FromStore stands for the store where the sender of a state is named.
@@ -194,9 +197,10 @@
 	if g.Quota != nil {
 		h.Claims = g.Quota.Claims(now)
 	}
-	// The ages come first: what is read after them is as new as they say, or newer.
+	// The ages and Complete come first: what is read after them is as new as they say, or newer.
 	confirmed, attempted := g.Fresh.Ages(mono.Now())
 	h.ConfirmedMillis, h.AttemptedMillis = ageMillis(confirmed), ageMillis(attempted)
+	h.Complete = g.Fresh.Stamp()
 	if g.Roster != nil {
 		h.Roster = g.Roster.Stamp()
 	}
@@ -271,7 +275,7 @@
 	g.compareSettings(h.Settings, &from)
 	g.compareRosters(h.Roster, &from)
 	g.compareDigests(now, h.Digest, &from)
-	g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Settings, h.Roster)
+	g.Fresh.Merge(mono.Now(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Settings, h.Roster, h.Complete)
 }
 
 // ageMillis and ageOf convert an age that may be unknown.
--- a/internal/process/watch/watch_test.go
+++ b/internal/process/watch/watch_test.go
@@ -175,7 +175,7 @@
 		defer f.cancel()
 		for elapsed := time.Duration(0); elapsed < time.Minute; elapsed += 600 * time.Millisecond {
 			// The last read was up to eight seconds ago, and its news takes up to two.
-			f.fresh.Merge(time.Now(), elapsed%(8*time.Second)+2*time.Second, 600*time.Millisecond, stamp.Stamp{}, stamp.Stamp{})
+			f.fresh.Merge(time.Now(), elapsed%(8*time.Second)+2*time.Second, 600*time.Millisecond, stamp.Stamp{}, stamp.Stamp{}, stamp.Stamp{})
 			time.Sleep(600 * time.Millisecond)
 		}
 		if calls := f.calls(); calls > 0 {
