--- a/internal/process/feed/era_test.go
+++ b/internal/process/feed/era_test.go
@@ -78,7 +78,7 @@
 			f := unchosen(&quietStore{})
 			f.lostSince = time.Now().Add(-minLapseOutage)
 			f.Clock = time.Now
-			f.Fresh.Merge(f.Clock(), tt.confirmed, 0, stamp.Stamp{}, stamp.Stamp{})
+			f.Fresh.Merge(f.Clock(), tt.confirmed, 0, stamp.Stamp{}, stamp.Stamp{}, stamp.Stamp{})
 			f.storeAnswered()
 			if grace := f.Roster.Since(time.Now(), stamp.Stamp{}).GraceMillis; grace > 0 != tt.deferred {
 				t.Errorf("%s: removals are deferred for %d ms", tt.name, grace)
--- a/internal/process/gossip/gossip.go
+++ b/internal/process/gossip/gossip.go
@@ -76,6 +76,9 @@
 	// has asked the store; negative if unknown.
 	ConfirmedMillis int64
 	AttemptedMillis int64
+	// Complete is the stamp of the store up to which the sender's settings and roster are
+	// complete.
+	Complete stamp.Stamp
 }
 
 // Link carries messages to other daemons. *link.Link implements it.
@@ -205,9 +208,10 @@
 	if g.Quota != nil {
 		h.Claims = g.Quota.Claims(now)
 	}
-	// The ages come first: what is read after them is as new as they say, or newer.
+	// The ages and Complete come first: what is read after them is as new as they say, or newer.
 	confirmed, attempted := g.Fresh.Ages(g.Clock())
 	h.ConfirmedMillis, h.AttemptedMillis = ageMillis(confirmed), ageMillis(attempted)
+	h.Complete = g.Fresh.Stamp()
 	if g.Roster != nil {
 		h.Roster = g.Roster.Stamp()
 	}
@@ -282,7 +286,7 @@
 	g.compareSettings(h.Settings, &from)
 	g.compareRosters(h.Roster, &from)
 	g.compareDigests(now, h.Digest, &from)
-	g.Fresh.Merge(g.Clock(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Settings, h.Roster)
+	g.Fresh.Merge(g.Clock(), ageOf(h.ConfirmedMillis), ageOf(h.AttemptedMillis), h.Settings, h.Roster, h.Complete)
 }
 
 // ageMillis and ageOf convert an age that may be unknown.
