Let a confirmation not grow younger as daemons pass it on

Cause: a heartbeat carries the age of a confirmation at its sending, so each daemon that passes it on makes it younger by the time under way. Heartbeats that answer each other pass it on in a circle.

Change: a confirmation in a heartbeat counts if it is at least 100 ms later than the known one.

It works between daemons that reach each other within 100 ms; beyond, a circle can still win time.

--- a/internal/process/fresh/fresh.go
+++ b/internal/process/fresh/fresh.go
@@ -50,6 +50,9 @@
 	// recordsPerPage daemons.
 	callsPerRead   = 2
 	recordsPerPage = 500
+	// minGain is how much later than the known one a confirmation in a heartbeat has to be. It covers the time
+	// that a heartbeat takes within a region.
+	minGain = 100 * time.Millisecond
 	// maxClaims is the maximum number of claims that wait for newer revisions. They take a
 	// fraction of a second to arrive.
 	maxClaims = 16
@@ -145,7 +148,13 @@
 			return false
 		}
 		if !c.confirmed.IsZero() {
-			t.confirm(c.confirmed, c.roster)
+			// The age in a heartbeat is that at its sending. Passed on in a circle, a confirmation would
+			// become younger by the time that each one takes.
+			if t.confirmed.IsZero() || c.confirmed.Sub(t.confirmed) >= minGain {
+				t.confirmed = c.confirmed
+				t.attempted = later(t.attempted, c.confirmed)
+			}
+			t.stamp = t.stamp.Max(c.roster)
 		}
 		t.attempted = later(t.attempted, c.attempted)
 		return true
--- a/internal/process/fresh/fresh_test.go
+++ b/internal/process/fresh/fresh_test.go
@@ -310,3 +310,21 @@
 
 // at returns the stamp of a revision in the first era.
 func at(revision int64) stamp.Stamp { return stamp.Stamp{Revision: revision} }
+
+// Guards against daemons that take an old confirmation for a recent one since they pass it on to each other.
+func TestConfirmationAgesInACircle(t *testing.T) {
+	const latency, interval = 5 * time.Millisecond, 25 * time.Millisecond
+	first, second := newTracker(1), newTracker(2)
+	now := start
+	first.Confirm(now, at(1))
+	for range 100 {
+		confirmed, attempted := first.Ages(now)
+		now = now.Add(latency)
+		second.Merge(now, confirmed, attempted, at(1), at(1))
+		first, second = second, first
+		now = now.Add(interval)
+	}
+	if confirmed, _ := first.Ages(now); confirmed < now.Sub(start)-latency {
+		t.Errorf("confirmed %v ago, was %v ago", confirmed, now.Sub(start))
+	}
+}
