Keep a deferred removal when a late list has the registration

Cause: a list from before a removal, whose answer was late, cancelled the removal that was deferred.

Change: a registration from before a deferred removal changes nothing.

--- a/internal/process/roster/era_test.go
+++ b/internal/process/roster/era_test.go
@@ -336,3 +336,17 @@
 		t.Errorf("%q after an answer of that time", got)
 	}
 }
+
+// Guards against a target that stays for good since a late list, from before its removal, cancels that.
+func TestLateListDoesNotCancelRemoval(t *testing.T) {
+	for _, late := range []Entry{target("a", 1, 2, 10), target("a", 2, 2, 12)} {
+		r := New()
+		r.Apply(start, []Entry{target("a", 1, 1, 10)}, in(1, known))
+		r.Replace(start, nil, in(2, copied+5))
+		r.Replace(start, []Entry{late}, in(2, copied))
+		r.Expire(start.Add(recoveryGrace), 0)
+		if got := states(r); got != "" {
+			t.Errorf("%q left", got)
+		}
+	}
+}
--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -257,6 +257,9 @@
 	same := *e
 	same.Era, same.Revision = known.Era, known.Revision
 	if registered && same == known {
+		if r.removalWaits(e) {
+			return true
+		}
 		// Peers that lack it find it by its new stamp.
 		r.entries[e.ID] = *e
 		delete(r.pending, e.ID)
@@ -346,7 +349,7 @@
 
 func (r *Roster) put(e *Entry, pools []string) []string {
 	old, known := r.entries[e.ID]
-	if known && !e.Stamp().After(old.Stamp()) || r.removedAfter(e) {
+	if known && !e.Stamp().After(old.Stamp()) || r.removedAfter(e) || r.removalWaits(e) {
 		return pools
 	}
 	delete(r.pending, e.ID)
@@ -378,6 +381,12 @@
 	}
 }
 
+// removalWaits reports whether a removal after the registration is deferred.
+func (r *Roster) removalWaits(e *Entry) bool {
+	p, pending := r.pending[e.ID]
+	return pending && p.entry.Stamp().After(e.Stamp())
+}
+
 func (r *Roster) removedAfter(e *Entry) bool {
 	return slices.ContainsFunc(r.removals, func(removal Entry) bool { return removal.ID == e.ID && removal.Stamp().After(e.Stamp()) })
 }
