--- a/internal/process/roster/roster.go
+++ b/internal/process/roster/roster.go
@@ -288,6 +288,9 @@
 	same := *e
 	same.Era, same.Revision = known.Era, known.Revision
 	if registered && same == known {
+		if r.removedAfter(e) {
+			return true
+		}
 		// Peers that lack it find it by its new stamp.
 		r.entries[e.ID] = *e
 		delete(r.pending, e.ID)
