--- a/internal/process/node/node.go
+++ b/internal/process/node/node.go
@@ -122,6 +122,8 @@
 	// stopMargin is the part of the grace that is reserved for the answers to requests
 	// that are interrupted, and for leaving the other daemons.
 	stopMargin = 800 * time.Millisecond
+	// maxLoggedURI is the maximum length of the URI of a request that is not valid in the log.
+	maxLoggedURI = 200
 	// unreadyRetryAfter is the delay after which a caller may retry at a daemon that has
 	// no routes yet.
 	unreadyRetryAfter = 200 * time.Millisecond
@@ -418,7 +420,8 @@
 
 // logRejected logs a request that is not valid.
 func (n *Node) logRejected(request *relay.Request, status int) {
-	n.Log.Failure(request.ID, "rejected", "status", status, "host", request.Host, "uri", request.URI, "version", n.Keeper.Current().Change.Number)
+	uri := request.URI[:min(len(request.URI), maxLoggedURI)]
+	n.Log.Failure(request.ID, "rejected", "status", status, "uri", uri, "version", n.Keeper.Current().Change.Number)
 }
 
 func (n *Node) logUnwritten(request *relay.Request, err error) {
