Read an answer that comes before the request was sent whole

The answer lay in its socket, but the simulated caller returned without reading it, which callers that speak HTTP do.

--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -13,6 +13,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -152,17 +153,16 @@
 	if call.Err = conn.SetDeadline(call.Sent.Add(timeout)); call.Err != nil {
 		return call, false
 	}
-	if call.Err = request.Write(conn); call.Err != nil {
-		return call, false
-	}
+	// A daemon may answer and close the connection before it has read the whole request.
+	writeErr := request.Write(conn)
 	response, err := http.ReadResponse(reader, request)
 	if err != nil {
-		call.Err = err
+		call.Err = cmp.Or(writeErr, err)
 		return call, false
 	}
 	defer response.Body.Close()
 	call.Status, call.Header = response.StatusCode, response.Header
 	call.Body, call.Err = io.ReadAll(response.Body)
 	call.Extra = reader.Buffered() > 0
-	return call, call.Err == nil && !response.Close
+	return call, call.Err == nil && writeErr == nil && !response.Close
 }
